--- /dev/null
+++ b/src/main/java/beampoint/Balancer.java
@@ -0,0 +1,119 @@
+package beampoint;
+
+import java.util.List;
+
+/**
+ * The interface of the decision module: what it is told at its start, the events it is given and the
+ * actions it answers with. All times are milliseconds on one clock that only moves forward.
+ */
+public interface Balancer {
+
+  /** Takes one event at the given time and returns the actions to carry out, in order. */
+  List<Action> handle(double now, Event event);
+
+  /** How far a request may be repeated once it may have run. */
+  enum Idempotency { SAFE, KEYED, UNSAFE }
+
+  /** Which endpoints drop the repeats of a keyed request. */
+  enum DedupGroup { ALL, ZONE, CELL }
+
+  /** What an endpoint's list weight stands for. */
+  enum WeightSource { NONE, NOMINAL, ROUGH, LIVE }
+
+  /** How an endpoint stands in the list. */
+  enum EndpointState { RUNNING, DRAINING, GONE }
+
+  /** What a list event holds. */
+  enum ListKind { CHANGES, FULL, REMEMBERED, UNAVAILABLE }
+
+  /** How an attempt or a probe ended. */
+  enum Result {
+    OK(false), ERROR(false), TIMEOUT(false), RESET(false), CANCELLED(false),
+    FULL(true), CONNECT_FAILED(true), NOT_SENT(true), MISS(true);
+
+    /** True where this result proves that nothing was carried out. */
+    public final boolean neverRan;
+
+    Result(boolean neverRan) {
+      this.neverRan = neverRan;
+    }
+  }
+
+  /** A class of requests; a worth is earned in full until the aim, in part until the deadline. */
+  record RequestClass(Idempotency idempotency, DedupGroup group, double dedupWindow, double aim,
+      double deadline, double worth, double lateWorth) {}
+
+  /** A tenant's quota: requests a second over all balancers together. */
+  record Tenant(double quotaPerSecond) {}
+
+  /** What a site allows a balancer to do. */
+  record Limits(int maxAttempts, boolean secondCopies, boolean probes, boolean retryAdvice,
+      double maxRetryAfter, double connectTimeout) {}
+
+  /** The figures of the rules on drains, cold endpoints and asking for the list. */
+  record Rules(double drainGrace, double fallMultiple, double fallWindow, double coldFrom, double warmUp,
+      double askEvery) {}
+
+  /** What an instance is told at its start. An origin kind below 0 means that there is no origin. */
+  record Settings(long seed, int siblings, int zone, boolean listPushed, WeightSource weightSource,
+      int originKind, double overShareWorth, Limits limits, Rules rules, List<RequestClass> classes,
+      List<Tenant> tenants) {}
+
+  /** An entry of the endpoint list; startedAt is 0 for an endpoint that started long ago. */
+  record Endpoint(String id, int zone, int kind, int cell, EndpointState state, double weight,
+      double startedAt) {}
+
+  /** What a balancer observes. */
+  sealed interface Event permits ListReceived, RequestReceived, AttemptStarted, AttemptEnded, RequestGone,
+      TimerFired, ProbeEnded {}
+
+  /** The endpoint list, whole or in part. */
+  record ListReceived(ListKind kind, List<Endpoint> endpoints) implements Event {}
+
+  /** A client's request; one final answer is owed before notAfter. A key below 0 means that it has none. */
+  record RequestReceived(long id, double notAfter, int tenant, int requestClass, long key, boolean write)
+      implements Event {}
+
+  /** A streamed answer has begun; the attempt belongs to the client from here on. */
+  record AttemptStarted(long id, int attempt) implements Event {}
+
+  /** An attempt's one outcome; done tells that the request has had its final answer. */
+  record AttemptEnded(long id, int attempt, String endpoint, double elapsed, Result result, boolean done)
+      implements Event {}
+
+  /** The client has left; nothing more is owed. */
+  record RequestGone(long id) implements Event {}
+
+  /** A timer set earlier is due. */
+  record TimerFired(long token) implements Event {}
+
+  /** A probe's outcome. */
+  record ProbeEnded(String endpoint, Result result, double elapsed) implements Event {}
+
+  /** What a balancer may do. */
+  sealed interface Action permits Send, Refuse, Fail, Cancel, SetTimer, Probe, FollowList, Log {}
+
+  /** Starts an attempt; a limit of 0 lasts until the client gives up. */
+  record Send(long id, String endpoint, double limit) implements Action {}
+
+  /** Final answer: not done, a retry is harmless. A wait of 0 gives no advice. */
+  record Refuse(long id, double retryAfter) implements Action {}
+
+  /** Final answer: failed, promising nothing. */
+  record Fail(long id) implements Action {}
+
+  /** Gives up one attempt. */
+  record Cancel(long id, int attempt) implements Action {}
+
+  /** Asks for a {@link TimerFired}. */
+  record SetTimer(double delay, long token) implements Action {}
+
+  /** Asks an endpoint for a sign of life. */
+  record Probe(String endpoint) implements Action {}
+
+  /** Asks for the changes of the list from now on. */
+  record FollowList() implements Action {}
+
+  /** A line for on-call staff. */
+  record Log(String text) implements Action {}
+}
--- /dev/null
+++ b/src/main/java/beampoint/Logic.java
@@ -0,0 +1,602 @@
+package beampoint;
+
+import beampoint.State.Attempt;
+import beampoint.State.Node;
+import beampoint.State.Request;
+import beampoint.State.Usage;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+
+/**
+ * Every decision of a balancer. The interface (settings, events, actions) is in Balancer.java.
+ *
+ * <p>Ordinary path (after the C2DN paper, sections 2 and 4 and the appendix on bucket assignment): keys hash
+ * into buckets, buckets onto a weighted consistent hash ring that all balancers build alike; a bucket goes to
+ * its first distinct cache clockwise and spills, when that one is busy, to the next distinct cache.
+ * What departs from it says which failure it guards against. Read top to bottom: settings, ring, pick,
+ * readiness, warm-up budget, origin gate, retry and final answer, list following.
+ */
+public final class Logic implements Balancer {
+
+  // ---- Settings -------------------------------------------------------------------------------------------
+
+  /** Buckets on the ring: many to a cache, so that one bucket is a small part of a cache's load. */
+  private static final int BUCKETS = 4096;
+  /** Ring points for each unit of list weight. */
+  private static final int POINTS = 100;
+  /** A primary spills above this multiple of the mean in flight, and at least SPILL_EXTRA over it. */
+  private static final double SPILL_FACTOR = 2;
+  private static final int SPILL_EXTRA = 2;
+  /** A warming cache's points grow in this many steps, so that the ring is rebuilt seldom. */
+  private static final int WARM_STEPS = 8;
+  /** The part of the time left until the aim that an endpoint's expected time may fill: times scatter. */
+  private static final double PATIENCE = 0.7;
+  /** The same for traffic beyond a tenant's share, which is worth little. */
+  private static final double OVER_SHARE_PATIENCE = 0.3;
+  /** Weight of the newest observation in a moving mean. */
+  private static final double GAIN = 0.1;
+  /** A moving mean without news loses half its excess in this time (ms). */
+  private static final double FADE = 1000;
+  /** Share of errors at which a cache is skipped. */
+  private static final double ERROR_LIMIT = 0.3;
+  /** The first pause of an unready cache and the longest (ms). */
+  private static final double FIRST_PAUSE = 250;
+  private static final double LONGEST_PAUSE = 2000;
+  /** Further attempts after a failure, as a share of requests, and the most saved up. */
+  private static final double RETRY_SHARE = 0.2;
+  private static final double RETRY_BURST = 20;
+  /** Over a window, a cold cache is sent at most this much more than its present share of capacity. */
+  private static final double COLD_EXCESS = 1.5;
+  /** The token of the list's timer; the timers of requests carry their ids, which are smaller. */
+  private static final long LIST_TIMER = 1L << 60;
+
+  private final Settings settings;
+  private final Random random;
+  private final List<Action> out = new ArrayList<>();
+  private final Map<String, Node> nodes = new TreeMap<>();
+  private final Map<Long, Request> requests = new HashMap<>();
+  /** Reads of one key at the origin, each with the requests that wait for it. */
+  private final Map<Long, ArrayDeque<Request>> fetches = new HashMap<>();
+  /** Attempts of requests that have ended count at their endpoint until their outcome comes. */
+  private final Map<Long, Attempt> orphans = new HashMap<>();
+  private final List<Usage> usages = new ArrayList<>();
+  private double now;
+  private double retryBudget = RETRY_BURST;
+  private int listFailures;
+
+  public Logic(Settings settings) {
+    this.settings = settings;
+    this.random = new Random(settings.seed());
+    settings.tenants().forEach(t -> usages.add(new Usage()));
+  }
+
+  @Override
+  public List<Action> handle(double time, Event event) {
+    now = time;
+    out.clear();
+    if (event instanceof ListReceived e) {
+      onList(e);
+    } else if (event instanceof RequestReceived e) {
+      onRequest(e);
+    } else if (event instanceof AttemptEnded e) {
+      onAttemptEnded(e);
+    } else if (event instanceof RequestGone e) {
+      finish(requests.get(e.id()));
+    } else if (event instanceof TimerFired e) {
+      onTimer(e.token());
+    }
+    return List.copyOf(out);
+  }
+
+  // ---- Ring -----------------------------------------------------------------------------------------------
+
+  private long[] ringHashes = new long[0];
+  private Node[] ringNodes = new Node[0];
+  private int[] bucketStart = new int[BUCKETS];
+  private double ringDueAt = Double.POSITIVE_INFINITY;
+
+  /** A well mixed hash (the finaliser of SplitMix64), the same at every balancer. */
+  private static long mix(long value) {
+    long z = value + 0x9e3779b97f4a7c15L;
+    z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
+    z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+    return z ^ (z >>> 31);
+  }
+
+  private static long hash(String id) {
+    long h = 0;
+    for (int i = 0; i < id.length(); i++) {
+      h = mix(h ^ id.charAt(i));
+    }
+    return h;
+  }
+
+  /**
+   * Puts every running cache on the ring with points by weight. A warming cache has only the first points of
+   * its sequence, in step with the stated warm-up (the paper assumes a replacement that works in full at
+   * once; here its full share would push it over): all balancers agree, and only its own buckets move.
+   */
+  private void buildRing() {
+    TreeMap<Long, Node> points = new TreeMap<>(Long::compareUnsigned);
+    ringDueAt = Double.POSITIVE_INFINITY;
+    for (Node node : nodes.values()) {
+      if (isCache(node)) {
+        double share = 1;
+        if (warmth(node) < 1) {
+          double step = settings.rules().warmUp() / WARM_STEPS;
+          double steps = Math.floor((now - node.startedAt) / step);
+          share = warmthAt(steps * step);
+          ringDueAt = Math.min(ringDueAt, node.startedAt + (steps + 1) * step);
+        }
+        long sequence = hash(node.entry.id());
+        int count = Math.max(1, (int) Math.round(POINTS * node.weight * share));
+        for (int i = 0; i < count; i++) {
+          points.putIfAbsent(mix(sequence + i), node);
+        }
+      }
+    }
+    ringHashes = new long[points.size()];
+    ringNodes = points.values().toArray(new Node[0]);
+    int at = 0;
+    for (long point : points.keySet()) {
+      ringHashes[at++] = point ^ Long.MIN_VALUE;
+    }
+    for (int bucket = 0; bucket < BUCKETS && at > 0; bucket++) {
+      int found = Arrays.binarySearch(ringHashes, mix(~(long) bucket) ^ Long.MIN_VALUE);
+      bucketStart[bucket] = (found >= 0 ? found : -found - 1) % at;
+    }
+  }
+
+  private boolean isOrigin(Node node) {
+    return node.entry.kind() == settings.originKind();
+  }
+
+  private boolean isCache(Node node) {
+    return node.entry.state() == EndpointState.RUNNING && !isOrigin(node);
+  }
+
+  // ---- Pick -----------------------------------------------------------------------------------------------
+
+  /** The primary, or the next distinct cache when that one is busy; null if neither can take it. */
+  private Node pick(Request r) {
+    if (now >= ringDueAt) {
+      buildRing();
+    }
+    Node primary = nextReady(r, null);
+    if (primary == null) {
+      return null;
+    }
+    Node second = nextReady(r, primary);
+    if (second == null) {
+      return hasRoom(primary, r) ? primary : null;
+    }
+    if (hasRoom(primary, r) && !(spills(primary) && hasRoom(second, r))) {
+      return primary;
+    }
+    return hasRoom(second, r) ? second : null;
+  }
+
+  /** The first ready cache clockwise from the bucket that is not yet tried and is not the given one. */
+  private Node nextReady(Request r, Node other) {
+    int start = bucketStart[r.bucket];
+    Node last = null;
+    for (int i = 0; i < ringNodes.length; i++) {
+      Node node = ringNodes[(start + i) % ringNodes.length];
+      if (node != last && node != other && !r.tried.contains(node) && isReady(node) && mayRunAt(r, node)) {
+        return node;
+      }
+      last = node;
+    }
+    return null;
+  }
+
+  private boolean spills(Node primary) {
+    int caches = 0;
+    int inFlight = 0;
+    for (Node node : nodes.values()) {
+      if (isCache(node)) {
+        caches++;
+        inFlight += node.inFlight;
+      }
+    }
+    double mean = (double) inFlight / caches;
+    return primary.inFlight > SPILL_FACTOR * mean && primary.inFlight >= mean + SPILL_EXTRA;
+  }
+
+  /**
+   * Whether an endpoint is expected to answer well before the aim; the paper sends whatever the load. Guards
+   * against queues of work whose answers come too late. An idle endpoint always gets one: that is its trial.
+   */
+  private boolean hasRoom(Node node, Request r) {
+    if (warmth(node) < 1 && !isOrigin(node) && overColdBudget(node)) {
+      return false;
+    }
+    return node.inFlight == 0 || expectedTime(node) <= patience(r);
+  }
+
+  /** What a request may wait: a part of the time to its aim, or to the aim of a class of more worth. */
+  private double patience(Request r) {
+    double left = (r.type.lateWorth() > 0 && now > r.aimAt ? r.deadline : r.aimAt) - now;
+    for (RequestClass type : settings.classes()) {
+      if (type.worth() > r.type.worth()) {
+        left = Math.min(left, type.aim());
+      }
+    }
+    return left * (r.overShare ? OVER_SHARE_PATIENCE : PATIENCE);
+  }
+
+  /** The time one more attempt would take: the recent time, scaled by how much more is out now than then. */
+  private double expectedTime(Node node) {
+    double recent = node.time * Math.max(1, (node.inFlight + 1) / node.depth);
+    while (!node.flights.isEmpty() && node.flights.peekFirst().over) {
+      node.flights.pollFirst();
+    }
+    double oldest = node.flights.isEmpty() ? 0 : now - node.flights.peekFirst().sentAt;
+    return Math.max(recent, oldest);
+  }
+
+  private static double average(double mean, double value) {
+    return mean + GAIN * (value - mean);
+  }
+
+  // ---- Readiness ------------------------------------------------------------------------------------------
+
+  /** Guards against caches that the list still names as running but that refuse, break or fail requests. */
+  private boolean isReady(Node node) {
+    return now >= node.pausedUntil;
+  }
+
+  private void observe(Node node, Attempt attempt, double elapsed, Result result) {
+    if (result == Result.OK) {
+      node.time = node.observedAt == 0 ? elapsed : average(node.time, elapsed);
+      node.depth = average(node.depth, attempt.depth);
+      node.observedAt = now;
+    } else if (result == Result.TIMEOUT) {
+      node.time = Math.max(node.time, average(node.time, elapsed));
+    }
+    boolean broken = result == Result.CONNECT_FAILED || result == Result.RESET;
+    node.errors = average(node.errors, result == Result.ERROR || broken ? 1 : 0);
+    if (isOrigin(node)) {
+      return;
+    }
+    if (broken || node.errors > ERROR_LIMIT) {
+      pause(node);
+    } else if (result == Result.OK) {
+      node.failures = 0;
+    }
+  }
+
+  /** Skips a cache, longer each time; never when half of the caches are: then the cause is shared. */
+  private void pause(Node node) {
+    long caches = nodes.values().stream().filter(this::isCache).count();
+    long paused = nodes.values().stream().filter(n -> isCache(n) && !isReady(n)).count();
+    if (isReady(node) && paused < caches / 2) {
+      double length = Math.min(LONGEST_PAUSE, FIRST_PAUSE * (1L << Math.min(node.failures++, 10)));
+      node.pausedUntil = now + length;
+      node.errors /= 2;
+      out.add(new Log("ejected " + node.entry.id() + " for " + Math.round(length) + " ms"));
+    }
+  }
+
+  // ---- Warm-up budget -------------------------------------------------------------------------------------
+
+  private double warmth(Node node) {
+    return node.startedAt <= 0 ? 1 : warmthAt(now - node.startedAt);
+  }
+
+  private double warmthAt(double age) {
+    Rules rules = settings.rules();
+    return age >= rules.warmUp() ? 1
+        : rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.warmUp();
+  }
+
+  /**
+   * A cold cache is sent, in each window, no more than its present part of what this balancer sends a warm
+   * one. Every balancer keeps to its own traffic, so the sum keeps the rule however unequal they are.
+   */
+  private boolean overColdBudget(Node cold) {
+    double sent = 0;
+    double capacity = 0;
+    for (Node node : nodes.values()) {
+      if (isCache(node)) {
+        forgetSends(node);
+        sent += node.sends.size();
+        capacity += warmth(node) * node.weight;
+      }
+    }
+    return cold.sends.size() + 1 > 2 + COLD_EXCESS * sent * warmth(cold) * cold.weight / capacity;
+  }
+
+  private void forgetSends(Node node) {
+    while (!node.sends.isEmpty() && node.sends.peekFirst() < now - settings.rules().fallWindow()) {
+      node.sends.pollFirst();
+    }
+  }
+
+  // ---- Origin gate ----------------------------------------------------------------------------------------
+
+  private Node origin() {
+    for (Node node : nodes.values()) {
+      if (isOrigin(node) && node.entry.state() == EndpointState.RUNNING) {
+        return node;
+      }
+    }
+    return null;
+  }
+
+  /**
+   * A read that missed goes to the origin, unless this balancer already fetches the key: then it waits for
+   * that fetch and asks the cache again. When the origin cannot answer in time, the second cache may hold it.
+   */
+  private void onMiss(Request r) {
+    ArrayDeque<Request> waiting = r.key < 0 ? null : fetches.get(r.key);
+    int attemptsLeft = settings.limits().maxAttempts() - r.attempts;
+    if (waiting != null && attemptsLeft >= 2) {
+      waiting.add(r);
+      out.add(new SetTimer(Math.max(1, Math.min(r.aimAt, r.deadline) - now), r.id));
+      return;
+    }
+    Node origin = origin();
+    if (origin != null && attemptsLeft >= 1 && hasRoom(origin, r) && mayRunAt(r, origin)) {
+      if (waiting == null && r.key >= 0) {
+        fetches.put(r.key, new ArrayDeque<>());
+        r.fetching = true;
+      }
+      send(r, origin);
+      return;
+    }
+    if (r.tried.size() < 2 && attemptsLeft >= 2) {
+      sendOrGiveUp(r, pick(r));
+    } else {
+      giveUp(r);
+    }
+  }
+
+  /** Sends the requests that waited for a fetch back to their cache, or lets one of them fetch. */
+  private void endFetch(Request leader, boolean stored) {
+    if (!leader.fetching) {
+      return;
+    }
+    leader.fetching = false;
+    for (Request r : fetches.remove(leader.key)) {
+      if (!requests.containsKey(r.id)) {
+        continue;
+      }
+      if (stored) {
+        r.tried.clear();
+        dispatch(r);
+      } else {
+        onMiss(r);
+      }
+    }
+  }
+
+  // ---- Requests, retries and final answers ----------------------------------------------------------------
+
+  private void onRequest(RequestReceived e) {
+    Request r = new Request();
+    r.id = e.id();
+    r.type = settings.classes().get(e.requestClass());
+    r.aimAt = now + r.type.aim();
+    r.deadline = e.notAfter();
+    r.key = e.key();
+    r.write = e.write();
+    r.bucket = (int) Long.remainderUnsigned(mix(e.key() >= 0 ? e.key() : ~e.id()), BUCKETS);
+    r.overShare = e.tenant() < usages.size() && countUsage(e.tenant());
+    requests.put(r.id, r);
+    retryBudget = Math.min(RETRY_BURST, retryBudget + RETRY_SHARE);
+    dispatch(r);
+  }
+
+  /**
+   * Counts a request of a tenant; true when it is beyond the tenant's share. A quota is fleet-wide and a
+   * balancer sees an unknown part of it: that part is taken from the tenants' median use of their quotas.
+   */
+  private boolean countUsage(int tenant) {
+    double[] uses = new double[usages.size()];
+    for (int i = 0; i < uses.length; i++) {
+      Usage usage = usages.get(i);
+      double old = Math.exp((usage.at - now) / (4 * FADE));
+      usage.rate = usage.rate * old + (i == tenant ? 1000 / (4 * FADE) : 0);
+      usage.at = now;
+      uses[i] = usage.rate / Math.max(1e-9, settings.tenants().get(i).quotaPerSecond());
+    }
+    double own = uses[tenant];
+    Arrays.sort(uses);
+    double part = Math.max(uses[uses.length / 2], 1.0 / settings.siblings());
+    Usage usage = usages.get(tenant);
+    usage.tokens = Math.min(1, usage.tokens + Math.min(1, part / own));
+    if (usage.tokens < 1) {
+      return true;
+    }
+    usage.tokens -= 1;
+    return false;
+  }
+
+  /** A read goes to its cache; a write goes to the origin, which voids the kept copies itself. */
+  private void dispatch(Request r) {
+    if (r.write && settings.originKind() >= 0) {
+      Node origin = origin();
+      sendOrGiveUp(r, origin != null && mayRunAt(r, origin) && hasRoom(origin, r) ? origin : null);
+    } else {
+      sendOrGiveUp(r, pick(r));
+    }
+  }
+
+  private void sendOrGiveUp(Request r, Node node) {
+    if (node == null) {
+      giveUp(r);
+    } else {
+      send(r, node);
+    }
+  }
+
+  private void send(Request r, Node node) {
+    Attempt attempt = new Attempt();
+    attempt.node = node;
+    attempt.sentAt = now;
+    if (node.inFlight == 0) {
+      node.time *= Math.exp((node.observedAt - now) / FADE * Math.log(2));
+      node.observedAt = node.observedAt == 0 ? 0 : now;
+    }
+    attempt.depth = ++node.inFlight;
+    node.flights.add(attempt);
+    if (!isOrigin(node)) {
+      node.sends.add(now);
+      forgetSends(node);
+    }
+    r.attempts++;
+    r.current = attempt;
+    out.add(new Send(r.id, node.entry.id(), 0));
+  }
+
+  private void onAttemptEnded(AttemptEnded e) {
+    Request r = requests.get(e.id());
+    if (r == null || r.current == null || r.attempts - 1 != e.attempt()) {
+      Attempt orphan = orphans.remove(e.id());
+      if (orphan != null) {
+        land(orphan, e);
+      }
+      return;
+    }
+    Attempt attempt = r.current;
+    r.current = null;
+    land(attempt, e);
+    if (!e.result().neverRan && r.mayHaveRunAt == null) {
+      r.mayHaveRunAt = attempt.node;
+      r.mayHaveRunSince = attempt.sentAt;
+    }
+    if (e.done()) {
+      finish(r);
+    } else if (e.result() == Result.MISS) {
+      r.tried.add(attempt.node);
+      onMiss(r);
+    } else {
+      onFailure(r, attempt.node, e.result());
+    }
+  }
+
+  private void land(Attempt attempt, AttemptEnded e) {
+    attempt.over = true;
+    attempt.node.inFlight--;
+    observe(attempt.node, attempt, e.elapsed(), e.result());
+  }
+
+  private void onFailure(Request r, Node node, Result result) {
+    endFetch(r, false);
+    boolean useful = result != Result.NOT_SENT && now < (r.type.lateWorth() > 0 ? r.deadline : r.aimAt);
+    if (!useful || retryBudget < 1 || r.attempts >= settings.limits().maxAttempts()) {
+      giveUp(r);
+      return;
+    }
+    retryBudget -= 1;
+    if (isOrigin(node)) {
+      sendOrGiveUp(r, mayRunAt(r, node) && hasRoom(node, r) ? node : null);
+    } else {
+      r.tried.add(node);
+      sendOrGiveUp(r, pick(r));
+    }
+  }
+
+  /** The rule on effects: where a request that may have run may be sent again. */
+  private boolean mayRunAt(Request r, Node node) {
+    if (r.mayHaveRunAt == null || r.type.idempotency() == Idempotency.SAFE) {
+      return true;
+    }
+    if (r.type.idempotency() == Idempotency.UNSAFE || now - r.mayHaveRunSince >= r.type.dedupWindow()) {
+      return false;
+    }
+    return switch (r.type.group()) {
+      case ALL -> true;
+      case ZONE -> node.entry.zone() == r.mayHaveRunAt.entry.zone();
+      case CELL -> node.entry.cell() == r.mayHaveRunAt.entry.cell();
+    };
+  }
+
+  private boolean mayRefuse(Request r) {
+    return r.mayHaveRunAt == null || r.type.idempotency() == Idempotency.SAFE
+        || r.type.idempotency() == Idempotency.KEYED && r.type.group() == DedupGroup.ALL;
+  }
+
+  /** The one way to a final answer of this balancer's own: at once, a refusal where that is truthful. */
+  private void giveUp(Request r) {
+    if (mayRefuse(r)) {
+      double wait = settings.limits().retryAdvice() ? settings.limits().maxRetryAfter() : 0;
+      out.add(new Refuse(r.id, wait));
+    } else {
+      out.add(new Fail(r.id));
+    }
+    finish(r);
+  }
+
+  private void finish(Request r) {
+    if (r == null || requests.remove(r.id) == null) {
+      return;
+    }
+    if (r.current != null) {
+      orphans.put(r.id, r.current);
+    }
+    endFetch(r, r.current == null);
+  }
+
+  private void onTimer(long token) {
+    if (token == LIST_TIMER) {
+      followList();
+      return;
+    }
+    Request r = requests.get(token);
+    if (r != null && r.current == null && now + 1 >= Math.min(r.aimAt, r.deadline)) {
+      giveUp(r);
+    }
+  }
+
+  // ---- List following -------------------------------------------------------------------------------------
+
+  private void onList(ListReceived e) {
+    if (e.kind() == ListKind.UNAVAILABLE) {
+      listFailures++;
+      double wait = FIRST_PAUSE * (1L << Math.min(listFailures, 4)) * (0.5 + random.nextDouble());
+      out.add(new SetTimer(wait, LIST_TIMER));
+      return;
+    }
+    if (e.kind() == ListKind.FULL) {
+      List<String> named = e.endpoints().stream().map(Endpoint::id).toList();
+      nodes.values().stream().filter(n -> !named.contains(n.entry.id()))
+          .forEach(n -> n.entry = withState(n.entry, EndpointState.GONE));
+    }
+    for (Endpoint entry : e.endpoints()) {
+      Node node = nodes.computeIfAbsent(entry.id(), id -> new Node());
+      if (node.entry != null && entry.startedAt() > node.startedAt) {
+        node.pausedUntil = 0;
+        node.failures = 0;
+        node.errors = 0;
+      }
+      node.entry = entry;
+      node.startedAt = entry.startedAt();
+      node.weight = settings.weightSource() == WeightSource.LIVE ? 1 : Math.max(0, entry.weight());
+    }
+    buildRing();
+    if (e.kind() == ListKind.REMEMBERED) {
+      followList();
+    } else {
+      listFailures = 0;
+    }
+  }
+
+  private static Endpoint withState(Endpoint e, EndpointState state) {
+    return new Endpoint(e.id(), e.zone(), e.kind(), e.cell(), state, e.weight(), e.startedAt());
+  }
+
+  /** Where the list must be asked for, subscribes, and asks again after a refusal or a silence. */
+  private void followList() {
+    if (!settings.listPushed()) {
+      out.add(new FollowList());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/State.java
@@ -0,0 +1,63 @@
+package beampoint;
+
+import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.RequestClass;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What a balancer keeps in mind between events: plain records of fact that decide nothing. */
+final class State {
+
+  private State() {}
+
+  /** An endpoint and what this balancer's own traffic has shown of it. */
+  static final class Node {
+    Endpoint entry;
+    double weight;
+    double startedAt;
+    final ArrayDeque<Attempt> flights = new ArrayDeque<>();
+    int inFlight;
+    double time;
+    double depth = 1;
+    double observedAt;
+    double errors;
+    int failures;
+    double pausedUntil;
+    final ArrayDeque<Double> sends = new ArrayDeque<>();
+  }
+
+  /** An attempt that is out, or was. */
+  static final class Attempt {
+    Node node;
+    double sentAt;
+    int depth;
+    /** The outcome is known. */
+    boolean over;
+  }
+
+  /** A request that owes its final answer. */
+  static final class Request {
+    long id;
+    RequestClass type;
+    double aimAt;
+    double deadline;
+    long key;
+    boolean write;
+    boolean overShare;
+    int bucket;
+    int attempts;
+    Attempt current;
+    boolean fetching;
+    Node mayHaveRunAt;
+    double mayHaveRunSince;
+    final List<Node> tried = new ArrayList<>();
+  }
+
+  /** A tenant's recent rate, and what is left of its share. */
+  static final class Usage {
+    double rate;
+    double at;
+    double tokens = 1;
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/sim/Drill.java
@@ -0,0 +1,143 @@
+package beampoint.sim;
+
+import beampoint.Balancer;
+import beampoint.Balancer.Action;
+import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.Event;
+import beampoint.Balancer.ListReceived;
+import beampoint.Balancer.Settings;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Hosts any number of decision modules on the bench's wire; each knows only its own events. */
+public final class Drill {
+
+  private static final Logger LOG = LoggerFactory.getLogger(Drill.class);
+
+  private final BufferedReader in;
+  private final OutputStream out;
+  private final Function<Settings, Balancer> factory;
+  private final Map<String, Balancer> instances = new HashMap<>();
+  private final StringBuilder reply = new StringBuilder();
+  private int line;
+  private String context;
+  private String replyContext;
+
+  public Drill(InputStream in, PrintStream out, Function<Settings, Balancer> factory) {
+    this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+    this.out = out;
+    this.factory = factory;
+  }
+
+  /** Answers batches until the input ends. */
+  public void run() throws IOException, WireException {
+    for (Message m = next(); m != null; m = next()) {
+      if (!m.name.equals("turn")) {
+        throw new WireException("line " + line + ": '" + m.name + "' outside a batch");
+      }
+      batch(m.number("moment-ms"));
+      reply.append("done\n");
+      out.write(reply.toString().getBytes(StandardCharsets.UTF_8));
+      out.flush();
+      reply.setLength(0);
+    }
+  }
+
+  private Message next() throws IOException, WireException {
+    String text = in.readLine();
+    while (text != null && text.isEmpty()) {
+      line++;
+      text = in.readLine();
+    }
+    line++;
+    return text == null ? null : Message.parse(text, line);
+  }
+
+  private void batch(double now) throws IOException, WireException {
+    context = null;
+    replyContext = null;
+    for (Message m = next(); m != null; m = next()) {
+      switch (m.name) {
+        case "commit" -> {
+          return;
+        }
+        case "context" -> context = m.text("proxy-id");
+        case "new_instance" -> instances.put(context(m), factory.apply(Codec.settings(m)));
+        case "kill" -> {
+          instance(m);
+          instances.remove(context);
+        }
+        case "endpoints" -> give(now, m, list(m));
+        default -> {
+          Event event = Codec.event(m);
+          if (event != null) {
+            give(now, m, event);
+          }
+        }
+      }
+    }
+    throw new WireException("line " + line + ": the input ends inside a batch");
+  }
+
+  private ListReceived list(Message m) throws IOException, WireException {
+    int count = m.index("members-list", 0);
+    List<Endpoint> endpoints = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      Message entry = next();
+      if (entry == null || !entry.name.equals("item")) {
+        throw new WireException("line " + line + ": the list announced " + count + " entries and has " + i);
+      }
+      endpoints.add(Codec.endpoint(entry));
+    }
+    return new ListReceived(Codec.listKind(m), endpoints);
+  }
+
+  private String context(Message m) throws WireException {
+    if (context == null) {
+      throw new WireException("line " + line + ": '" + m.name + "' before any context");
+    }
+    return context;
+  }
+
+  private Balancer instance(Message m) throws WireException {
+    Balancer instance = instances.get(context(m));
+    if (instance == null) {
+      throw new WireException(
+          "line " + line + ": '" + m.name + "' for the unknown instance '" + context + "'");
+    }
+    return instance;
+  }
+
+  private void give(double now, Message m, Event event) throws WireException {
+    Balancer instance = instance(m);
+    try {
+      for (Action action : instance.handle(now, event)) {
+        select();
+        Codec.write(action, reply);
+      }
+    } catch (RuntimeException e) {
+      LOG.error("the decision module failed at line {} for {}", line, context, e);
+      select();
+      reply.append("fault\tbody-text=").append(String.valueOf(e).replaceAll("\\s", " ")).append('\n');
+    }
+  }
+
+  private void select() {
+    if (!context.equals(replyContext)) {
+      reply.append("from\tproxy-id=").append(context).append('\n');
+      replyContext = context;
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/LogicTest.java
@@ -0,0 +1,304 @@
+package beampoint;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.Action;
+import beampoint.Balancer.DedupGroup;
+import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.EndpointState;
+import beampoint.Balancer.Fail;
+import beampoint.Balancer.FollowList;
+import beampoint.Balancer.Idempotency;
+import beampoint.Balancer.ListKind;
+import beampoint.Balancer.ListReceived;
+import beampoint.Balancer.Refuse;
+import beampoint.Balancer.RequestGone;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.SetTimer;
+import beampoint.Balancer.TimerFired;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** The decision module, driven through its interface. */
+class LogicTest {
+
+  private static final int KEYS = 2_000;
+
+  private static Map<Long, String> placement(Fixture f) {
+    Map<Long, String> placed = new HashMap<>();
+    for (long key = 0; key < KEYS; key++) {
+      placed.put(key, f.served(key));
+    }
+    return placed;
+  }
+
+  // ---- Ring ----
+
+  @Test
+  void equalListsGiveEqualPlacementsInAnyOrderAndNeverTheOrigin() {
+    Fixture one = new Fixture(Fixture.READ).withFleet(8);
+    Fixture other = new Fixture(Fixture.READ);
+    List<Endpoint> reversed = IntStream.rangeClosed(0, 8).mapToObj(i -> Fixture.fleet(8).get(8 - i)).toList();
+    other.list(ListKind.FULL, reversed);
+    Map<Long, String> placed = placement(one);
+    assertEquals(placed, placement(other));
+    assertFalse(placed.containsValue("origin"));
+  }
+
+  @Test
+  void aGoneCacheMovesOnlyItsOwnKeysAndItsReturnBringsThemBack() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(8);
+    Map<Long, String> before = placement(f);
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(3, EndpointState.GONE, 0)));
+    Map<Long, String> without = placement(f);
+    without.forEach((key, cache) -> {
+      assertNotEquals("cache-3", cache);
+      if (!before.get(key).equals("cache-3")) {
+        assertEquals(before.get(key), cache);
+      }
+    });
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(3)));
+    assertEquals(before, placement(f));
+  }
+
+  @Test
+  void aWarmingCacheTakesKeysInStepWithItsWarmUp() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    Map<Long, String> before = placement(f);
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(4, EndpointState.RUNNING, f.now)));
+    long last = 0;
+    for (int i = 0; i < 5; i++) {
+      f.now += 2_000;
+      Map<Long, String> placed = placement(f);
+      long own = placed.values().stream().filter("cache-4"::equals).count();
+      placed.forEach((key, cache) -> assertTrue(cache.equals("cache-4") || cache.equals(before.get(key))));
+      assertTrue(own >= last, "share fell from " + last + " to " + own);
+      last = own;
+    }
+    assertTrue(last > KEYS / 10, "share when warm: " + last);
+  }
+
+  // ---- Pick ----
+
+  @Test
+  void aBusyPrimarySpillsToOneSecondCache() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(6);
+    String primary = f.served(5);
+    Map<String, Integer> sent = new HashMap<>();
+    for (int i = 0; i < 9; i++) {
+      sent.merge(Fixture.sentTo(f.read(5)), 1, Integer::sum);
+    }
+    assertEquals(2, sent.size(), sent.toString());
+    assertTrue(sent.get(primary) >= 2, sent.toString());
+  }
+
+  @Test
+  void workThatWouldComeTooLateIsRefusedAtOnceWithAdvice() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(2);
+    for (long key = 0; key < 10; key++) {
+      f.read(key);
+    }
+    f.now += 400;
+    List<Action> last = f.read(10);
+    assertEquals(List.of(new Refuse(f.nextId() - 1, 400)), last);
+  }
+
+  // ---- Readiness ----
+
+  @Test
+  void aCacheThatRefusesConnectionsIsSkippedAndTriedAgainLater() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(6);
+    long id = f.nextId();
+    String primary = Fixture.sentTo(f.read(5));
+    String second = Fixture.sentTo(f.end(id, 0, primary, 50, Result.CONNECT_FAILED));
+    assertNotNull(second);
+    assertNotEquals(primary, second);
+    assertEquals(second, f.served(5));
+    f.now += 10_000;
+    assertEquals(primary, f.served(5));
+  }
+
+  @Test
+  void atMostHalfOfTheCachesAreSkipped() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(6);
+    for (long key = 0; key < 60; key++) {
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(key));
+      if (endpoint != null) {
+        f.end(id, 0, endpoint, 1, Result.CONNECT_FAILED);
+        f.balancer.handle(f.now, new RequestGone(id));
+      }
+    }
+    Map<String, Integer> reached = new HashMap<>();
+    for (long key = 100; key < 140; key++) {
+      String endpoint = Fixture.sentTo(f.read(key));
+      if (endpoint != null) {
+        reached.merge(endpoint, 1, Integer::sum);
+      }
+    }
+    assertTrue(reached.size() >= 3, reached.toString());
+  }
+
+  // ---- Drains and cold caches ----
+
+  @Test
+  void nothingNewGoesToADrainingCacheOrOneThatAFullListLacks() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(1, EndpointState.DRAINING, 0)));
+    assertFalse(placement(f).containsValue("cache-1"));
+    f.list(ListKind.FULL, Fixture.fleet(3));
+    assertFalse(placement(f).containsValue("cache-3"));
+  }
+
+  @Test
+  void aColdCacheIsSentNoMoreThanItsPresentPart() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(4, EndpointState.RUNNING, f.now)));
+    long hot = 0;
+    while (!"cache-4".equals(f.served(hot))) {
+      hot++;
+    }
+    int cold = 0;
+    for (int i = 0; i < 400; i++) {
+      f.served(i);
+      cold += "cache-4".equals(f.served(hot)) ? 1 : 0;
+    }
+    assertTrue(cold < 800 / 4, "sent to the cold cache: " + cold);
+  }
+
+  // ---- Origin ----
+
+  @Test
+  void aMissGoesToTheOriginAndASecondMissOfItsKeyWaitsForThatFetch() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    String cache = f.served(5);
+    long first = f.nextId();
+    f.read(5);
+    long second = f.nextId();
+    f.read(5);
+    assertEquals("origin", Fixture.sentTo(f.end(first, 0, cache, 2, Result.MISS)));
+    List<Action> waiting = f.end(second, 0, cache, 2, Result.MISS);
+    assertNull(Fixture.sentTo(waiting));
+    assertTrue(Fixture.has(waiting, SetTimer.class));
+    assertEquals(cache, Fixture.sentTo(f.end(first, 1, "origin", 20, Result.OK)));
+  }
+
+  @Test
+  void whenAFetchFailsOneOfItsWaitersFetches() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    String cache = f.served(5);
+    long first = f.nextId();
+    f.read(5);
+    long second = f.nextId();
+    f.read(5);
+    f.end(first, 0, cache, 2, Result.MISS);
+    f.end(second, 0, cache, 2, Result.MISS);
+    assertEquals("origin", Fixture.sentTo(f.balancer.handle(f.now, new RequestGone(first))));
+  }
+
+  @Test
+  void aWaiterIsAnsweredWhenItsTimeIsUpDespiteRoundedClocks() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    String cache = f.served(5);
+    long first = f.nextId();
+    f.read(5);
+    long second = f.nextId();
+    f.read(5);
+    f.end(first, 0, cache, 2, Result.MISS);
+    f.end(second, 0, cache, 2, Result.MISS);
+    f.now += 499.999;
+    assertTrue(Fixture.has(f.balancer.handle(f.now, new TimerFired(second)), Refuse.class));
+  }
+
+  @Test
+  void aWriteGoesStraightToTheOrigin() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    assertEquals("origin", Fixture.sentTo(f.request(0, 0, 5, true)));
+  }
+
+  // ---- Effects ----
+
+  @Test
+  void repeatsAndRefusalsFollowTheEffectOfTheClass() {
+    for (Idempotency idempotency : Idempotency.values()) {
+      for (Result result : Result.values()) {
+        if (result == Result.OK || result == Result.MISS || result == Result.NOT_SENT) {
+          continue;
+        }
+        Fixture f = new Fixture(Fixture.type(idempotency, DedupGroup.CELL)).withFleet(6);
+        long id = f.nextId();
+        String endpoint = Fixture.sentTo(f.request(0, 0, 5, true));
+        List<Action> answer = f.end(id, 0, endpoint, 5, result);
+        boolean mayRefuse = result.neverRan || idempotency == Idempotency.SAFE;
+        boolean mayRepeat = mayRefuse || idempotency == Idempotency.KEYED;
+        String situation = idempotency + " after " + result + ": " + answer;
+        assertTrue(mayRefuse || !Fixture.has(answer, Refuse.class), situation);
+        assertEquals(mayRepeat, Fixture.sentTo(answer) != null, situation);
+        assertEquals(!mayRepeat, Fixture.has(answer, Fail.class), situation);
+      }
+    }
+  }
+
+  @Test
+  void aKeyedRequestIsNotRepeatedAfterItsWindow() {
+    Balancer.RequestClass keyed =
+        new Balancer.RequestClass(Idempotency.KEYED, DedupGroup.ALL, 100, 5_000, 9_000, 1, 0);
+    Fixture f = new Fixture(keyed).withFleet(4);
+    long id = f.nextId();
+    f.request(0, 0, 5, true);
+    f.now += 100;
+    List<Action> answer = f.end(id, 0, "origin", 100, Result.ERROR);
+    assertNull(Fixture.sentTo(answer));
+    assertTrue(Fixture.has(answer, Refuse.class));
+  }
+
+  @Test
+  void aRequestWhoseTimeHadRunOutBeforeItWasSentIsAnsweredAtOnce() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(6);
+    long id = f.nextId();
+    String endpoint = Fixture.sentTo(f.read(5));
+    assertTrue(Fixture.has(f.end(id, 0, endpoint, 0, Result.NOT_SENT), Refuse.class));
+  }
+
+  @Test
+  void noAttemptIsMadeBeyondTheLimit() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(6);
+    long id = f.nextId();
+    List<Action> answer = f.read(5);
+    int attempts = 0;
+    while (Fixture.sentTo(answer) != null) {
+      answer = f.end(id, attempts++, Fixture.sentTo(answer), 1, Result.MISS);
+    }
+    assertTrue(attempts <= 3, "attempts: " + attempts);
+    assertTrue(Fixture.has(answer, Refuse.class));
+  }
+
+  // ---- List following ----
+
+  @Test
+  void aListThatMustBeAskedForIsSubscribedAndAskedAgainAfterARefusal() {
+    Balancer b = new Logic(Fixture.settings(List.of(), false, Fixture.READ));
+    assertTrue(Fixture.has(b.handle(0, new ListReceived(ListKind.REMEMBERED, Fixture.fleet(3))),
+        FollowList.class));
+    List<Action> refused = b.handle(10, new ListReceived(ListKind.UNAVAILABLE, List.of()));
+    SetTimer timer = (SetTimer) refused.get(0);
+    assertTrue(timer.delay() < 10_000);
+    assertTrue(Fixture.has(b.handle(10 + timer.delay(), new TimerFired(timer.token())), FollowList.class));
+  }
+
+  @Test
+  void anEmptyFleetRefusesInsteadOfFailing() {
+    Fixture f = new Fixture(Fixture.READ);
+    f.list(ListKind.REMEMBERED, List.of());
+    assertTrue(Fixture.has(f.read(5), Refuse.class));
+    assertTrue(Fixture.has(f.read(-1), Refuse.class));
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/sim/DrillTest.java
@@ -0,0 +1,64 @@
+package beampoint.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Logic;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** The wire's reading and writing, and the plain messages on malformed input. */
+class DrillTest {
+
+  private static final String START = "turn\tmoment-ms=1\ncontext\tproxy-id=proxy/0\n"
+      + "new_instance\tnonce64=1\tlanes.count=1\tlanes.0.idempotency=safe\tlanes.0.target-ms=100\t"
+      + "lanes.0.hard-limit-ms=200\tnew.key=1\n"
+      + "endpoints\tform=remembered\tmembers-list=1\nitem\tnode=10.0.0.1:80\thealth=Running\tnovel=1\n";
+
+  private static String run(String input) throws Exception {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    byte[] bytes = input.getBytes(StandardCharsets.UTF_8);
+    new Drill(new ByteArrayInputStream(bytes), new PrintStream(out), Logic::new).run();
+    return out.toString(StandardCharsets.UTF_8);
+  }
+
+  private static String problem(String input) {
+    return assertThrows(WireException.class, () -> run(input)).getMessage();
+  }
+
+  @Test
+  void anEmptyBatchIsAnsweredWithDone() throws Exception {
+    assertEquals("done\n", run("turn\tmoment-ms=1\ncommit\n"));
+  }
+
+  @Test
+  void aRequestIsSentAndUnknownMessagesAndKeysAreSkipped() throws Exception {
+    String reply = run(START + "novelty\ta=b\nnew_request\trid=5\tnot-after-ms=200\tservice=0\taffinity=9\n"
+        + "commit\n");
+    assertEquals("from\tproxy-id=proxy/0\ncall_out\trid=5\tnode=10.0.0.1:80\ndone\n", reply);
+  }
+
+  @Test
+  void aKilledInstanceMayStartAgainInTheSameBatch() throws Exception {
+    String again = START.substring(START.indexOf("new_instance"));
+    assertEquals("done\n", run(START + "kill\n" + again + "commit\n"));
+  }
+
+  @Test
+  void malformedInputIsNamedWithLineAndField() {
+    String missing = problem(START + "new_request\trid=5\ncommit\n");
+    assertTrue(missing.contains("line 6") && missing.contains("'not-after-ms'"), missing);
+    String word = problem(START + "new_request\trid=five\tnot-after-ms=1\ncommit\n");
+    assertTrue(word.contains("'rid'") && word.contains("five"), word);
+    assertTrue(problem("turn\tmoment-ms=1\ncontext\tproxy-id=proxy/3\nvanished\trid=1\ncommit\n")
+        .contains("unknown instance"));
+    assertTrue(problem("turn\tmoment-ms=1\nvanished\trid=1\ncommit\n").contains("before any context"));
+    assertTrue(problem("commit\n").contains("outside a batch"));
+    assertTrue(problem("turn\tmoment-ms=1\n").contains("inside a batch"));
+    assertTrue(problem("turn\tmoment-ms\ncommit\n").contains("without name=value"));
+  }
+}
