Ring points by the greatest live weight listed for a kind

Live weights are rough sizes lowered by load; their maximum over a kind is steady and alike everywhere.

--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -65,6 +65,8 @@
   private final Map<Long, ArrayDeque<Request>> fetches = new HashMap<>();
   /** Attempts of requests that have ended count at their endpoint until their outcome comes. */
   private final Map<Long, Attempt> orphans = new HashMap<>();
+  /** The greatest weight that the list has named for each kind of endpoint. */
+  private final Map<Integer, Double> sizes = new HashMap<>();
   private final List<Usage> usages = new ArrayList<>();
   private double now;
   private double retryBudget = RETRY_BURST;
@@ -233,12 +235,7 @@
 
   /** The time one more attempt would take: the recent time, scaled by how much more is out now than then. */
   private double expectedTime(Node node) {
-    double recent = node.time * Math.max(1, (node.inFlight + 1) / node.depth);
-    while (!node.flights.isEmpty() && node.flights.peekFirst().over) {
-      node.flights.pollFirst();
-    }
-    double oldest = node.flights.isEmpty() ? 0 : now - node.flights.peekFirst().sentAt;
-    return Math.max(recent, oldest);
+    return Math.max(node.time * Math.max(1, (node.inFlight + 1) / node.depth), node.oldest(now));
   }
 
   private static double average(double mean, double value) {
@@ -305,20 +302,13 @@
     double capacity = 0;
     for (Node node : nodes.values()) {
       if (isCache(node)) {
-        forgetSends(node);
-        sent += node.sends.size();
+        sent += node.sentSince(now - settings.rules().fallWindow());
         capacity += warmth(node) * node.weight;
       }
     }
     return cold.sends.size() + 1 > 2 + COLD_EXCESS * sent * warmth(cold) * cold.weight / capacity;
   }
 
-  private void forgetSends(Node node) {
-    while (!node.sends.isEmpty() && node.sends.peekFirst() < now - settings.rules().fallWindow()) {
-      node.sends.pollFirst();
-    }
-  }
-
   // ---- Origin gate ----------------------------------------------------------------------------------------
 
   private Node origin() {
@@ -401,11 +391,8 @@
   private boolean countUsage(int tenant) {
     double[] uses = new double[usages.size()];
     for (int i = 0; i < uses.length; i++) {
-      Usage usage = usages.get(i);
-      double old = Math.exp((usage.at - now) / (4 * FADE));
-      usage.rate = usage.rate * old + (i == tenant ? 1000 / (4 * FADE) : 0);
-      usage.at = now;
-      uses[i] = usage.rate / Math.max(1e-9, settings.tenants().get(i).quotaPerSecond());
+      double rate = usages.get(i).count(now, 4 * FADE, i == tenant ? 1 : 0);
+      uses[i] = rate / Math.max(1e-9, settings.tenants().get(i).quotaPerSecond());
     }
     double own = uses[tenant];
     Arrays.sort(uses);
@@ -449,7 +436,7 @@
     node.flights.add(attempt);
     if (!isOrigin(node)) {
       node.sends.add(now);
-      forgetSends(node);
+      node.sentSince(now - settings.rules().fallWindow());
     }
     r.attempts++;
     r.current = attempt;
@@ -558,6 +545,10 @@
 
   // ---- List following -------------------------------------------------------------------------------------
 
+  /**
+   * A live weight falls with load and comes late: on the ring it would make buckets wander and the load swing.
+   * The most that was ever listed for a kind is its size at rest, steady and alike at every balancer.
+   */
   private void onList(ListReceived e) {
     if (e.kind() == ListKind.UNAVAILABLE) {
       listFailures++;
@@ -579,7 +570,11 @@
       }
       node.entry = entry;
       node.startedAt = entry.startedAt();
-      node.weight = settings.weightSource() == WeightSource.LIVE ? 1 : Math.max(0, entry.weight());
+      sizes.merge(entry.kind(), Math.max(0, entry.weight()), Math::max);
+    }
+    for (Node node : nodes.values()) {
+      boolean live = settings.weightSource() == WeightSource.LIVE;
+      node.weight = live ? sizes.get(node.entry.kind()) : Math.max(0, node.entry.weight());
     }
     buildRing();
     if (e.kind() == ListKind.REMEMBERED) {
--- a/src/main/java/beampoint/State.java
+++ b/src/main/java/beampoint/State.java
@@ -25,6 +25,22 @@
     int failures;
     double pausedUntil;
     final ArrayDeque<Double> sends = new ArrayDeque<>();
+
+    /** How long the oldest attempt has been out. */
+    double oldest(double now) {
+      while (!flights.isEmpty() && flights.peekFirst().over) {
+        flights.pollFirst();
+      }
+      return flights.isEmpty() ? 0 : now - flights.peekFirst().sentAt;
+    }
+
+    /** How many attempts were sent since the given time; earlier ones are forgotten. */
+    int sentSince(double time) {
+      while (!sends.isEmpty() && sends.peekFirst() < time) {
+        sends.pollFirst();
+      }
+      return sends.size();
+    }
   }
 
   /** An attempt that is out, or was. */
@@ -59,5 +75,12 @@
     double rate;
     double at;
     double tokens = 1;
+
+    /** The rate a second as a moving mean over the given time, after so many more requests. */
+    double count(double now, double over, int more) {
+      rate = rate * Math.exp((at - now) / over) + more * 1000 / over;
+      at = now;
+      return rate;
+    }
   }
 }
