--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -213,13 +213,13 @@
 
   /**
    * Whether an endpoint is expected to answer well before the aim; the paper sends whatever the load. Guards
-   * against queues of work whose answers come too late. An idle endpoint always gets one: that is its trial.
+   * against queues of work whose answers come too late. An idle endpoint's time fades, so that it is tried again.
    */
   private boolean hasRoom(Node node, Request r) {
     if (warmth(node) < 1 && !isOrigin(node) && overColdBudget(node)) {
       return false;
     }
-    return node.inFlight == 0 || expectedTime(node) <= patience(r);
+    return expectedTime(node) <= patience(r);
   }
 
   /** What a request may wait: a part of the time to its aim, or to the aim of a class of more worth. */
@@ -235,6 +235,10 @@
 
   /** The time one more attempt would take: the recent time, scaled by how much more is out now than then. */
   private double expectedTime(Node node) {
+    if (node.inFlight == 0) {
+      node.time *= Math.pow(0.5, (now - node.observedAt) / FADE);
+      node.observedAt = now;
+    }
     return Math.max(node.time * Math.max(1, (node.inFlight + 1) / node.depth), node.oldest(now));
   }
 
@@ -251,7 +255,7 @@
 
   private void observe(Node node, Attempt attempt, double elapsed, Result result) {
     if (result == Result.OK) {
-      node.time = node.observedAt == 0 ? elapsed : average(node.time, elapsed);
+      node.time = node.time == 0 ? elapsed : average(node.time, elapsed);
       node.depth = average(node.depth, attempt.depth);
       node.observedAt = now;
     } else if (result == Result.TIMEOUT) {
@@ -428,10 +432,6 @@
     Attempt attempt = new Attempt();
     attempt.node = node;
     attempt.sentAt = now;
-    if (node.inFlight == 0) {
-      node.time *= Math.exp((node.observedAt - now) / FADE * Math.log(2));
-      node.observedAt = node.observedAt == 0 ? 0 : now;
-    }
     attempt.depth = ++node.inFlight;
     node.flights.add(attempt);
     if (!isOrigin(node)) {
