Cold budget by what was served; more patience at the origin than at caches

Now: the best window served, fetches included, per unit of full weight, kept long. Refusals at the origin cost more than at caches: part of the time to the aim 1.0 at the origin, 0.6 at caches.

--- a/src/main/java/beampoint/Balancer.java
+++ b/src/main/java/beampoint/Balancer.java
@@ -61,7 +61,13 @@
 
   /** An entry of the endpoint list; startedAt is 0 for an endpoint that started long ago. */
   record Endpoint(String id, int zone, int kind, int cell, EndpointState state, double weight,
-      double startedAt) {}
+      double startedAt) {
+
+    /** The same endpoint once a full list lacks it. */
+    public Endpoint gone() {
+      return new Endpoint(id, zone, kind, cell, EndpointState.GONE, weight, startedAt);
+    }
+  }
 
   /** What a balancer observes. */
   sealed interface Event permits ListReceived, RequestReceived, AttemptStarted, AttemptEnded, RequestGone,
--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -35,10 +35,14 @@
   private static final int SPILL_EXTRA = 2;
   /** A warming cache's points grow in this many steps, so that the ring is rebuilt seldom. */
   private static final int WARM_STEPS = 8;
-  /** The part of the time left until the aim that an endpoint's expected time may fill: times scatter. */
-  private static final double PATIENCE = 0.7;
-  /** The same for traffic beyond a tenant's share, which is worth little. */
-  private static final double OVER_SHARE_PATIENCE = 0.3;
+  /** The part of the time left until the aim that a cache's expected time may fill: a miss comes on top. */
+  private static final double CACHE_PART = 0.6;
+  /** The same for the origin, which is the last stop. */
+  private static final double ORIGIN_PART = 1;
+  /** The part of a worthier class's aim that queues of lesser work may fill. */
+  private static final double YIELD_PART = 0.5;
+  /** Traffic beyond a tenant's share, which is worth little, waits only this part of that. */
+  private static final double OVER_SHARE_PART = 0.4;
   /** Weight of the newest observation in a moving mean. */
   private static final double GAIN = 0.1;
   /** A moving mean without news loses half its excess in this time (ms). */
@@ -51,8 +55,10 @@
   /** Further attempts after a failure, as a share of requests, and the most saved up. */
   private static final double RETRY_SHARE = 0.2;
   private static final double RETRY_BURST = 20;
-  /** Over a window, a cold cache is sent at most this much more than its present share of capacity. */
-  private static final double COLD_EXCESS = 1.5;
+  /** What a balancer may send to a cold cache in a window whatever was served, so that it can start. */
+  private static final int COLD_FLOOR = 2;
+  /** The most that was served in a window counts half after this time (ms): capacity changes slowly. */
+  private static final double BEST_FADE = 300_000;
   /** The token of the list's timer; the timers of requests carry their ids, which are smaller. */
   private static final long LIST_TIMER = 1L << 60;
 
@@ -69,6 +75,9 @@
   private final Map<Integer, Double> sizes = new HashMap<>();
   private final List<Usage> usages = new ArrayList<>();
   private double now;
+  private double windowStart;
+  private int windowServed;
+  private double servedAtBest;
   private double retryBudget = RETRY_BURST;
   private int listFailures;
 
@@ -199,38 +208,28 @@
   }
 
   private boolean spills(Node primary) {
-    int caches = 0;
-    int inFlight = 0;
-    for (Node node : nodes.values()) {
-      if (isCache(node)) {
-        caches++;
-        inFlight += node.inFlight;
-      }
-    }
-    double mean = (double) inFlight / caches;
+    double mean =
+        nodes.values().stream().filter(this::isCache).mapToInt(n -> n.inFlight).average().orElse(0);
     return primary.inFlight > SPILL_FACTOR * mean && primary.inFlight >= mean + SPILL_EXTRA;
   }
 
   /**
-   * Whether an endpoint is expected to answer well before the aim; the paper sends whatever the load. Guards
-   * against queues of work whose answers come too late. An idle endpoint's time fades, so that it is tried again.
+   * Whether an endpoint is expected to answer before the aim; the paper sends whatever the load. Guards
+   * against queues of work whose answers come too late. An idle endpoint's time fades, so it is tried again.
    */
   private boolean hasRoom(Node node, Request r) {
-    if (warmth(node) < 1 && !isOrigin(node) && overColdBudget(node)) {
-      return false;
-    }
-    return expectedTime(node) <= patience(r);
+    return expectedTime(node) <= patience(r, isOrigin(node) ? ORIGIN_PART : CACHE_PART);
   }
 
   /** What a request may wait: a part of the time to its aim, or to the aim of a class of more worth. */
-  private double patience(Request r) {
-    double left = (r.type.lateWorth() > 0 && now > r.aimAt ? r.deadline : r.aimAt) - now;
+  private double patience(Request r, double part) {
+    double left = ((r.type.lateWorth() > 0 && now > r.aimAt ? r.deadline : r.aimAt) - now) * part;
     for (RequestClass type : settings.classes()) {
       if (type.worth() > r.type.worth()) {
-        left = Math.min(left, type.aim());
+        left = Math.min(left, type.aim() * YIELD_PART);
       }
     }
-    return left * (r.overShare ? OVER_SHARE_PATIENCE : PATIENCE);
+    return r.overShare ? left * OVER_SHARE_PART : left;
   }
 
   /** The time one more attempt would take: the recent time, scaled by how much more is out now than then. */
@@ -248,15 +247,19 @@
 
   // ---- Readiness ------------------------------------------------------------------------------------------
 
-  /** Guards against caches that the list still names as running but that refuse, break or fail requests. */
+  /**
+   * Guards against caches that the list still names as running but that refuse, break or fail requests, and
+   * against a cold cache that has had its part: both are skipped for the next distinct cache.
+   */
   private boolean isReady(Node node) {
-    return now >= node.pausedUntil;
+    return now >= node.pausedUntil && (warmth(node) >= 1 || !overColdBudget(node));
   }
 
   private void observe(Node node, Attempt attempt, double elapsed, Result result) {
     if (result == Result.OK) {
       node.time = node.time == 0 ? elapsed : average(node.time, elapsed);
       node.depth = average(node.depth, attempt.depth);
+      countServed();
       node.observedAt = now;
     } else if (result == Result.TIMEOUT) {
       node.time = Math.max(node.time, average(node.time, elapsed));
@@ -276,8 +279,8 @@
   /** Skips a cache, longer each time; never when half of the caches are: then the cause is shared. */
   private void pause(Node node) {
     long caches = nodes.values().stream().filter(this::isCache).count();
-    long paused = nodes.values().stream().filter(n -> isCache(n) && !isReady(n)).count();
-    if (isReady(node) && paused < caches / 2) {
+    long paused = nodes.values().stream().filter(n -> isCache(n) && now < n.pausedUntil).count();
+    if (now >= node.pausedUntil && paused < caches / 2) {
       double length = Math.min(LONGEST_PAUSE, FIRST_PAUSE * (1L << Math.min(node.failures++, 10)));
       node.pausedUntil = now + length;
       node.errors /= 2;
@@ -298,30 +301,36 @@
   }
 
   /**
-   * A cold cache is sent, in each window, no more than its present part of what this balancer sends a warm
-   * one. Every balancer keeps to its own traffic, so the sum keeps the rule however unequal they are.
+   * A cold cache is sent, in each window, no more than its present part of the most that this balancer served
+   * in one, with half of the stated multiple as leeway. What was served is within capacity; what was sent may
+   * not be: in a storm of misses and retries it allowed too much. What was fetched counts as served, and the
+   * best window is kept long: after a deploy that empties all caches, a budget by recent hits starved them.
+   * Every balancer goes by its own traffic, so the sum keeps the rule however unequal they are.
    */
   private boolean overColdBudget(Node cold) {
-    double sent = 0;
-    double capacity = 0;
-    for (Node node : nodes.values()) {
-      if (isCache(node)) {
-        sent += node.sentSince(now - settings.rules().fallWindow());
-        capacity += warmth(node) * node.weight;
-      }
+    double part = servedAtBest * warmth(cold) * cold.weight;
+    return cold.sentSince(now - settings.rules().fallWindow()) + 1
+        > COLD_FLOOR + part * settings.rules().fallMultiple() / 2;
+  }
+
+  /** Counts what is served a window and unit of weight; as if all were warm, lest cold ones raise it. */
+  private void countServed() {
+    double window = settings.rules().fallWindow();
+    if (now - windowStart >= window) {
+      double capacity = nodes.values().stream().filter(this::isCache).mapToDouble(n -> n.weight).sum();
+      double lately = capacity > 0 ? windowServed / capacity * window / (now - windowStart) : 0;
+      servedAtBest = Math.max(lately, servedAtBest * Math.pow(0.5, (now - windowStart) / BEST_FADE));
+      windowStart = now;
+      windowServed = 0;
     }
-    return cold.sends.size() + 1 > 2 + COLD_EXCESS * sent * warmth(cold) * cold.weight / capacity;
+    windowServed++;
   }
 
   // ---- Origin gate ----------------------------------------------------------------------------------------
 
   private Node origin() {
-    for (Node node : nodes.values()) {
-      if (isOrigin(node) && node.entry.state() == EndpointState.RUNNING) {
-        return node;
-      }
-    }
-    return null;
+    return nodes.values().stream()
+        .filter(n -> isOrigin(n) && n.entry.state() == EndpointState.RUNNING).findFirst().orElse(null);
   }
 
   /**
@@ -523,13 +532,12 @@
   }
 
   private void finish(Request r) {
-    if (r == null || requests.remove(r.id) == null) {
-      return;
-    }
-    if (r.current != null) {
-      orphans.put(r.id, r.current);
+    if (r != null && requests.remove(r.id) != null) {
+      if (r.current != null) {
+        orphans.put(r.id, r.current);
+      }
+      endFetch(r, r.current == null);
     }
-    endFetch(r, r.current == null);
   }
 
   private void onTimer(long token) {
@@ -546,8 +554,8 @@
   // ---- List following -------------------------------------------------------------------------------------
 
   /**
-   * A live weight falls with load and comes late: on the ring it would make buckets wander and the load swing.
-   * The most that was ever listed for a kind is its size at rest, steady and alike at every balancer.
+   * A live weight falls with load and comes late: on the ring it would make buckets wander. The most that was
+   * ever listed for a kind is its size at rest, steady and alike at every balancer.
    */
   private void onList(ListReceived e) {
     if (e.kind() == ListKind.UNAVAILABLE) {
@@ -559,7 +567,7 @@
     if (e.kind() == ListKind.FULL) {
       List<String> named = e.endpoints().stream().map(Endpoint::id).toList();
       nodes.values().stream().filter(n -> !named.contains(n.entry.id()))
-          .forEach(n -> n.entry = withState(n.entry, EndpointState.GONE));
+          .forEach(n -> n.entry = n.entry.gone());
     }
     for (Endpoint entry : e.endpoints()) {
       Node node = nodes.computeIfAbsent(entry.id(), id -> new Node());
@@ -584,10 +592,6 @@
     }
   }
 
-  private static Endpoint withState(Endpoint e, EndpointState state) {
-    return new Endpoint(e.id(), e.zone(), e.kind(), e.cell(), state, e.weight(), e.startedAt());
-  }
-
   /** Where the list must be asked for, subscribes, and asks again after a refusal or a silence. */
   private void followList() {
     if (!settings.listPushed()) {
--- a/src/main/java/beampoint/State.java
+++ b/src/main/java/beampoint/State.java
@@ -34,7 +34,6 @@
       return flights.isEmpty() ? 0 : now - flights.peekFirst().sentAt;
     }
 
-    /** How many attempts were sent since the given time; earlier ones are forgotten. */
     int sentSince(double time) {
       while (!sends.isEmpty() && sends.peekFirst() < time) {
         sends.pollFirst();
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -174,6 +174,32 @@
     assertTrue(cold < 800 / 4, "sent to the cold cache: " + cold);
   }
 
+  @Test
+  void cachesThatAreAllEmptyAndColdAreNotStarvedOfTheMissesThatFillThem() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    for (long key = 0; key < 2_000; key++) {
+      f.served(key);
+      f.now += 10;
+    }
+    List<Endpoint> cold = IntStream.range(0, 4)
+        .mapToObj(i -> Fixture.cache(i, EndpointState.RUNNING, f.now)).toList();
+    f.list(ListKind.CHANGES, cold);
+    int sent = 0;
+    for (long key = 0; key < 1_500; key++) {
+      long id = f.nextId();
+      String cache = Fixture.sentTo(f.read(key));
+      if (cache != null) {
+        sent++;
+        if ("origin".equals(Fixture.sentTo(f.end(id, 0, cache, 1, Result.MISS)))) {
+          f.end(id, 1, "origin", 5, Result.OK);
+        }
+      }
+      f.now += 2;
+    }
+    assertTrue(sent > 100, "sent: " + sent);
+    assertTrue(sent < 500, "sent: " + sent);
+  }
+
   // ---- Origin ----
 
   @Test
