--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -18,9 +18,8 @@
  *
  * <p>Ordinary path (after the C2DN paper, sections 2 and 4 and the appendix on bucket assignment): keys hash
  * into buckets, buckets onto a weighted consistent hash ring that all balancers build alike; a bucket goes to
- * its first distinct cache clockwise and spills, when that one is busy, to the next distinct cache.
- * What departs from it says which failure it guards against. Read top to bottom: settings, ring, pick,
- * readiness, warm-up budget, origin gate, retry and final answer, list following.
+ * its first distinct cache clockwise and spills, when that one is busy, to the next distinct cache. What
+ * departs from it says which failure it guards against. Read it top to bottom, as a request meets it.
  */
 public final class Logic implements Balancer {
 
@@ -83,6 +82,7 @@
   private double servedAtBest;
   private double retryBudget = RETRY_BURST;
   private int listFailures;
+  private boolean listAnswered;
 
   public Logic(Settings settings) {
     this.settings = settings;
@@ -533,12 +533,10 @@
   }
 
   private void onTimer(long token) {
-    if (token == LIST_TIMER) {
-      followList();
-      return;
-    }
     Request r = requests.get(token);
-    if (r != null && r.current == null && now + 1 >= Math.min(r.aimAt, r.deadline)) {
+    if (token == LIST_TIMER && !listAnswered) {
+      followList();
+    } else if (r != null && r.current == null && now + 1 >= Math.min(r.aimAt, r.deadline)) {
       giveUp(r);
     }
   }
@@ -567,6 +565,7 @@
         node.pausedUntil = 0;
         node.failures = 0;
         node.errors = 0;
+        node.sends.clear();
       }
       node.entry = entry;
       node.origin = entry.kind() == settings.originKind();
@@ -583,13 +582,16 @@
       followList();
     } else {
       listFailures = 0;
+      listAnswered = true;
     }
   }
 
   /** Where the list must be asked for, subscribes, and asks again after a refusal or a silence. */
   private void followList() {
     if (!settings.listPushed()) {
+      listAnswered = false;
       out.add(new FollowList());
+      out.add(new SetTimer(settings.rules().askEvery() / 2, LIST_TIMER));
     }
   }
 }
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -333,6 +333,45 @@
     assertTrue(Fixture.has(b.handle(10 + timer.delay(), new TimerFired(timer.token())), FollowList.class));
   }
 
+  @Test
+  void aSubscriptionThatIsNotAnsweredIsAskedForAgainAndAnAnsweredOneIsNot() {
+    Balancer b = new Logic(Fixture.settings(List.of(), false, Fixture.READ));
+    List<Action> asked = b.handle(0, new ListReceived(ListKind.REMEMBERED, Fixture.fleet(3)));
+    SetTimer timer = (SetTimer) asked.get(1);
+    assertTrue(timer.delay() < 10_000);
+    assertTrue(Fixture.has(b.handle(timer.delay(), new TimerFired(timer.token())), FollowList.class));
+    b.handle(timer.delay() + 10, new ListReceived(ListKind.CHANGES, List.of()));
+    assertEquals(List.of(), b.handle(2 * timer.delay(), new TimerFired(timer.token())));
+  }
+
+  @Test
+  void aStaleListAfterARestartIsMendedByWhatComesAndAReplacementTakesItsPlace() {
+    Fixture f = new Fixture(Fixture.READ);
+    f.list(ListKind.REMEMBERED, Fixture.fleet(4));
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(2, EndpointState.GONE, 0), Fixture.cache(7)));
+    Map<Long, String> placed = placement(f);
+    assertFalse(placed.containsValue("cache-2"));
+    assertTrue(placed.containsValue("cache-7"));
+  }
+
+  @Test
+  void aCacheThatIsSeenWithAFreshStartIsColdAndNoLongerSkipped() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    Map<Long, String> before = placement(f);
+    long own =
+        before.keySet().stream().filter(k -> before.get(k).equals("cache-1")).findFirst().orElseThrow();
+    long id = f.nextId();
+    f.read(own);
+    f.end(id, 0, "cache-1", 1, Result.RESET);
+    f.balancer.handle(f.now, new RequestGone(id));
+    assertNotEquals("cache-1", f.served(own));
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(1, EndpointState.RUNNING, f.now)));
+    Map<Long, String> after = placement(f);
+    long share = after.values().stream().filter("cache-1"::equals).count();
+    assertTrue(share > 0 && share < before.values().stream().filter("cache-1"::equals).count() / 2,
+        "share: " + share);
+  }
+
   @Test
   void anEmptyFleetRefusesInsteadOfFailing() {
     Fixture f = new Fixture(Fixture.READ);
