--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -34,9 +34,8 @@
   private static final int SPILL_EXTRA = 2;
   /** A warming cache's points grow in this many steps, so that the ring is rebuilt seldom. */
   private static final int WARM_STEPS = 8;
-  /** The part of the time left until the aim that a cache's expected time may fill: a miss comes on top. */
+  /** The part of the time to the aim that an expected time may fill: after a cache, a miss comes on top. */
   private static final double CACHE_PART = 0.6;
-  /** The same for the origin, which is the last stop. */
   private static final double ORIGIN_PART = 1;
   /** The part of a worthier class's aim that queues of lesser work may fill. */
   private static final double YIELD_PART = 0.5;
@@ -247,18 +246,19 @@
 
   private void observe(Attempt attempt, double elapsed, Result result) {
     Node node = attempt.node;
-    if (result == Result.OK) {
-      if (!node.origin) {
-        double extra = elapsed - (node.time == 0 ? elapsed : node.time);
-        int type = attempt.typeIndex;
-        extraTime[type] = State.average(extraTime[type], extra, CLASS_GAIN);
-      }
-      node.time = node.time == 0 ? elapsed : State.average(node.time, elapsed, GAIN);
-      node.depth = State.average(node.depth, attempt.depth, GAIN);
-      countServed();
+    if (result == Result.OK && !node.origin) {
+      double extra = node.time == 0 ? 0 : elapsed - node.time;
+      extraTime[attempt.typeIndex] = State.average(extraTime[attempt.typeIndex], extra, CLASS_GAIN);
+    }
+    if (result == Result.OK || result == Result.TIMEOUT) {
+      // Guards against learning too late where a balancer seldom sends: rare news counts for more.
+      double gain = Math.max(GAIN, 1 - Math.pow(0.5, (now - node.learnedAt) / FADE));
+      double seen = result == Result.OK ? elapsed : Math.max(elapsed, node.time);
+      node.time = node.time == 0 ? seen : State.average(node.time, seen, gain);
+      node.depth = State.average(node.depth, attempt.depth, gain);
+      node.learnedAt = now;
       node.observedAt = now;
-    } else if (result == Result.TIMEOUT) {
-      node.time = Math.max(node.time, State.average(node.time, elapsed, GAIN));
+      countServed(result == Result.OK ? 1 : 0);
     }
     boolean broken = result == Result.CONNECT_FAILED || result == Result.RESET;
     node.errors = State.average(node.errors, result == Result.ERROR || broken ? 1 : 0, GAIN);
@@ -304,7 +304,7 @@
   }
 
   /** Counts what is served a window and unit of weight; as if all were warm, lest cold ones raise it. */
-  private void countServed() {
+  private void countServed(int more) {
     double window = settings.rules().fallWindow();
     if (now - windowStart >= window) {
       double capacity = nodes.values().stream().filter(Node::isCache).mapToDouble(n -> n.weight).sum();
@@ -313,7 +313,7 @@
       windowStart = now;
       windowServed = 0;
     }
-    windowServed++;
+    windowServed += more;
   }
 
   // ---- Origin gate ----------------------------------------------------------------------------------------
--- a/src/main/java/beampoint/State.java
+++ b/src/main/java/beampoint/State.java
@@ -26,6 +26,7 @@
     double time;
     double depth = 1;
     double observedAt;
+    double learnedAt;
     double errors;
     int failures;
     double pausedUntil;
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -124,6 +124,18 @@
     assertNotNull(Fixture.sentTo(f.read(5)));
   }
 
+  @Test
+  void aBalancerThatSeldomSendsLearnsFromOneTimeOutThatACacheIsCrowded() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(2);
+    long id = f.nextId();
+    String crowded = Fixture.sentTo(f.read(5));
+    f.now += 1_000;
+    f.end(id, 0, crowded, 1_000, Result.TIMEOUT);
+    assertNotEquals(crowded, f.served(5));
+    f.now += 5_000;
+    assertEquals(crowded, f.served(5));
+  }
+
   // ---- Readiness ----
 
   @Test
