--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -391,4 +391,16 @@
     assertTrue(Fixture.has(f.read(5), Refuse.class));
     assertTrue(Fixture.has(f.read(-1), Refuse.class));
   }
+
+  @Test
+  void zeroWeightsDrainingCachesAndAMissingOriginGiveOrderlyAnswers() {
+    Fixture f = new Fixture(Fixture.READ);
+    f.list(ListKind.FULL, List.of(new Endpoint("idle", 0, Fixture.CACHE, 0, EndpointState.RUNNING, 0, 0)));
+    long id = f.nextId();
+    assertEquals("idle", Fixture.sentTo(f.read(5)));
+    assertTrue(Fixture.has(f.end(id, 0, "idle", 1, Result.MISS), Refuse.class));
+    assertTrue(Fixture.has(f.request(0, 0, 5, true), Refuse.class));
+    f.list(ListKind.FULL, List.of(Fixture.cache(1, EndpointState.DRAINING, 0)));
+    assertTrue(Fixture.has(f.read(5), Refuse.class));
+  }
 }
--- a/src/test/java/beampoint/sim/DrillTest.java
+++ b/src/test/java/beampoint/sim/DrillTest.java
@@ -48,6 +48,12 @@
     assertEquals("done\n", run(START + "kill\n" + again + "commit\n"));
   }
 
+  @Test
+  void aFailureOfTheModuleIsToldAsAFaultWithItsCause() throws Exception {
+    String reply = run(START + "new_request\trid=5\tnot-after-ms=200\tservice=9\taffinity=9\ncommit\n");
+    assertTrue(reply.contains("fault\tbody-text=") && reply.contains("Index 9 out of bounds"), reply);
+  }
+
   @Test
   void malformedInputIsNamedWithLineAndField() {
     String missing = problem(START + "new_request\trid=5\ncommit\n");
