One check for the origin, and the second cache looked up only when needed

Whether the origin may take a request stood three times, once without asking if it still runs: a retry went to an origin that drains. One function now serves all three; that case has a test. The second cache was looked up and tested for every request, also where the primary takes it.

--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -162,14 +162,17 @@
     if (primary == null) {
       return null;
     }
-    Node second = nextReady(r, primary);
-    boolean secondHasRoom = second != null && hasRoom(second, r);
-    if (hasRoom(primary, r) && !(spills(primary) && secondHasRoom)) {
+    boolean primaryHasRoom = hasRoom(primary, r);
+    if (primaryHasRoom && !spills(primary)) {
       return primary;
     }
-    if (secondHasRoom) {
+    Node second = nextReady(r, primary);
+    if (second != null && hasRoom(second, r)) {
       return second;
     }
+    if (primaryHasRoom) {
+      return primary;
+    }
     Node sooner = second == null || expectedTime(primary) <= expectedTime(second) ? primary : second;
     return !r.overShare && fits(sooner, r.typeIndex, r.aimAt - now) && fleetHasRoom() ? sooner : null;
   }
@@ -318,9 +321,10 @@
 
   // ---- Origin gate ----------------------------------------------------------------------------------------
 
-  private Node origin() {
-    return nodes.values().stream()
-        .filter(n -> n.origin && n.entry.state() == EndpointState.RUNNING).findFirst().orElse(null);
+  /** The origin, if it runs, may be sent the request and can answer it in time; else null. */
+  private Node openOrigin(Request r) {
+    return nodes.values().stream().filter(n -> n.origin && n.entry.state() == EndpointState.RUNNING)
+        .findFirst().filter(n -> mayRunAt(r, n) && hasRoom(n, r)).orElse(null);
   }
 
   /**
@@ -335,8 +339,8 @@
       out.add(new SetTimer(Math.max(1, Math.min(r.aimAt, r.deadline) - now), r.id));
       return;
     }
-    Node origin = origin();
-    if (origin != null && attemptsLeft >= 1 && hasRoom(origin, r) && mayRunAt(r, origin)) {
+    Node origin = attemptsLeft >= 1 ? openOrigin(r) : null;
+    if (origin != null) {
       if (waiting == null && r.key >= 0) {
         fetches.put(r.key, new ArrayDeque<>());
         r.fetching = true;
@@ -412,12 +416,7 @@
 
   /** A read goes to its cache; a write goes to the origin, which voids the kept copies itself. */
   private void dispatch(Request r) {
-    if (r.write && settings.originKind() >= 0) {
-      Node origin = origin();
-      sendOrGiveUp(r, origin != null && mayRunAt(r, origin) && hasRoom(origin, r) ? origin : null);
-    } else {
-      sendOrGiveUp(r, pick(r));
-    }
+    sendOrGiveUp(r, r.write && settings.originKind() >= 0 ? openOrigin(r) : pick(r));
   }
 
   private void sendOrGiveUp(Request r, Node node) {
@@ -485,7 +484,7 @@
     }
     retryBudget -= 1;
     if (node.origin) {
-      sendOrGiveUp(r, mayRunAt(r, node) && hasRoom(node, r) ? node : null);
+      sendOrGiveUp(r, openOrigin(r));
     } else {
       r.tried.add(node);
       sendOrGiveUp(r, pick(r));
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -269,6 +269,16 @@
     assertTrue(Fixture.has(f.balancer.handle(f.now, new TimerFired(second)), Refuse.class));
   }
 
+  @Test
+  void aFailedFetchIsNotRepeatedAtAnOriginThatHasSinceBeenToldToDrain() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    long id = f.nextId();
+    assertEquals("origin", Fixture.sentTo(f.request(0, 0, 5, true)));
+    f.list(ListKind.CHANGES,
+        List.of(new Endpoint("origin", 0, Fixture.ORIGIN, 9, EndpointState.DRAINING, 1, 0)));
+    assertTrue(Fixture.has(f.end(id, 0, "origin", 5, Result.ERROR), Refuse.class));
+  }
+
   @Test
   void aWriteGoesStraightToTheOrigin() {
     Fixture f = new Fixture(Fixture.READ).withFleet(4);
