--- a/src/main/java/beampoint/cli/Main.java
+++ b/src/main/java/beampoint/cli/Main.java
@@ -1,22 +1,25 @@
 package beampoint.cli;
 
 import beampoint.Logic;
+import beampoint.log.Log;
+import beampoint.serve.Config;
+import beampoint.serve.Proxy;
+import beampoint.settings.InputException;
 import beampoint.sim.Drill;
-import beampoint.sim.WireException;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 
 /** The command line. */
 @Command(name = "beampoint", mixinStandardHelpOptions = true, version = "beampoint 0.1.0",
     description = "Spreads keys over cache servers before a slow origin.",
-    subcommands = Main.DrillCommand.class)
+    subcommands = {Main.DrillCommand.class, Main.ServeCommand.class})
 public final class Main implements Runnable {
 
   @Spec
@@ -28,7 +31,10 @@
   }
 
   public static void main(String[] args) {
-    System.exit(new CommandLine(new Main()).execute(args));
+    int code = new CommandLine(new Main()).execute(args);
+    if (code != ServeCommand.SERVING) {
+      System.exit(code);
+    }
   }
 
   /** Hosts instances of the decision module on the bench's wire. */
@@ -36,19 +42,60 @@
       description = "Decides for simulated balancers: batches on standard input, replies on standard output.")
   static final class DrillCommand implements Callable<Integer> {
 
-    private static final Logger LOG = LoggerFactory.getLogger(DrillCommand.class);
+    private static final Log LOG = Log.of("drill");
 
     @Override
     public Integer call() {
       try {
         new Drill(System.in, System.out, Logic::new).run();
         return 0;
-      } catch (WireException e) {
-        LOG.error("bad input: {}", e.getMessage());
+      } catch (InputException e) {
+        LOG.error("bad input: " + e.getMessage());
       } catch (IOException e) {
-        LOG.error("input or output broke: {}", e.getMessage());
+        LOG.error("input or output broke: " + e.getMessage());
       }
       return 1;
     }
   }
+
+  /** Runs one real proxy until it is told to end. */
+  @Command(name = "serve", mixinStandardHelpOptions = true,
+      description = "Runs one proxy on sockets, as its configuration file says, until SIGTERM.")
+  static final class ServeCommand implements Callable<Integer> {
+
+    static final int SERVING = -1;
+    private static final Log LOG = Log.of("serve");
+
+    @Option(names = "--config", paramLabel = "FILE", defaultValue = "${env:PROXY_CONFIG}",
+        description = "The configuration; $PROXY_CONFIG if not given.")
+    private Path config;
+
+    @Override
+    public Integer call() {
+      if (config == null) {
+        LOG.error("no configuration: give --config FILE or set PROXY_CONFIG");
+        return 2;
+      }
+      try {
+        Proxy proxy = new Proxy(Config.read(config), Logic::new);
+        proxy.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(proxy), "end"));
+        return SERVING;
+      } catch (InputException e) {
+        LOG.error("bad configuration: " + e.getMessage());
+      } catch (IOException e) {
+        LOG.error("can't serve: " + e.getMessage());
+      }
+      return 2;
+    }
+
+    private static void end(Proxy proxy) {
+      try {
+        proxy.drain();
+      } catch (InterruptedException e) {
+        LOG.error("the end was cut short", e);
+      }
+      Runtime.getRuntime().halt(0); // after a SIGTERM the machine's own code would not be 0
+    }
+  }
 }
--- /dev/null
+++ b/src/main/java/beampoint/client/Session.java
@@ -0,0 +1,151 @@
+package beampoint.client;
+
+import beampoint.count.Counter;
+import beampoint.count.Counters;
+import beampoint.exchange.Answer;
+import beampoint.exchange.Exchange;
+import beampoint.exchange.Intake;
+import beampoint.memcache.Command;
+import beampoint.memcache.Writer;
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
+
+/**
+ * One client connection: its commands are begun as they come and answered in their order. Belongs to the
+ * decision thread.
+ */
+final class Session {
+
+  /** The place of one command's answer. */
+  private static final class Slot {
+    private Exchange exchange;
+    private Buffer answer;
+    private boolean ends; // the connection, once this answer is written
+  }
+
+  private final Connection<SocketAddress> connection;
+  private final Sessions sessions;
+  private final Deque<Slot> slots = new ArrayDeque<>();
+  private final CompletionHandler<WriteResult<Buffer, SocketAddress>> written =
+      new EmptyCompletionHandler<>() {
+        @Override
+        public void completed(WriteResult<Buffer, SocketAddress> result) {
+          sessions.loop().execute(Session.this::answerWritten);
+        }
+      };
+  private int unwritten;
+  private boolean closing;
+  private boolean closed;
+
+  @SuppressWarnings("unchecked") // all connections of a TCP transport have socket addresses
+  Session(Connection<?> connection, Sessions sessions) {
+    this.connection = (Connection<SocketAddress>) connection;
+    this.sessions = sessions;
+  }
+
+  boolean isIdle() {
+    return slots.isEmpty() && unwritten == 0;
+  }
+
+  void command(Command command, double readAt) {
+    if (closed) {
+      return;
+    }
+    Slot slot = new Slot();
+    slots.add(slot);
+    Writer writer = sessions.writer();
+    Intake intake = sessions.intake();
+    Counters counters = sessions.counters();
+    switch (command.kind()) {
+      case READ, WRITE -> request(slot, command, readAt);
+      case READY -> slot.answer = writer.line(intake.isReady() ? "MN" : "SERVER_ERROR not ready");
+      case STATS -> slot.answer = writer.line(stats(counters));
+      case VERSION -> slot.answer = writer.line("VERSION beampoint");
+      case QUIT -> {
+        slots.removeLast();
+        closeWhenIdle();
+        return;
+      }
+      default -> {
+        counters.add(Counter.BAD_COMMANDS);
+        slot.answer = writer.line(command.problem());
+        slot.ends = command.kind() == Command.Kind.FATAL;
+      }
+    }
+    flush();
+  }
+
+  private void request(Slot slot, Command command, double readAt) {
+    Exchange exchange = sessions.intake().take(command, readAt, answer -> {
+      slot.answer = encode(command, answer);
+      flush();
+    });
+    if (exchange == null) {
+      sessions.counters().add(Counter.BAD_COMMANDS);
+      slot.answer = sessions.writer().line("CLIENT_ERROR unknown class");
+    } else {
+      slot.exchange = exchange;
+    }
+  }
+
+  private static String stats(Counters counters) {
+    StringBuilder text = new StringBuilder();
+    for (Counter counter : Counter.values()) {
+      text.append("STAT ").append(Counters.name(counter)).append(' ').append(counters.get(counter))
+          .append("\r\n");
+    }
+    return text.append("END").toString();
+  }
+
+  private Buffer encode(Command command, Answer answer) {
+    Writer writer = sessions.writer();
+    return switch (answer.kind()) {
+      case VALUE -> writer.value(command.id(), answer.body());
+      case RECEIPT -> writer.receipt(command.id(), answer.body());
+      case REFUSED -> writer.line(answer.waitMs() > 0 ? "SERVER_ERROR busy " + answer.waitMs()
+          : "SERVER_ERROR busy");
+      case FAILED -> writer.line("SERVER_ERROR failed");
+    };
+  }
+
+  /** Writes the answers that are next in the order of the commands. */
+  private void flush() {
+    while (!slots.isEmpty() && slots.peek().answer != null) {
+      Slot slot = slots.poll();
+      unwritten++;
+      closing |= slot.ends;
+      connection.write(slot.answer, written);
+    }
+    if (closing && slots.isEmpty()) {
+      connection.closeSilently(); // once all is written
+    }
+  }
+
+  private void answerWritten() {
+    unwritten--;
+    sessions.answered(connection);
+  }
+
+  /** Closes the connection once all commands that were read are answered. */
+  void closeWhenIdle() {
+    closing = true;
+    flush();
+  }
+
+  /** The connection has ended: the client has gone away. */
+  void closed() {
+    closed = true;
+    for (Slot slot : slots) {
+      if (slot.exchange != null) {
+        sessions.intake().gone(slot.exchange);
+      }
+    }
+    slots.clear();
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -0,0 +1,198 @@
+package beampoint.client;
+
+import beampoint.count.Counter;
+import beampoint.count.Counters;
+import beampoint.exchange.Intake;
+import beampoint.log.Log;
+import beampoint.memcache.Command;
+import beampoint.memcache.CommandFilter;
+import beampoint.memcache.Writer;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.DoubleSupplier;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/** The client side: listens, and keeps the connections of clients within a number. */
+public final class Sessions {
+
+  private static final Log LOG = Log.of("client");
+  private static final int MAX_PENDING = 128; // commands read and not answered, on one connection
+
+  private final TCPNIOTransport transport;
+  private final Executor loop;
+  private final DoubleSupplier clock;
+  private final Intake intake;
+  private final Counters counters;
+  private final int maxConnections;
+  private final Writer writer;
+  private final Map<Connection<?>, Session> open = new LinkedHashMap<>(); // the longest unused first
+  private final AtomicInteger accepted = new AtomicInteger();
+  private final Attribute<AtomicInteger> pending =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("pending-commands", AtomicInteger::new);
+  private TCPNIOServerConnection listener;
+  private volatile boolean full;
+  private boolean draining;
+
+  public Sessions(TCPNIOTransport transport, Executor loop, DoubleSupplier clock, Intake intake,
+      Counters counters, int maxConnections) {
+    this.transport = transport;
+    this.loop = loop;
+    this.clock = clock;
+    this.intake = intake;
+    this.counters = counters;
+    this.maxConnections = maxConnections;
+    this.writer = new Writer(transport.getMemoryManager());
+  }
+
+  /** Listens on this address only. */
+  public void listen(SocketAddress address) throws IOException {
+    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter())
+        .add(new CommandFilter()).add(new Events());
+    listener = TCPNIOBindingHandler.builder(transport).processor(chain.build()).build().bind(address);
+  }
+
+  /** Runs on the selector's thread and hands all on to the decision thread. */
+  private final class Events extends BaseFilter {
+
+    @Override
+    public NextAction handleAccept(FilterChainContext ctx) {
+      Connection<?> connection = ctx.getConnection();
+      counters.add(Counter.CLIENT_CONNECTIONS);
+      if (accepted.incrementAndGet() >= maxConnections) {
+        pauseAccepting();
+      }
+      loop.execute(() -> opened(connection));
+      return ctx.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) throws IOException {
+      Connection<?> connection = ctx.getConnection();
+      Command command = ctx.getMessage();
+      double readAt = clock.getAsDouble();
+      if (pending.get(connection).incrementAndGet() == MAX_PENDING) {
+        connection.disableIOEvent(IOEvent.READ);
+      }
+      loop.execute(() -> {
+        Session session = open.remove(connection);
+        if (session != null) {
+          open.put(connection, session);
+          session.command(command, readAt);
+        }
+      });
+      return ctx.getStopAction();
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+      Connection<?> connection = ctx.getConnection();
+      accepted.decrementAndGet();
+      loop.execute(() -> closed(connection));
+      return ctx.getInvokeAction();
+    }
+  }
+
+  private void opened(Connection<?> connection) {
+    Session session = new Session(connection, this);
+    open.put(connection, session);
+    if (draining) {
+      return;
+    }
+    // Guards against a full house of idle clients: the one that was idle longest makes room for others.
+    Iterator<Session> all = open.values().iterator();
+    for (int over = open.size() - maxConnections * 9 / 10; over > 0 && all.hasNext();) {
+      Session old = all.next();
+      if (old != session && old.isIdle()) {
+        counters.add(Counter.CLIENT_CONNECTIONS_CLOSED_FULL);
+        old.closeWhenIdle();
+        over--;
+      }
+    }
+  }
+
+  private void closed(Connection<?> connection) {
+    Session session = open.remove(connection);
+    if (session != null) {
+      session.closed();
+    }
+    if (full && accepted.get() < maxConnections) {
+      full = false;
+      setAccepting(true);
+    }
+  }
+
+  /** Guards against accepting without end where no descriptor is left: new clients wait in the backlog. */
+  private void pauseAccepting() {
+    full = true;
+    setAccepting(false);
+  }
+
+  private void setAccepting(boolean on) {
+    try {
+      if (on) {
+        listener.enableIOEvent(IOEvent.SERVER_ACCEPT);
+      } else {
+        listener.disableIOEvent(IOEvent.SERVER_ACCEPT);
+      }
+    } catch (IOException e) {
+      LOG.error("can't " + (on ? "resume" : "pause") + " accepting", e);
+    }
+  }
+
+  /** One more answer is written: the connection may be read again. */
+  void answered(Connection<?> connection) {
+    if (pending.get(connection).decrementAndGet() == MAX_PENDING / 2) {
+      try {
+        connection.enableIOEvent(IOEvent.READ);
+      } catch (IOException e) {
+        connection.terminateSilently();
+      }
+    }
+  }
+
+  /** Takes no more connections and ends those that there are, each once it has no command open. */
+  public void drain() {
+    draining = true;
+    if (listener != null) {
+      listener.closeSilently();
+    }
+    List.copyOf(open.values()).forEach(Session::closeWhenIdle);
+  }
+
+  public int count() {
+    return open.size();
+  }
+
+  Writer writer() {
+    return writer;
+  }
+
+  Intake intake() {
+    return intake;
+  }
+
+  Counters counters() {
+    return counters;
+  }
+
+  Executor loop() {
+    return loop;
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/exchange/Exchange.java
@@ -0,0 +1,90 @@
+package beampoint.exchange;
+
+import beampoint.count.Counter;
+import beampoint.count.Counters;
+import beampoint.memcache.Command;
+import java.util.function.Consumer;
+
+/**
+ * One request: what the client sent, how many attempts were made for it, and its one final answer. Client
+ * side and upstream side know each other only through it. Belongs to the decision thread.
+ */
+public final class Exchange {
+
+  private final long id;
+  private final Command command;
+  private final double notAfter;
+  private final Consumer<Answer> client;
+  private final Counters counters;
+  private boolean over;
+  private int attempts;
+  private int attemptsOut;
+
+  public Exchange(long id, Command command, double notAfter, Consumer<Answer> client, Counters counters) {
+    this.id = id;
+    this.command = command;
+    this.notAfter = notAfter;
+    this.client = client;
+    this.counters = counters;
+  }
+
+  /** The number under which the decision module knows it. */
+  public long id() {
+    return id;
+  }
+
+  public Command command() {
+    return command;
+  }
+
+  /** When the client stops waiting, in ms on the proxy's clock. */
+  public double notAfter() {
+    return notAfter;
+  }
+
+  /** True once it has had its final answer or its client has left. */
+  public boolean isOver() {
+    return over;
+  }
+
+  public int attemptsOut() {
+    return attemptsOut;
+  }
+
+  /** Gives the client its final answer; false, and nothing done, where the request is over. */
+  public boolean answer(Answer answer) {
+    if (over) {
+      return false;
+    }
+    over = true;
+    counters.add(switch (answer.kind()) {
+      case VALUE, RECEIPT -> Counter.ANSWERED_SERVED;
+      case REFUSED -> Counter.ANSWERED_REFUSED;
+      case FAILED -> Counter.ANSWERED_FAILED;
+    });
+    client.accept(answer);
+    return true;
+  }
+
+  /** The client has left: nothing more is owed. False where the request was over before. */
+  public boolean abandon() {
+    boolean wasOpen = !over;
+    over = true;
+    return wasOpen;
+  }
+
+  /** Counts one more attempt and returns its number. */
+  public int beginAttempt() {
+    attemptsOut++;
+    return attempts++;
+  }
+
+  public int attempts() {
+    return attempts;
+  }
+
+  public void endAttempt() {
+    counters.check(attemptsOut > 0, "an attempt ends that was out");
+    attemptsOut--;
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/memcache/Reply.java
@@ -0,0 +1,10 @@
+package beampoint.memcache;
+
+import org.glassfish.grizzly.Buffer;
+
+/** One answer of a cache node; the body is the value or the receipt, a slice of what was read. */
+public record Reply(Kind kind, Buffer id, Buffer body) {
+
+  /** What the answer says; BAD is not of this protocol, and what follows it can't be read. */
+  public enum Kind { VALUE, RECEIPT, MISS, FAILED, BUSY, ALIVE, BAD }
+}
--- /dev/null
+++ b/src/main/java/beampoint/serve/Config.java
@@ -0,0 +1,64 @@
+package beampoint.serve;
+
+import beampoint.Balancer.Settings;
+import beampoint.discovery.HostList;
+import beampoint.settings.InputException;
+import beampoint.settings.JsonFields;
+import beampoint.settings.SettingsReader;
+import beampoint.settings.SocketSettings;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** What a proxy is told at its start. */
+public record Config(String name, InetSocketAddress listen, String discovery, long seed, int sockets,
+    HostList known, Settings settings, SocketSettings socketSettings) {
+
+  /** Reads the file; whatever is wrong with it is told in one plain sentence. */
+  public static Config read(Path file) throws InputException {
+    try {
+      return read(file.toString(), JsonParser.parseString(Files.readString(file)).getAsJsonObject());
+    } catch (IOException e) {
+      throw new InputException(file + ": can't be read: " + e.getMessage());
+    } catch (JsonParseException | IllegalStateException | UnsupportedOperationException
+        | ClassCastException e) {
+      throw new InputException(file + ": " + e.getMessage());
+    }
+  }
+
+  private static Config read(String source, JsonObject json) throws InputException {
+    JsonFields top = new JsonFields(source, json);
+    long seed;
+    try {
+      seed = Long.parseUnsignedLong(top.text("seed"), 16);
+    } catch (NumberFormatException e) {
+      throw top.malformed("seed", "not a hexadecimal number");
+    }
+    if (!json.has("settings") || !json.has("known")) {
+      throw top.malformed(json.has("known") ? "settings" : "known", "missing");
+    }
+    JsonFields settings = new JsonFields(source + ", settings", json.getAsJsonObject("settings"));
+    settings.put("nonce64", Long.toString(seed));
+    address(top, "discovery");
+    return new Config(top.text("name"), address(top, "listen"), top.text("discovery"), seed,
+        top.index("limits.sockets", 1024), HostList.read(json.getAsJsonObject("known")),
+        SettingsReader.read(settings), SocketSettings.read(settings));
+  }
+
+  private static InetSocketAddress address(JsonFields fields, String field) throws InputException {
+    String text = fields.text(field);
+    if (!text.matches("[^:\\s]+:\\d{1,5}")) {
+      throw fields.malformed(field, "not of the form address:port: '" + text + "'");
+    }
+    int colon = text.lastIndexOf(':');
+    int port = Integer.parseInt(text.substring(colon + 1));
+    if (port > 65_535) {
+      throw fields.malformed(field, "no such port: " + port);
+    }
+    return new InetSocketAddress(text.substring(0, colon), port);
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -0,0 +1,329 @@
+package beampoint.serve;
+
+import beampoint.Balancer;
+import beampoint.Balancer.Action;
+import beampoint.Balancer.AttemptEnded;
+import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.EndpointState;
+import beampoint.Balancer.Event;
+import beampoint.Balancer.ListKind;
+import beampoint.Balancer.ListReceived;
+import beampoint.Balancer.ProbeEnded;
+import beampoint.Balancer.RequestGone;
+import beampoint.Balancer.RequestReceived;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Settings;
+import beampoint.Balancer.TimerFired;
+import beampoint.client.Sessions;
+import beampoint.count.Counter;
+import beampoint.count.Counters;
+import beampoint.discovery.HostList;
+import beampoint.discovery.HostList.Host;
+import beampoint.discovery.Watch;
+import beampoint.exchange.Answer;
+import beampoint.exchange.Exchange;
+import beampoint.exchange.Intake;
+import beampoint.log.Log;
+import beampoint.memcache.Command;
+import beampoint.upstream.Reports;
+import beampoint.upstream.Upstreams;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.glassfish.grizzly.memory.HeapMemoryManager;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/**
+ * One proxy: tells the decision module what happens on the sockets and carries out what it decides. It picks,
+ * repeats and refuses nothing itself.
+ */
+public final class Proxy implements Intake, Reports {
+
+  private static final Log LOG = Log.of("serve");
+  private static final int RESERVED_DESCRIPTORS = 96; // for the machine, discovery and standard streams
+  private static final double LATE_MS = 15; // after which the proxy itself fails what nobody answered
+  private static final long FRONT_LEAVES_MS = 450; // after a SIGTERM new clients come for up to 400 ms
+  private static final double LONGEST_DRAIN_MS = 3000; // a SIGKILL comes 3.7 s after a SIGTERM or later
+
+  private final Config config;
+  private final Settings settings;
+  private final Balancer balancer;
+  private final Counters counters = new Counters();
+  private final Clock clock = new Clock();
+  private final Loop loop = new Loop();
+  private final Directory directory;
+  private final TCPNIOTransport transport;
+  private final Upstreams upstreams;
+  private final Sessions sessions;
+  private final Watch watch;
+  private final Map<Long, Exchange> exchanges = new HashMap<>(); // open, or with an attempt out
+  private final CountDownLatch drained = new CountDownLatch(1);
+  private long lastId;
+  private int open;
+  private boolean ready;
+  private double endsBy = Double.POSITIVE_INFINITY;
+
+  public Proxy(Config config, Function<Settings, Balancer> factory) {
+    this.config = config;
+    this.settings = config.settings();
+    this.balancer = factory.apply(settings);
+    this.directory = new Directory(config.socketSettings());
+    // One selector, and all filters on its thread: the proxy has one core.
+    this.transport = TCPNIOTransportBuilder.newInstance()
+        .setIOStrategy(SameThreadIOStrategy.getInstance())
+        .setSelectorRunnersCount(1)
+        .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setPoolName("selector")
+            .setCorePoolSize(1).setMaxPoolSize(1))
+        .setMemoryManager(new HeapMemoryManager())
+        .setTcpNoDelay(true)
+        .setReuseAddress(true)
+        .setServerConnectionBackLog(1024)
+        .build();
+    int descriptors = config.sockets() - RESERVED_DESCRIPTORS;
+    this.upstreams = new Upstreams(transport, loop, clock, this, counters,
+        settings.limits().connectTimeout(), config.socketSettings().connectionIdle(), descriptors / 2);
+    this.sessions = new Sessions(transport, loop, clock, this, counters, descriptors / 2);
+    this.watch = new Watch(transport, loop, counters, new Random(config.seed()), config.discovery(),
+        config.known().version(), list -> listed(list, list.whole() ? ListKind.FULL : ListKind.CHANGES),
+        this::watchBroken);
+  }
+
+  /** Begins to serve; returns once clients are listened to. */
+  public void start() throws IOException {
+    transport.start();
+    loop.execute(() -> {
+      listed(config.known(), ListKind.REMEMBERED);
+      if (settings.listPushed()) {
+        watch.follow();
+      }
+    });
+    sessions.listen(config.listen());
+    LOG.info(config.name() + " listens on " + config.listen());
+  }
+
+  /** The counters, for the log or a test. */
+  public Counters counters() {
+    return counters;
+  }
+
+  // ---- What happens ---------------------------------------------------------------------------------------
+
+  @Override
+  public boolean isReady() {
+    return ready;
+  }
+
+  @Override
+  public Exchange take(Command command, double readAt, Consumer<Answer> client) {
+    int requestClass = directory.requestClass(command);
+    if (requestClass < 0) {
+      return null;
+    }
+    double notAfter = readAt + command.waitMs();
+    Exchange exchange = new Exchange(++lastId, command, notAfter, client, counters);
+    counters.add(Counter.REQUESTS_TAKEN);
+    exchanges.put(exchange.id(), exchange);
+    open++;
+    // Queued, as its place in the order of answers must stand before the module may answer.
+    loop.execute(() -> {
+      give(new RequestReceived(exchange.id(), Math.min(notAfter, endsBy), directory.tenant(command),
+          requestClass, Directory.key(command.key()), command.kind() == Command.Kind.WRITE));
+      after(notAfter + LATE_MS - now(), () -> failLate(exchange));
+    });
+    return exchange;
+  }
+
+  /** Guards against a request that the module forgot: whatever was taken is answered. */
+  private void failLate(Exchange exchange) {
+    if (exchange.isOver()) {
+      return;
+    }
+    counters.check(false, "a request has its answer in time");
+    close(exchange, Answer.FAILED);
+    give(new RequestGone(exchange.id()));
+  }
+
+  @Override
+  public void gone(Exchange exchange) {
+    if (exchange.abandon()) {
+      counters.add(Counter.REQUESTS_GONE);
+      closed(exchange);
+      give(new RequestGone(exchange.id()));
+    }
+  }
+
+  @Override
+  public void ended(Exchange exchange, int attempt, String endpoint, double elapsed, Result result,
+      Answer answer) {
+    exchange.endAttempt();
+    if (answer != null) {
+      close(exchange, answer);
+    }
+    forget(exchange);
+    give(new AttemptEnded(exchange.id(), attempt, endpoint, elapsed, result, exchange.isOver()));
+  }
+
+  @Override
+  public void probed(String endpoint, double elapsed, Result result) {
+    give(new ProbeEnded(endpoint, result, elapsed));
+  }
+
+  private void listed(HostList list, ListKind kind) {
+    List<Endpoint> endpoints = new ArrayList<>();
+    for (Host host : list.hosts()) {
+      Endpoint endpoint = directory.endpoint(host);
+      endpoints.add(endpoint);
+      if (endpoint.state() == EndpointState.GONE) {
+        upstreams.closeIdle(endpoint.id());
+      } else {
+        upstreams.place(endpoint.id(), host.dial(), endpoint.kind() == settings.originKind(),
+            endpoint.startedAt());
+      }
+    }
+    give(new ListReceived(kind, endpoints));
+    ready |= !endpoints.isEmpty();
+  }
+
+  private void watchBroken() {
+    if (settings.listPushed()) {
+      watch.followLater();
+    } else {
+      give(new ListReceived(ListKind.UNAVAILABLE, List.of()));
+    }
+  }
+
+  // ---- What is decided ------------------------------------------------------------------------------------
+
+  private void give(Event event) {
+    List<Action> actions;
+    try {
+      actions = balancer.handle(now(), event);
+    } catch (RuntimeException e) {
+      // Guards against a fault in the module: it costs the request at hand, not the proxy.
+      counters.add(Counter.LOGIC_EXCEPTIONS);
+      LOG.error("the decision module failed for " + event, e);
+      fail(event);
+      return;
+    }
+    actions.forEach(this::carryOut);
+  }
+
+  private void fail(Event event) {
+    long id = event instanceof RequestReceived e ? e.id() : event instanceof AttemptEnded e ? e.id()
+        : event instanceof TimerFired e ? e.token() : 0;
+    Exchange exchange = exchanges.get(id);
+    if (exchange != null) {
+      close(exchange, Answer.FAILED);
+    }
+  }
+
+  private void carryOut(Action action) {
+    if (action instanceof Balancer.Send a) {
+      send(a);
+    } else if (action instanceof Balancer.Refuse a) {
+      close(exchanges.get(a.id()), Answer.refused((long) Math.ceil(a.retryAfter())));
+    } else if (action instanceof Balancer.Fail a) {
+      close(exchanges.get(a.id()), Answer.FAILED);
+    } else if (action instanceof Balancer.Cancel a) {
+      upstreams.cancel(a.id(), a.attempt());
+    } else if (action instanceof Balancer.SetTimer a) {
+      after(a.delay(), () -> give(new TimerFired(a.token())));
+    } else if (action instanceof Balancer.Probe a) {
+      upstreams.probe(a.endpoint());
+    } else if (action instanceof Balancer.CloseIdle a) {
+      upstreams.closeIdle(a.endpoint());
+    } else if (action instanceof Balancer.FollowList) {
+      watch.follow();
+    } else if (action instanceof Balancer.Log a) {
+      LOG.info(a.text());
+    }
+  }
+
+  private void send(Balancer.Send a) {
+    Exchange exchange = exchanges.get(a.id());
+    if (exchange == null) {
+      return;
+    }
+    double now = now();
+    double last = Math.min(exchange.notAfter(), endsBy);
+    int attempt = exchange.beginAttempt();
+    if (exchange.isOver() || now >= last || attempt >= settings.limits().maxAttempts()) {
+      loop.execute(() -> ended(exchange, attempt, a.endpoint(), 0, Result.NOT_SENT, null));
+    } else {
+      upstreams.send(exchange, attempt, a.endpoint(), a.limit() > 0 ? Math.min(last, now + a.limit()) : last);
+    }
+  }
+
+  private void close(Exchange exchange, Answer answer) {
+    if (exchange != null && exchange.answer(answer)) {
+      closed(exchange);
+    }
+  }
+
+  private void closed(Exchange exchange) {
+    open--;
+    forget(exchange);
+  }
+
+  private void forget(Exchange exchange) {
+    if (exchange.isOver() && exchange.attemptsOut() == 0) {
+      exchanges.remove(exchange.id());
+    }
+  }
+
+  private double now() {
+    return clock.getAsDouble();
+  }
+
+  private void after(double delay, Runnable task) {
+    loop.schedule(task, (long) Math.max(0, delay * 1000), TimeUnit.MICROSECONDS);
+  }
+
+  // ---- The end --------------------------------------------------------------------------------------------
+
+  /** Ends in order: serves on while clients may still come, then answers all that was taken. */
+  public void drain() throws InterruptedException {
+    loop.execute(() -> {
+      endsBy = now() + LONGEST_DRAIN_MS;
+      after(FRONT_LEAVES_MS, this::endSessions);
+      after(LONGEST_DRAIN_MS, this::failAll);
+    });
+    drained.await(2 * (long) LONGEST_DRAIN_MS, TimeUnit.MILLISECONDS);
+    LOG.info(config.name() + " ends: " + counters);
+  }
+
+  private void endSessions() {
+    sessions.drain();
+    pollDrained();
+  }
+
+  /** Ends once all is answered and written, and clients have seen their connections close. */
+  private void pollDrained() {
+    if (open == 0 && sessions.count() == 0) {
+      drained.countDown();
+    } else {
+      after(20, this::pollDrained);
+    }
+  }
+
+  /** Guards against a SIGKILL with requests still open: their time is cut short, the module answers. */
+  private void failAll() {
+    for (Exchange exchange : List.copyOf(exchanges.values())) {
+      if (!exchange.isOver()) {
+        close(exchange, Answer.FAILED);
+        give(new RequestGone(exchange.id()));
+      }
+    }
+    after(100, drained::countDown);
+  }
+}
--- a/src/main/java/beampoint/sim/WireException.java
+++ b/src/main/java/beampoint/settings/InputException.java
@@ -1,11 +1,11 @@
-package beampoint.sim;
+package beampoint.settings;
 
 /** Malformed input, told in plain words for the person who reads standard error. */
-public final class WireException extends Exception {
+public final class InputException extends Exception {
 
   private static final long serialVersionUID = 1L;
 
-  public WireException(String message) {
+  public InputException(String message) {
     super(message);
   }
 }
--- a/src/main/java/beampoint/sim/Codec.java
+++ b/src/main/java/beampoint/sim/Codec.java
@@ -4,87 +4,24 @@
 import beampoint.Balancer.Action;
 import beampoint.Balancer.AttemptEnded;
 import beampoint.Balancer.AttemptStarted;
-import beampoint.Balancer.DedupGroup;
 import beampoint.Balancer.Endpoint;
 import beampoint.Balancer.EndpointState;
 import beampoint.Balancer.Event;
-import beampoint.Balancer.Idempotency;
 import beampoint.Balancer.ListKind;
 import beampoint.Balancer.ProbeEnded;
-import beampoint.Balancer.RequestClass;
 import beampoint.Balancer.RequestGone;
 import beampoint.Balancer.RequestReceived;
 import beampoint.Balancer.Result;
-import beampoint.Balancer.Settings;
-import beampoint.Balancer.Tenant;
 import beampoint.Balancer.TimerFired;
-import beampoint.Balancer.WeightSource;
-import java.util.ArrayList;
-import java.util.List;
+import beampoint.settings.InputException;
 
 /** Translates between the wire's words and the decision module's types. Decides nothing. */
 final class Codec {
 
   private Codec() {}
 
-  static Settings settings(Message m) throws WireException {
-    List<RequestClass> classes = new ArrayList<>();
-    int classCount = m.index("lanes.count", 0);
-    for (int i = 0; i < classCount; i++) {
-      String p = "lanes." + i + ".";
-      classes.add(new RequestClass(idempotency(m, p + "idempotency"), group(m, p + "group"),
-          m.number(p + "dedup-window-ms", 0), m.number(p + "target-ms"), m.number(p + "hard-limit-ms"),
-          m.number(p + "points", 1), m.number(p + "late-worth", 0)));
-    }
-    List<Tenant> tenants = new ArrayList<>();
-    int tenantCount = m.index("accounts.count", 0);
-    for (int i = 0; i < tenantCount; i++) {
-      tenants.add(new Tenant(m.number("accounts." + i + ".quota-per-s", 0)));
-    }
-    boolean aside = m.text("family-info.mode", "").equals("aside");
-    return new Settings(m.whole("nonce64"), m.index("siblings", 1), m.index("zone", 0),
-        !m.text("discovery", "automatic").equals("subscribe"), weightSource(m),
-        aside ? m.index("family-info.origin-kind", -1) : -1, m.number("over-share-worth", 1),
-        new Balancer.Limits(m.index("policy-limits.max-attempts", 1),
-            m.flag("policy-limits.second-copies", false), m.flag("policy-limits.probes", false),
-            m.flag("policy-limits.retry-after", false), m.number("policy-limits.max-retry-after-ms", 0),
-            m.number("policy-limits.connect-timeout-ms", 0)),
-        new Balancer.Rules(m.number("rules.drain-grace-ms", 0), m.number("rules.fall-multiple", 1),
-            m.number("rules.tip-after-ms", 1000), m.number("rules.cold-from", 1),
-            m.number("rules.cold-ms", 0), m.number("rules.ask-every-ms", 10_000)),
-        new Balancer.Prices(m.number("prices.connection", 0), m.number("prices.handshake", 0)),
-        List.copyOf(classes), List.copyOf(tenants));
-  }
-
-  private static Idempotency idempotency(Message m, String field) throws WireException {
-    return switch (m.text(field)) {
-      case "safe" -> Idempotency.SAFE;
-      case "keyed" -> Idempotency.KEYED;
-      case "unsafe" -> Idempotency.UNSAFE;
-      default -> throw m.malformed(field, "unknown: '" + m.text(field) + "'");
-    };
-  }
-
-  private static DedupGroup group(Message m, String field) throws WireException {
-    return switch (m.text(field, "all")) {
-      case "all" -> DedupGroup.ALL;
-      case "zone" -> DedupGroup.ZONE;
-      case "cell" -> DedupGroup.CELL;
-      default -> throw m.malformed(field, "unknown: '" + m.text(field) + "'");
-    };
-  }
-
-  private static WeightSource weightSource(Message m) {
-    return switch (m.text("weight-source", "off")) {
-      case "nominal" -> WeightSource.NOMINAL;
-      case "rough" -> WeightSource.ROUGH;
-      case "live" -> WeightSource.LIVE;
-      default -> WeightSource.NONE;
-    };
-  }
-
   /** The kind of list that a message announces; its entries follow as messages of their own. */
-  static ListKind listKind(Message m) throws WireException {
+  static ListKind listKind(Message m) throws InputException {
     return switch (m.text("form")) {
       case "changes" -> ListKind.CHANGES;
       case "all" -> ListKind.FULL;
@@ -94,7 +31,7 @@
     };
   }
 
-  static Endpoint endpoint(Message m) throws WireException {
+  static Endpoint endpoint(Message m) throws InputException {
     EndpointState state = switch (m.text("health")) {
       case "Running" -> EndpointState.RUNNING;
       case "Stopping" -> EndpointState.DRAINING;
@@ -106,7 +43,7 @@
   }
 
   /** The event that a message stands for, or null where this version knows no such message. */
-  static Event event(Message m) throws WireException {
+  static Event event(Message m) throws InputException {
     return switch (m.name) {
       case "new_request" -> new RequestReceived(m.whole("rid"), m.number("not-after-ms"),
           m.index("customer", 0), m.index("service", 0), m.whole("affinity", -1), m.flag("is-write", false));
@@ -120,7 +57,7 @@
     };
   }
 
-  private static Result result(Message m) throws WireException {
+  private static Result result(Message m) throws InputException {
     return switch (m.text("outcome")) {
       case "completed" -> Result.OK;
       case "errored" -> Result.ERROR;
--- a/src/main/java/beampoint/sim/Drill.java
+++ b/src/main/java/beampoint/sim/Drill.java
@@ -6,6 +6,9 @@
 import beampoint.Balancer.Event;
 import beampoint.Balancer.ListReceived;
 import beampoint.Balancer.Settings;
+import beampoint.log.Log;
+import beampoint.settings.InputException;
+import beampoint.settings.SettingsReader;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -18,13 +21,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Hosts any number of decision modules on the bench's wire; each knows only its own events. */
 public final class Drill {
 
-  private static final Logger LOG = LoggerFactory.getLogger(Drill.class);
+  private static final Log LOG = Log.of("drill");
 
   private final BufferedReader in;
   private final OutputStream out;
@@ -42,10 +43,10 @@
   }
 
   /** Answers batches until the input ends. */
-  public void run() throws IOException, WireException {
+  public void run() throws IOException, InputException {
     for (Message m = next(); m != null; m = next()) {
       if (!m.name.equals("turn")) {
-        throw new WireException("line " + line + ": '" + m.name + "' outside a batch");
+        throw new InputException("line " + line + ": '" + m.name + "' outside a batch");
       }
       batch(m.number("moment-ms"));
       reply.append("done\n");
@@ -55,7 +56,7 @@
     }
   }
 
-  private Message next() throws IOException, WireException {
+  private Message next() throws IOException, InputException {
     String text = in.readLine();
     while (text != null && text.isEmpty()) {
       line++;
@@ -65,7 +66,7 @@
     return text == null ? null : Message.parse(text, line);
   }
 
-  private void batch(double now) throws IOException, WireException {
+  private void batch(double now) throws IOException, InputException {
     context = null;
     replyContext = null;
     for (Message m = next(); m != null; m = next()) {
@@ -74,7 +75,7 @@
           return;
         }
         case "context" -> context = m.text("proxy-id");
-        case "new_instance" -> instances.put(context(m), factory.apply(Codec.settings(m)));
+        case "new_instance" -> instances.put(context(m), factory.apply(SettingsReader.read(m)));
         case "kill" -> {
           instance(m);
           instances.remove(context);
@@ -88,39 +89,39 @@
         }
       }
     }
-    throw new WireException("line " + line + ": the input ends inside a batch");
+    throw new InputException("line " + line + ": the input ends inside a batch");
   }
 
-  private ListReceived list(Message m) throws IOException, WireException {
+  private ListReceived list(Message m) throws IOException, InputException {
     int count = m.index("members-list", 0);
     List<Endpoint> endpoints = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       Message entry = next();
       if (entry == null || !entry.name.equals("item")) {
-        throw new WireException("line " + line + ": the list announced " + count + " entries and has " + i);
+        throw new InputException("line " + line + ": the list announced " + count + " entries and has " + i);
       }
       endpoints.add(Codec.endpoint(entry));
     }
     return new ListReceived(Codec.listKind(m), endpoints);
   }
 
-  private String context(Message m) throws WireException {
+  private String context(Message m) throws InputException {
     if (context == null) {
-      throw new WireException("line " + line + ": '" + m.name + "' before any context");
+      throw new InputException("line " + line + ": '" + m.name + "' before any context");
     }
     return context;
   }
 
-  private Balancer instance(Message m) throws WireException {
+  private Balancer instance(Message m) throws InputException {
     Balancer instance = instances.get(context(m));
     if (instance == null) {
-      throw new WireException(
+      throw new InputException(
           "line " + line + ": '" + m.name + "' for the unknown instance '" + context + "'");
     }
     return instance;
   }
 
-  private void give(double now, Message m, Event event) throws WireException {
+  private void give(double now, Message m, Event event) throws InputException {
     Balancer instance = instance(m);
     try {
       for (Action action : instance.handle(now, event)) {
@@ -128,7 +129,7 @@
         Codec.write(action, reply);
       }
     } catch (RuntimeException e) {
-      LOG.error("the decision module failed at line {} for {}", line, context, e);
+      LOG.error("the decision module failed at line " + line + " for " + context, e);
       select();
       reply.append("fault\tbody-text=").append(String.valueOf(e).replaceAll("\\s", " ")).append('\n');
     }
--- /dev/null
+++ b/src/main/java/beampoint/upstream/Flight.java
@@ -0,0 +1,29 @@
+package beampoint.upstream;
+
+import beampoint.exchange.Exchange;
+import java.util.concurrent.Future;
+
+/** One attempt or, without an exchange, one probe that is out. Belongs to the decision thread. */
+final class Flight {
+
+  final Exchange exchange;
+  final int number;
+  final String endpoint;
+  final double startedAt;
+  final double endsAt;
+  Link link;
+  Future<?> timer;
+  boolean over;
+
+  Flight(Exchange exchange, int number, String endpoint, double startedAt, double endsAt) {
+    this.exchange = exchange;
+    this.number = number;
+    this.endpoint = endpoint;
+    this.startedAt = startedAt;
+    this.endsAt = endsAt;
+  }
+
+  boolean isProbe() {
+    return exchange == null;
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/upstream/Reports.java
@@ -0,0 +1,14 @@
+package beampoint.upstream;
+
+import beampoint.Balancer.Result;
+import beampoint.exchange.Answer;
+import beampoint.exchange.Exchange;
+
+/** Where the upstream side tells how attempts and probes ended; called on the decision thread, never at once. */
+public interface Reports {
+
+  /** An attempt's one outcome; the answer is null unless the request was served. */
+  void ended(Exchange exchange, int attempt, String endpoint, double elapsed, Result result, Answer answer);
+
+  void probed(String endpoint, double elapsed, Result result);
+}
--- /dev/null
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -0,0 +1,402 @@
+package beampoint.upstream;
+
+import beampoint.Balancer.Result;
+import beampoint.count.Counter;
+import beampoint.count.Counters;
+import beampoint.exchange.Answer;
+import beampoint.exchange.Exchange;
+import beampoint.http.HttpContent;
+import beampoint.http.HttpFilter;
+import beampoint.http.HttpHead;
+import beampoint.http.HttpWriter;
+import beampoint.log.Log;
+import beampoint.memcache.Command;
+import beampoint.memcache.Reply;
+import beampoint.memcache.ReplyFilter;
+import beampoint.memcache.Writer;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.Filter;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/**
+ * The upstream side: makes the attempts and probes it is told to make, on connections of its own, and tells
+ * how each ended. It sends nothing twice and picks nothing. Belongs to the decision thread.
+ */
+public final class Upstreams {
+
+  private static final Log LOG = Log.of("upstream");
+
+  private final TCPNIOTransport transport;
+  private final ScheduledExecutorService loop;
+  private final DoubleSupplier clock;
+  private final Reports reports;
+  private final Counters counters;
+  private final double connectTimeout;
+  private final double idleTime;
+  private final int maxConnections;
+  private final Writer writer;
+  private final HttpWriter httpWriter;
+  private final TCPNIOConnectorHandler toCaches;
+  private final TCPNIOConnectorHandler toOrigin;
+  private final Map<String, Pool> pools = new TreeMap<>();
+  private final Map<Long, Map<Integer, Flight>> flights = new HashMap<>(); // by request, then by attempt
+  private final Attribute<Link> linkOf = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("link");
+  private int connections;
+
+  public Upstreams(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
+      Reports reports, Counters counters, double connectTimeout, double idleTime, int maxConnections) {
+    this.transport = transport;
+    this.loop = loop;
+    this.clock = clock;
+    this.reports = reports;
+    this.counters = counters;
+    this.connectTimeout = connectTimeout;
+    // Guards against a request that crosses the cache node's own closing of an idle connection.
+    this.idleTime = idleTime - Math.max(idleTime / 10, 2 * connectTimeout);
+    this.maxConnections = maxConnections;
+    this.writer = new Writer(transport.getMemoryManager());
+    this.httpWriter = new HttpWriter(transport.getMemoryManager());
+    this.toCaches = connector(new ReplyFilter());
+    this.toOrigin = connector(new HttpFilter());
+    loop.scheduleWithFixedDelay(this::closeOld, 1, 1, TimeUnit.SECONDS);
+  }
+
+  private TCPNIOConnectorHandler connector(Filter codec) {
+    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter()).add(codec)
+        .add(new Events());
+    return TCPNIOConnectorHandler.builder(transport).processor(chain.build()).build();
+  }
+
+  /** Runs on the selector's thread and hands all on to the decision thread. */
+  private final class Events extends BaseFilter {
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+      Link link = linkOf.get(ctx.getConnection());
+      Object message = ctx.getMessage();
+      loop.execute(() -> read(link, message));
+      return ctx.getStopAction();
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+      Link link = linkOf.get(ctx.getConnection());
+      if (link != null) {
+        loop.execute(() -> lost(link));
+      }
+      return ctx.getInvokeAction();
+    }
+  }
+
+  // ---- What it is told to do ------------------------------------------------------------------------------
+
+  /** Takes an endpoint's address; a new address or a new start makes its old connections worthless. */
+  public void place(String endpoint, String dial, boolean origin, double startedAt) {
+    Pool pool = pools.computeIfAbsent(endpoint, Pool::new);
+    if (!dial.equals(pool.dial) || startedAt != pool.startedAt) {
+      closeIdle(endpoint);
+      int colon = dial.lastIndexOf(':');
+      pool.dial = dial;
+      pool.address = new InetSocketAddress(dial.substring(0, colon), Integer.parseInt(dial.substring(colon + 1)));
+      pool.startedAt = startedAt;
+    }
+    pool.origin = origin;
+  }
+
+  public void closeIdle(String endpoint) {
+    Pool pool = pools.get(endpoint);
+    while (pool != null && !pool.idle.isEmpty()) {
+      close(pool.idle.pop());
+    }
+  }
+
+  /** Starts an attempt that is given up at the given time. */
+  public void send(Exchange exchange, int number, String endpoint, double endsAt) {
+    Flight flight = new Flight(exchange, number, endpoint, clock.getAsDouble(), endsAt);
+    flights.computeIfAbsent(exchange.id(), id -> new HashMap<>()).put(number, flight);
+    counters.add(Counter.ATTEMPTS_SENT);
+    start(flight);
+  }
+
+  /** Asks an endpoint for a sign of life; to connect and to answer it may take a connect time-out each. */
+  public void probe(String endpoint) {
+    double now = clock.getAsDouble();
+    counters.add(Counter.PROBES_SENT);
+    start(new Flight(null, 0, endpoint, now, now + 2 * connectTimeout));
+  }
+
+  /** Gives up one attempt. */
+  public void cancel(long id, int number) {
+    Flight flight = flights.getOrDefault(id, Map.of()).get(number);
+    if (flight != null) {
+      giveUp(flight, Result.CANCELLED);
+    }
+  }
+
+  // ---- Flights --------------------------------------------------------------------------------------------
+
+  private void start(Flight flight) {
+    Pool pool = pools.get(flight.endpoint);
+    flight.timer = at(flight.endsAt, () -> giveUp(flight, Result.TIMEOUT));
+    if (pool == null) {
+      land(flight, Result.CONNECT_FAILED, null);
+      return;
+    }
+    Link link = pool.idle.poll();
+    if (link != null) {
+      link.flight = flight;
+      flight.link = link;
+      write(link);
+    } else if (connections < maxConnections || closeLongestIdle()) {
+      connect(new Link(pool, flight));
+    } else {
+      LOG.warn("all " + maxConnections + " upstream connections are in use");
+      land(flight, Result.CONNECT_FAILED, null);
+    }
+  }
+
+  private void connect(Link link) {
+    connections++;
+    counters.add(Counter.UPSTREAM_CONNECTIONS);
+    link.flight.link = link;
+    var made = (link.pool.origin ? toOrigin : toCaches).connect(link.pool.address);
+    link.connectTimer = at(clock.getAsDouble() + connectTimeout, () -> {
+      if (link.connection == null) {
+        made.cancel(true); // closes the socket
+        lost(link);
+      }
+    });
+    made.addCompletionHandler(new EmptyCompletionHandler<>() {
+      @Override
+      public void completed(@SuppressWarnings("rawtypes") Connection connection) {
+        linkOf.set(connection, link);
+        loop.execute(() -> connected(link, connection));
+      }
+
+      @Override
+      public void failed(Throwable cause) {
+        loop.execute(() -> lost(link));
+      }
+    });
+  }
+
+  @SuppressWarnings("unchecked") // all connections of a TCP transport have socket addresses
+  private void connected(Link link, Connection<?> connection) {
+    link.connection = (Connection<SocketAddress>) connection;
+    link.connectTimer.cancel(false);
+    if (link.closed) {
+      connection.terminateSilently();
+    } else if (link.flight == null) {
+      rest(link);
+    } else {
+      write(link);
+    }
+  }
+
+  private void write(Link link) {
+    Flight flight = link.flight;
+    Pool pool = link.pool;
+    link.written = false;
+    link.head = null;
+    link.body = null;
+    Buffer request;
+    if (flight.isProbe()) {
+      request = pool.origin ? httpWriter.get("/alive", pool.dial) : writer.line("mn");
+    } else {
+      Command command = flight.exchange.command();
+      long wait = Math.max(1, (long) (flight.endsAt - clock.getAsDouble()));
+      request = pool.origin
+          ? httpWriter.request(pool.dial, command.key(), command.id(), command.list(), command.value())
+          : writer.command(command, wait);
+    }
+    link.connection.write(request, new EmptyCompletionHandler<>() {
+      @Override
+      public void completed(WriteResult<Buffer, SocketAddress> result) {
+        link.written = true;
+      }
+    });
+  }
+
+  private void read(Link link, Object message) {
+    Flight flight = link.flight;
+    if (link.closed) {
+      return;
+    }
+    if (flight == null || !link.written) {
+      bad(link, "an answer that nothing was asked for");
+    } else if (message instanceof Reply reply) {
+      answered(link, flight, reply);
+    } else if (message instanceof HttpHead head) {
+      link.head = head;
+    } else if (message instanceof HttpContent content) {
+      content(link, flight, content);
+    }
+  }
+
+  private void answered(Link link, Flight flight, Reply reply) {
+    boolean own = reply.id() == null || !flight.isProbe() && reply.id().equals(flight.exchange.command().id());
+    boolean write = !flight.isProbe() && flight.exchange.command().kind() == Command.Kind.WRITE;
+    Result result = switch (reply.kind()) {
+      case VALUE -> own && reply.id() != null && !write ? Result.OK : null;
+      case RECEIPT -> own && reply.id() != null && reply.body() != null && write ? Result.OK : null;
+      case MISS -> own && !flight.isProbe() ? Result.MISS : null;
+      case ALIVE -> flight.isProbe() ? Result.OK : null;
+      case BUSY -> Result.FULL;
+      case FAILED -> Result.ERROR;
+      case BAD -> null;
+    };
+    if (result == null) {
+      bad(link, "an answer that does not fit: " + reply.kind());
+      return;
+    }
+    rest(link);
+    boolean served = result == Result.OK && !flight.isProbe();
+    Answer.Kind kind = reply.kind() == Reply.Kind.VALUE ? Answer.Kind.VALUE : Answer.Kind.RECEIPT;
+    land(flight, result, served ? new Answer(kind, reply.body(), 0) : null);
+  }
+
+  private void content(Link link, Flight flight, HttpContent content) {
+    link.body = link.body == null ? content.bytes()
+        : Buffers.appendBuffers(transport.getMemoryManager(), link.body, content.bytes());
+    if (!content.last()) {
+      return;
+    }
+    HttpHead head = link.head;
+    Buffer body = link.body;
+    if (head.closes()) {
+      close(link);
+    } else {
+      rest(link);
+    }
+    if (head.status() == 200) {
+      boolean write = !flight.isProbe() && flight.exchange.command().kind() == Command.Kind.WRITE;
+      Answer.Kind kind = write ? Answer.Kind.RECEIPT : Answer.Kind.VALUE;
+      land(flight, Result.OK, flight.isProbe() ? null : new Answer(kind, body, 0));
+    } else {
+      boolean neverRan = head.declined() && (head.status() == 503 || head.status() == 504);
+      land(flight, neverRan ? Result.FULL : Result.ERROR, null);
+    }
+  }
+
+  /** After what can't be understood nothing more is read; the request may have run. */
+  private void bad(Link link, String what) {
+    counters.add(Counter.UPSTREAM_BAD_REPLIES);
+    LOG.warn(what + ", from " + link.pool.endpoint);
+    lost(link);
+  }
+
+  /** The connection has ended or was never made. */
+  private void lost(Link link) {
+    Flight flight = link.flight;
+    boolean written = link.written;
+    close(link);
+    if (flight != null) {
+      // Before the request's last byte was written it can't have run: a cache node begins it only then.
+      land(flight, written ? Result.RESET : Result.CONNECT_FAILED, null);
+    }
+  }
+
+  /** Stops waiting. What was never written whole never ran, and so the time can't have run out there. */
+  private void giveUp(Flight flight, Result result) {
+    if (flight.over) {
+      return;
+    }
+    Link link = flight.link;
+    boolean written = link != null && link.written;
+    if (link != null && link.connection == null) {
+      link.flight = null; // the connection may still be made, and serve the next
+    } else if (link != null) {
+      close(link);
+    }
+    land(flight, written ? result : flight.isProbe() ? Result.TIMEOUT : Result.NOT_SENT, null);
+  }
+
+  private void land(Flight flight, Result result, Answer answer) {
+    if (flight.over) {
+      return;
+    }
+    flight.over = true;
+    flight.timer.cancel(false);
+    double elapsed = clock.getAsDouble() - flight.startedAt;
+    // Told by a task of its own: what starts an attempt must not hear its end before it has returned.
+    if (flight.isProbe()) {
+      loop.execute(() -> reports.probed(flight.endpoint, elapsed, result));
+      return;
+    }
+    Map<Integer, Flight> own = flights.get(flight.exchange.id());
+    own.remove(flight.number);
+    if (own.isEmpty()) {
+      flights.remove(flight.exchange.id());
+    }
+    counters.add(Counter.valueOf("ATTEMPTS_" + result));
+    loop.execute(() -> reports.ended(flight.exchange, flight.number, flight.endpoint, elapsed, result, answer));
+  }
+
+  // ---- Connections ----------------------------------------------------------------------------------------
+
+  private void rest(Link link) {
+    link.flight = null;
+    link.written = false;
+    link.idleSince = clock.getAsDouble();
+    link.pool.idle.push(link);
+  }
+
+  private void close(Link link) {
+    if (!link.closed) {
+      link.close();
+      connections--;
+      link.flight = null;
+      link.pool.idle.remove(link);
+    }
+  }
+
+  private void closeOld() {
+    double before = clock.getAsDouble() - idleTime;
+    for (Pool pool : pools.values()) {
+      while (!pool.idle.isEmpty() && pool.idle.peekLast().idleSince < before) {
+        close(pool.idle.peekLast());
+      }
+    }
+  }
+
+  /** Guards against running out of descriptors while idle connections hold them. */
+  private boolean closeLongestIdle() {
+    Link oldest = null;
+    for (Pool pool : pools.values()) {
+      Link last = pool.idle.peekLast();
+      if (last != null && (oldest == null || last.idleSince < oldest.idleSince)) {
+        oldest = last;
+      }
+    }
+    if (oldest != null) {
+      close(oldest);
+    }
+    return oldest != null;
+  }
+
+  private Future<?> at(double time, Runnable task) {
+    long delay = (long) Math.max(0, (time - clock.getAsDouble()) * 1000);
+    return loop.schedule(task, delay, TimeUnit.MICROSECONDS);
+  }
+}
--- a/src/test/java/beampoint/sim/DrillTest.java
+++ b/src/test/java/beampoint/sim/DrillTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Logic;
+import beampoint.settings.InputException;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
@@ -27,7 +28,7 @@
   }
 
   private static String problem(String input) {
-    return assertThrows(WireException.class, () -> run(input)).getMessage();
+    return assertThrows(InputException.class, () -> run(input)).getMessage();
   }
 
   @Test
