--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -40,6 +40,7 @@
         }
       };
   private int unwritten;
+  private boolean ended; // no command that comes after can be read
   private boolean closing;
   private boolean closed;
 
@@ -54,7 +55,7 @@
   }
 
   void command(Command command, double readAt) {
-    if (closed) {
+    if (closed || ended) {
       return;
     }
     Slot slot = new Slot();
@@ -75,7 +76,8 @@
       default -> {
         counters.add(Counter.BAD_COMMANDS);
         slot.answer = writer.line(command.problem());
-        slot.ends = command.kind() == Command.Kind.FATAL;
+        ended = command.kind() == Command.Kind.FATAL;
+        slot.ends = ended;
       }
     }
     flush();
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -8,6 +8,7 @@
 import beampoint.memcache.CommandFilter;
 import beampoint.memcache.Writer;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -33,7 +34,7 @@
 public final class Sessions {
 
   private static final Log LOG = Log.of("client");
-  private static final int MAX_PENDING = 128; // commands read and not answered, on one connection
+  private static final int MAX_PENDING = 32; // commands read and not answered, on one connection
 
   private final TCPNIOTransport transport;
   private final Executor loop;
@@ -61,11 +62,12 @@
     this.writer = new Writer(transport.getMemoryManager());
   }
 
-  /** Listens on this address only. */
-  public void listen(SocketAddress address) throws IOException {
+  /** Listens on this address only; returns the port, which the system picks where it is 0. */
+  public int listen(SocketAddress address) throws IOException {
     FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter())
         .add(new CommandFilter()).add(new Events());
     listener = TCPNIOBindingHandler.builder(transport).processor(chain.build()).build().bind(address);
+    return ((InetSocketAddress) listener.getLocalAddress()).getPort();
   }
 
   /** Runs on the selector's thread and hands all on to the decision thread. */
--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -35,7 +35,8 @@
 public final class Watch {
 
   private static final Log LOG = Log.of("discovery");
-  private static final long SILENCE_MS = 5000; // an empty line comes every 2 s
+  /** An empty line comes every 2 s; what discovery has to tell counts as told after 6 s. */
+  public static final long SILENCE_MS = 5000;
   private static final long FIRST_WAIT_MS = 100;
   private static final long LONGEST_WAIT_MS = 3000;
   private static final int MAX_LINE = 8 * 1024 * 1024;
@@ -47,6 +48,7 @@
   private final String host;
   private final Consumer<HostList> listed;
   private final Runnable broken;
+  private final long silenceMs;
   private final HttpWriter writer;
   private final TCPNIOConnectorHandler connector;
   private long version;
@@ -63,7 +65,8 @@
 
   /** The given call back is told of every list, {@code broken} of every end of a watch. */
   public Watch(TCPNIOTransport transport, ScheduledExecutorService loop, Counters counters, Random random,
-      String address, long version, Consumer<HostList> listed, Runnable broken) {
+      String address, long version, Consumer<HostList> listed, Runnable broken,
+      long silenceMs) {
     this.loop = loop;
     this.counters = counters;
     this.random = random;
@@ -74,6 +77,7 @@
     this.version = version;
     this.listed = listed;
     this.broken = broken;
+    this.silenceMs = silenceMs;
     this.writer = new HttpWriter(transport.getMemoryManager());
     FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter())
         .add(new HttpFilter()).add(new Events());
@@ -153,7 +157,7 @@
       return;
     }
     listen(call);
-    if (message instanceof HttpHead head && head.status() != 200) {
+    if (message instanceof HttpHead head && (head.status() != 200 || head.whole())) {
       end("answered " + head.status());
     } else if (message instanceof HttpContent content) {
       take(call, content.bytes());
@@ -204,7 +208,7 @@
       if (call == own) {
         end("silent");
       }
-    }, SILENCE_MS, TimeUnit.MILLISECONDS);
+    }, silenceMs, TimeUnit.MILLISECONDS);
   }
 
   private void end(String why) {
--- a/src/main/java/beampoint/exchange/Exchange.java
+++ b/src/main/java/beampoint/exchange/Exchange.java
@@ -57,11 +57,12 @@
       return false;
     }
     over = true;
-    counters.add(switch (answer.kind()) {
+    Counter counter = switch (answer.kind()) {
       case VALUE, RECEIPT -> Counter.ANSWERED_SERVED;
       case REFUSED -> Counter.ANSWERED_REFUSED;
       case FAILED -> Counter.ANSWERED_FAILED;
-    });
+    };
+    counters.add(counter);
     client.accept(answer);
     return true;
   }
--- a/src/main/java/beampoint/http/HttpFilter.java
+++ b/src/main/java/beampoint/http/HttpFilter.java
@@ -19,7 +19,7 @@
   private enum Part { HEAD, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER }
 
   /** Where the reading of one connection stands. */
-  private static final class Progress {
+  static final class Progress {
     private Part part = Part.HEAD;
     private long left;
   }
@@ -45,14 +45,14 @@
   }
 
   /** Takes one head or one part of a body off the buffer, or null where more must come first. */
-  private static Object parse(Progress p, Buffer in) throws HttpException {
+  static Object parse(Progress p, Buffer in) throws HttpException {
     while (true) {
       switch (p.part) {
         case HEAD -> {
           return head(p, in);
         }
         case BODY, CHUNK -> {
-          if (!in.hasRemaining() && p.left > 0) {
+          if (!in.hasRemaining()) {
             return null;
           }
           int size = (int) Math.min(p.left, in.remaining());
@@ -145,9 +145,11 @@
       throw new HttpException("a body without a stated length can't be told from one cut off");
     }
     in.position(end);
+    // Guards against an answer that is never noticed: nothing is read for a body of no length.
+    boolean whole = !chunked && length == 0;
     p.left = length;
-    p.part = chunked ? Part.CHUNK_SIZE : Part.BODY;
-    return new HttpHead(status, declined, closes);
+    p.part = whole ? Part.HEAD : chunked ? Part.CHUNK_SIZE : Part.BODY;
+    return new HttpHead(status, declined, closes, whole);
   }
 
   private static int headEnd(Buffer in) throws HttpException {
--- a/src/main/java/beampoint/http/HttpHead.java
+++ b/src/main/java/beampoint/http/HttpHead.java
@@ -1,4 +1,7 @@
 package beampoint.http;
 
-/** The head of an answer: its status, whether it says that nothing was done, and whether the peer closes. */
-public record HttpHead(int status, boolean declined, boolean closes) {}
+/**
+ * The head of an answer: its status, whether it says that nothing was done, whether the peer closes, and
+ * whether it is all, as no body follows.
+ */
+public record HttpHead(int status, boolean declined, boolean closes, boolean whole) {}
--- a/src/main/java/beampoint/memcache/CommandFilter.java
+++ b/src/main/java/beampoint/memcache/CommandFilter.java
@@ -22,7 +22,7 @@
       return ctx.getStopAction(in);
     }
     ctx.setMessage(command);
-    return command.kind() != Kind.FATAL && in.hasRemaining() ? ctx.getInvokeAction(in) : ctx.getInvokeAction();
+    return in.hasRemaining() ? ctx.getInvokeAction(in) : ctx.getInvokeAction();
   }
 
   /** Takes one command off the buffer; null, and nothing taken, while it is not whole. */
--- a/src/main/java/beampoint/serve/Config.java
+++ b/src/main/java/beampoint/serve/Config.java
@@ -30,7 +30,7 @@
     }
   }
 
-  private static Config read(String source, JsonObject json) throws InputException {
+  static Config read(String source, JsonObject json) throws InputException {
     JsonFields top = new JsonFields(source, json);
     long seed;
     try {
--- a/src/main/java/beampoint/serve/Loop.java
+++ b/src/main/java/beampoint/serve/Loop.java
@@ -18,6 +18,7 @@
       return thread;
     });
     setRemoveOnCancelPolicy(true);
+    setRejectedExecutionHandler(new DiscardPolicy()); // once stopped
   }
 
   /** Guards against a task whose exception nobody would see. */
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -9,6 +9,7 @@
 import beampoint.Balancer.ListKind;
 import beampoint.Balancer.ListReceived;
 import beampoint.Balancer.ProbeEnded;
+import beampoint.Balancer.RequestClass;
 import beampoint.Balancer.RequestGone;
 import beampoint.Balancer.RequestReceived;
 import beampoint.Balancer.Result;
@@ -53,7 +54,8 @@
   private static final int RESERVED_DESCRIPTORS = 96; // for the machine, discovery and standard streams
   private static final double LATE_MS = 15; // after which the proxy itself fails what nobody answered
   private static final long FRONT_LEAVES_MS = 450; // after a SIGTERM new clients come for up to 400 ms
-  private static final double LONGEST_DRAIN_MS = 3000; // a SIGKILL comes 3.7 s after a SIGTERM or later
+  private static final double LONGEST_DEADLINE_MS = 3000; // that the platform waits for after a SIGTERM
+  private static final double KILL_MS = 700; // after that deadline a SIGKILL may come
 
   private final Config config;
   private final Settings settings;
@@ -68,8 +70,8 @@
   private final Watch watch;
   private final Map<Long, Exchange> exchanges = new HashMap<>(); // open, or with an attempt out
   private final CountDownLatch drained = new CountDownLatch(1);
+  private int port;
   private long lastId;
-  private int open;
   private boolean ready;
   private double endsBy = Double.POSITIVE_INFINITY;
 
@@ -95,7 +97,7 @@
     this.sessions = new Sessions(transport, loop, clock, this, counters, descriptors / 2);
     this.watch = new Watch(transport, loop, counters, new Random(config.seed()), config.discovery(),
         config.known().version(), list -> listed(list, list.whole() ? ListKind.FULL : ListKind.CHANGES),
-        this::watchBroken);
+        this::watchBroken, Watch.SILENCE_MS);
   }
 
   /** Begins to serve; returns once clients are listened to. */
@@ -107,10 +109,21 @@
         watch.follow();
       }
     });
-    sessions.listen(config.listen());
+    port = sessions.listen(config.listen());
     LOG.info(config.name() + " listens on " + config.listen());
   }
 
+  /** The port that clients connect to. */
+  public int port() {
+    return port;
+  }
+
+  /** Stops at once, whatever is open. */
+  public void stop() throws IOException {
+    transport.shutdownNow();
+    loop.shutdownNow();
+  }
+
   /** The counters, for the log or a test. */
   public Counters counters() {
     return counters;
@@ -133,31 +146,32 @@
     Exchange exchange = new Exchange(++lastId, command, notAfter, client, counters);
     counters.add(Counter.REQUESTS_TAKEN);
     exchanges.put(exchange.id(), exchange);
-    open++;
     // Queued, as its place in the order of answers must stand before the module may answer.
     loop.execute(() -> {
       give(new RequestReceived(exchange.id(), Math.min(notAfter, endsBy), directory.tenant(command),
           requestClass, Directory.key(command.key()), command.kind() == Command.Kind.WRITE));
-      after(notAfter + LATE_MS - now(), () -> failLate(exchange));
+      after(notAfter + LATE_MS - now(), () -> failLate(exchange.id()));
     });
     return exchange;
   }
 
   /** Guards against a request that the module forgot: whatever was taken is answered. */
-  private void failLate(Exchange exchange) {
-    if (exchange.isOver()) {
+  private void failLate(long id) {
+    Exchange exchange = exchanges.get(id);
+    if (exchange == null || exchange.isOver()) {
       return;
     }
-    counters.check(false, "a request has its answer in time");
+    counters.add(Counter.ANSWERS_OVERDUE);
+    LOG.error("no answer in time for request " + id);
     close(exchange, Answer.FAILED);
-    give(new RequestGone(exchange.id()));
+    give(new RequestGone(id));
   }
 
   @Override
   public void gone(Exchange exchange) {
     if (exchange.abandon()) {
       counters.add(Counter.REQUESTS_GONE);
-      closed(exchange);
+      forget(exchange);
       give(new RequestGone(exchange.id()));
     }
   }
@@ -266,15 +280,10 @@
 
   private void close(Exchange exchange, Answer answer) {
     if (exchange != null && exchange.answer(answer)) {
-      closed(exchange);
+      forget(exchange);
     }
   }
 
-  private void closed(Exchange exchange) {
-    open--;
-    forget(exchange);
-  }
-
   private void forget(Exchange exchange) {
     if (exchange.isOver() && exchange.attemptsOut() == 0) {
       exchanges.remove(exchange.id());
@@ -293,12 +302,14 @@
 
   /** Ends in order: serves on while clients may still come, then answers all that was taken. */
   public void drain() throws InterruptedException {
+    double longest = settings.classes().stream().mapToDouble(RequestClass::deadline).max().orElse(0);
+    double killed = Math.min(longest, LONGEST_DEADLINE_MS) + KILL_MS;
     loop.execute(() -> {
-      endsBy = now() + LONGEST_DRAIN_MS;
+      endsBy = now() + killed - 3 * KILL_MS / 7;
       after(FRONT_LEAVES_MS, this::endSessions);
-      after(LONGEST_DRAIN_MS, this::failAll);
+      after(endsBy - now(), this::endAll);
     });
-    drained.await(2 * (long) LONGEST_DRAIN_MS, TimeUnit.MILLISECONDS);
+    drained.await((long) (killed + KILL_MS), TimeUnit.MILLISECONDS);
     LOG.info(config.name() + " ends: " + counters);
   }
 
@@ -309,21 +320,21 @@
 
   /** Ends once all is answered and written, and clients have seen their connections close. */
   private void pollDrained() {
-    if (open == 0 && sessions.count() == 0) {
+    if (sessions.count() == 0) {
       drained.countDown();
     } else {
-      after(20, this::pollDrained);
+      after(10, this::pollDrained);
     }
   }
 
-  /** Guards against a SIGKILL with requests still open: their time is cut short, the module answers. */
-  private void failAll() {
+  /** Guards against a SIGKILL with requests still open: their time is cut short, and the module answers. */
+  private void endAll() {
     for (Exchange exchange : List.copyOf(exchanges.values())) {
       if (!exchange.isOver()) {
-        close(exchange, Answer.FAILED);
-        give(new RequestGone(exchange.id()));
+        upstreams.expire(exchange.id());
+        after(LATE_MS, () -> failLate(exchange.id()));
       }
     }
-    after(100, drained::countDown);
+    after(KILL_MS / 7, drained::countDown);
   }
 }
--- a/src/main/java/beampoint/settings/JsonFields.java
+++ b/src/main/java/beampoint/settings/JsonFields.java
@@ -6,7 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Nested JSON read under the paths that the simulator's wire uses: {@code lanes.0.name}, {@code lanes.count}. */
+/** Nested JSON under the paths that the simulator's wire uses: {@code lanes.0.name}, {@code lanes.count}. */
 public final class JsonFields extends Fields {
 
   private final String source;
--- a/src/main/java/beampoint/settings/SocketSettings.java
+++ b/src/main/java/beampoint/settings/SocketSettings.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** What only the sockets need of the settings: names in the order of their numbers, and the idle time in ms. */
+/** What only the sockets need of the settings: names by number, and after how many ms peers close. */
 public record SocketSettings(List<String> classes, List<String> tenants, List<String> zones,
     List<String> kinds, double connectionIdle) {
 
--- a/src/main/java/beampoint/upstream/Reports.java
+++ b/src/main/java/beampoint/upstream/Reports.java
@@ -4,7 +4,10 @@
 import beampoint.exchange.Answer;
 import beampoint.exchange.Exchange;
 
-/** Where the upstream side tells how attempts and probes ended; called on the decision thread, never at once. */
+/**
+ * Told how attempts and probes ended: on the decision thread, and never before the call that began them has
+ * returned.
+ */
 public interface Reports {
 
   /** An attempt's one outcome; the answer is null unless the request was served. */
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -17,6 +17,7 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Future;
@@ -118,7 +119,8 @@
       closeIdle(endpoint);
       int colon = dial.lastIndexOf(':');
       pool.dial = dial;
-      pool.address = new InetSocketAddress(dial.substring(0, colon), Integer.parseInt(dial.substring(colon + 1)));
+      int port = Integer.parseInt(dial.substring(colon + 1));
+      pool.address = new InetSocketAddress(dial.substring(0, colon), port);
       pool.startedAt = startedAt;
     }
     pool.origin = origin;
@@ -154,6 +156,13 @@
     }
   }
 
+  /** Ends the time of all attempts of a request. */
+  public void expire(long id) {
+    for (Flight flight : List.copyOf(flights.getOrDefault(id, Map.of()).values())) {
+      giveUp(flight, Result.TIMEOUT);
+    }
+  }
+
   // ---- Flights --------------------------------------------------------------------------------------------
 
   private void start(Flight flight) {
@@ -249,14 +258,18 @@
       answered(link, flight, reply);
     } else if (message instanceof HttpHead head) {
       link.head = head;
+      if (head.whole()) {
+        content(link, flight, new HttpContent(Buffers.EMPTY_BUFFER, true));
+      }
     } else if (message instanceof HttpContent content) {
       content(link, flight, content);
     }
   }
 
   private void answered(Link link, Flight flight, Reply reply) {
-    boolean own = reply.id() == null || !flight.isProbe() && reply.id().equals(flight.exchange.command().id());
-    boolean write = !flight.isProbe() && flight.exchange.command().kind() == Command.Kind.WRITE;
+    Command command = flight.isProbe() ? null : flight.exchange.command();
+    boolean own = reply.id() == null || command != null && reply.id().equals(command.id());
+    boolean write = command != null && command.kind() == Command.Kind.WRITE;
     Result result = switch (reply.kind()) {
       case VALUE -> own && reply.id() != null && !write ? Result.OK : null;
       case RECEIPT -> own && reply.id() != null && reply.body() != null && write ? Result.OK : null;
@@ -350,7 +363,8 @@
       flights.remove(flight.exchange.id());
     }
     counters.add(Counter.valueOf("ATTEMPTS_" + result));
-    loop.execute(() -> reports.ended(flight.exchange, flight.number, flight.endpoint, elapsed, result, answer));
+    loop.execute(() ->
+        reports.ended(flight.exchange, flight.number, flight.endpoint, elapsed, result, answer));
   }
 
   // ---- Connections ----------------------------------------------------------------------------------------
--- /dev/null
+++ b/src/test/java/beampoint/Stub.java
@@ -0,0 +1,166 @@
+package beampoint;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A scripted peer on loopback: every connection is handed to the script, one thread each. */
+public final class Stub implements AutoCloseable {
+
+  /** What the peer does with one connection. */
+  public interface Script {
+    void play(Peer peer) throws IOException, InterruptedException;
+  }
+
+  /** One accepted connection. */
+  public static final class Peer {
+    public final Socket socket;
+    private final InputStream in;
+    private final Stub stub;
+
+    private Peer(Socket socket, Stub stub) throws IOException {
+      this.socket = socket;
+      this.in = new BufferedInputStream(socket.getInputStream());
+      this.stub = stub;
+    }
+
+    public Stub stub() {
+      return stub;
+    }
+
+    /** The next line, noted by the stub; null at the end. */
+    public String line() throws IOException {
+      String line = readLine(in);
+      if (line != null) {
+        stub.lines.add(line);
+      }
+      return line;
+    }
+
+    /** The lines of a head up to the empty one; null at the end. */
+    public String head() throws IOException {
+      StringBuilder head = new StringBuilder();
+      for (String line = line(); line != null; line = line()) {
+        if (line.isEmpty()) {
+          return head.toString();
+        }
+        head.append(line).append('\n');
+      }
+      return null;
+    }
+
+    public String bytes(int count) throws IOException {
+      return new String(in.readNBytes(count), StandardCharsets.ISO_8859_1);
+    }
+
+    public void say(String text) throws IOException {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().flush();
+    }
+
+    /** Ends with a reset, as a process that dies does. */
+    public void reset() throws IOException {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+
+    /** Says nothing until the other side ends the connection. */
+    public void beSilent() throws IOException {
+      while (in.read() >= 0) {
+        // all that comes is dropped
+      }
+      stub.ends.add(true);
+    }
+  }
+
+  private final ServerSocket server;
+  private final Script script;
+  private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+  /** All lines read on any connection, and one entry for each silent connection that the other side ended. */
+  public final LinkedBlockingQueue<String> lines = new LinkedBlockingQueue<>();
+  public final LinkedBlockingQueue<Boolean> ends = new LinkedBlockingQueue<>();
+
+  public Stub(Script script) throws IOException {
+    this.script = script;
+    this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    Thread thread = new Thread(this::accept, "stub");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** An address on which nobody listens. */
+  public static String nobody() throws IOException {
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      return "127.0.0.1:" + free.getLocalPort();
+    }
+  }
+
+  public String address() {
+    return "127.0.0.1:" + server.getLocalPort();
+  }
+
+  public int connections() {
+    return sockets.size();
+  }
+
+  /** The next line that any connection has read; fails after five seconds without one. */
+  public String nextLine() throws InterruptedException {
+    String line = lines.poll(5, TimeUnit.SECONDS);
+    if (line == null) {
+      throw new AssertionError("no line came");
+    }
+    return line;
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        sockets.add(socket);
+        Thread thread = new Thread(() -> play(socket), "stub-connection");
+        thread.setDaemon(true);
+        thread.start();
+      }
+    } catch (IOException e) {
+      // closed at the end of the test
+    }
+  }
+
+  private void play(Socket socket) {
+    try (socket) {
+      script.play(new Peer(socket, this));
+    } catch (IOException | InterruptedException e) {
+      // the other side has gone; what it should have done is checked by the test
+    }
+  }
+
+  /** A line without its end; null at the end of the stream. */
+  public static String readLine(InputStream in) throws IOException {
+    StringBuilder line = new StringBuilder();
+    for (int b = in.read(); b >= 0; b = in.read()) {
+      if (b == '\n') {
+        int length = line.length();
+        boolean ends = length > 0 && line.charAt(length - 1) == '\r';
+        return ends ? line.substring(0, length - 1) : line.toString();
+      }
+      line.append((char) b);
+    }
+    return null;
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/discovery/WatchTest.java
@@ -0,0 +1,144 @@
+package beampoint.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Stub;
+import beampoint.count.Counter;
+import beampoint.count.Counters;
+import com.google.gson.JsonParseException;
+import java.util.Random;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The watch of the list, against a scripted discovery. */
+@Timeout(30)
+class WatchTest {
+
+  private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  private final TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance().build();
+  private final ScheduledExecutorService loop =
+      new ScheduledThreadPoolExecutor(1, new ThreadPoolExecutor.DiscardPolicy());
+  private final LinkedBlockingQueue<HostList> lists = new LinkedBlockingQueue<>();
+  private final Counters counters = new Counters();
+  private Watch watch;
+
+  @BeforeEach
+  void start() throws Exception {
+    transport.start();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    transport.shutdownNow();
+    loop.shutdownNow();
+  }
+
+  private void follow(Stub discovery, long silenceMs) {
+    watch = new Watch(transport, loop, counters, new Random(1), discovery.address(), 41, lists::add,
+        () -> watch.followLater(), silenceMs);
+    loop.execute(watch::follow);
+  }
+
+  private HostList next() throws InterruptedException {
+    HostList list = lists.poll(5, TimeUnit.SECONDS);
+    assertTrue(list != null, "no list came");
+    return list;
+  }
+
+  private static String list(long version, boolean whole, String hosts) {
+    return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":[" + hosts + "]}\n";
+  }
+
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  @Test
+  void changesComeAsTheyAreWrittenAndALineMayBeSplitOverChunks() throws Exception {
+    String host = "{\"host\":\"s-1\",\"dial\":\"127.0.0.1:7\",\"site\":\"a\",\"class\":\"m2\",\"block\":3,"
+        + "\"health\":\"Terminating\",\"share\":1.5,\"born_ms\":7}";
+    try (Stub discovery = new Stub(peer -> {
+      peer.head();
+      String second = list(43, false, host);
+      peer.say(HEAD + chunk(list(42, true, "")) + chunk("\n") + chunk(second.substring(0, 9)));
+      peer.say(chunk(second.substring(9)));
+      peer.beSilent();
+    })) {
+      follow(discovery, 5000);
+      assertTrue(next().whole());
+      HostList list = next();
+      assertEquals(new HostList.Host("s-1", "127.0.0.1:7", "a", "m2", 3, HostList.Health.TERMINATING, 1.5, 7),
+          list.hosts().get(0));
+      assertEquals("GET /discovery/hosts?watch=1&from=41 HTTP/1.1", discovery.nextLine());
+    }
+  }
+
+  /** Guards against a proxy that stays with an old list once its watch has ended, or misses a change. */
+  @Test
+  void aWatchThatEndsIsAskedForAgainFromTheLastVersion() throws Exception {
+    try (Stub discovery = new Stub(peer -> {
+      String head = peer.head();
+      peer.say(HEAD + chunk(list(head.contains("from=41") ? 50 : 51, false, "")));
+      if (head.contains("from=50")) {
+        peer.beSilent();
+      }
+    })) {
+      follow(discovery, 5000);
+      assertEquals(50, next().version());
+      assertEquals(51, next().version());
+      assertEquals(1, counters.get(Counter.WATCHES_BROKEN));
+    }
+  }
+
+  /** Guards against a discovery that is down: it is silent, and its connection would never end. */
+  @Test
+  void aSilentWatchIsGivenUpAndAskedForAgain() throws Exception {
+    try (Stub discovery = new Stub(peer -> {
+      peer.head();
+      if (peer.stub().connections() < 2) {
+        peer.beSilent();
+      }
+      peer.say(HEAD + chunk(list(44, true, "")));
+      peer.beSilent();
+    })) {
+      follow(discovery, 100);
+      assertEquals(44, next().version());
+      assertTrue(discovery.ends.take());
+    }
+  }
+
+  @Test
+  void aLineThatIsNoListBringsTheWholeListAgain() throws Exception {
+    try (Stub discovery = new Stub(peer -> {
+      String head = peer.head();
+      peer.say(HEAD + chunk(head.contains("from=0") ? list(45, true, "") : "{\"seq\":42}\n"));
+      peer.beSilent();
+    })) {
+      follow(discovery, 5000);
+      assertEquals(45, next().version());
+    }
+  }
+
+  @Test
+  void whatIsNoListIsToldSo() {
+    for (String text : new String[] {"[]", "{}", "{\"seq\":1,\"whole\":true,\"hosts\":[{}]}",
+        list(1, true, "{\"host\":\"s\",\"dial\":\"nowhere\",\"health\":\"Ready\"}"),
+        list(1, true, "{\"host\":\"s\",\"dial\":\"1.2.3.4:5\",\"health\":\"Fine\"}")}) {
+      assertThrows(JsonParseException.class, () -> HostList.parse(text), text);
+    }
+    assertEquals(HostList.Health.GONE,
+        HostList.parse(list(1, false, "{\"host\":\"s\",\"health\":\"Gone\"}")).hosts().get(0).health());
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/http/HttpFilterTest.java
@@ -0,0 +1,71 @@
+package beampoint.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.HeapMemoryManager;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.junit.jupiter.api.Test;
+
+/** HTTP answers read off buffers, whole and in pieces of any size. */
+class HttpFilterTest {
+
+  private static final MemoryManager<?> MEMORY = new HeapMemoryManager();
+
+  private static Buffer buffer(String text) {
+    return Buffers.wrap(MEMORY, text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  /** What is read of a text that comes in pieces of this size: heads, bodies joined, a bar at each end. */
+  private static String read(String text, int piece) throws HttpException {
+    HttpFilter.Progress progress = new HttpFilter.Progress();
+    StringBuilder read = new StringBuilder();
+    Buffer in = Buffers.EMPTY_BUFFER;
+    for (int i = 0; i < text.length(); i += piece) {
+      Buffer next = buffer(text.substring(i, Math.min(text.length(), i + piece)));
+      in = in.hasRemaining() ? Buffers.appendBuffers(MEMORY, in, next) : next;
+      List<Object> parts = new ArrayList<>();
+      for (Object o = HttpFilter.parse(progress, in); o != null; o = HttpFilter.parse(progress, in)) {
+        parts.add(o);
+      }
+      for (Object part : parts) {
+        if (part instanceof HttpContent content) {
+          read.append(content.bytes().toStringContent(StandardCharsets.ISO_8859_1));
+          read.append(content.last() ? "|" : "");
+        } else if (part instanceof HttpHead head) {
+          read.append(head.status()).append(head.declined() ? "declined" : "")
+              .append(head.closes() ? "closes" : "").append(head.whole() ? "|" : ":");
+        }
+      }
+    }
+    return read.toString();
+  }
+
+  @Test
+  void bodiesOfStatedLengthAndInChunksMayComeInAnyPieces() throws HttpException {
+    String text = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nSrv-Load: {}\r\n\r\nab\r\nc"
+        + "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n1;x=y\r\n\n\r\n10\r\n"
+        + "0123456789abcdef\r\n0\r\nTrailer: 1\r\n\r\n"
+        + "HTTP/1.1 503 Busy\r\nsrv-declined: 1\r\nCONTENT-LENGTH:0\r\nConnection: close\r\n\r\n";
+    for (int piece = 1; piece <= text.length(); piece++) {
+      assertEquals("200:ab\r\nc|200:one\n0123456789abcdef|503declinedcloses|", read(text, piece),
+          "in pieces of " + piece);
+    }
+  }
+
+  @Test
+  void whatCanNotBeReadIsAnError() {
+    assertThrows(HttpException.class, () -> read("VA 5 O1 and more than a head\r\n\r\n", 100));
+    assertThrows(HttpException.class, () -> read("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", 100));
+    // A body that ends with the connection can't be told from one that was cut off.
+    assertThrows(HttpException.class, () -> read("HTTP/1.1 200 OK\r\n\r\nabc", 100));
+    assertThrows(HttpException.class,
+        () -> read("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 100));
+    assertThrows(HttpException.class, () -> read("x".repeat(20_000), 20_000));
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/memcache/CommandFilterTest.java
@@ -0,0 +1,112 @@
+package beampoint.memcache;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.memcache.Command.Kind;
+import java.nio.charset.StandardCharsets;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.HeapMemoryManager;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.junit.jupiter.api.Test;
+
+/** Commands read off buffers, whole, split and malformed. */
+class CommandFilterTest {
+
+  private static final MemoryManager<?> MEMORY = new HeapMemoryManager();
+  private static final String READ = "mg 7f3a9c21e0b4d655 v O9b1f03aa5c7e2d41 Pc=read,t=acme,d=480\r\n";
+  private static final String WRITE = "ms 7f3a 5 O9b1f Pc=put,t=acme,d=480,k=5c0f6e1a\r\nab\r\nc\r\n";
+
+  private static Buffer buffer(String text) {
+    return Buffers.wrap(MEMORY, text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  private static String text(Buffer buffer) {
+    return buffer.toStringContent(StandardCharsets.ISO_8859_1);
+  }
+
+  private static Command parse(String text) {
+    return CommandFilter.parse(buffer(text));
+  }
+
+  private static void isRefused(Kind kind, String problem, String text) {
+    Buffer in = buffer(text);
+    Command command = CommandFilter.parse(in);
+    assertEquals(kind, command.kind(), text);
+    assertTrue(command.problem().startsWith(problem), command.problem());
+  }
+
+  @Test
+  void aReadIsTakenApart() {
+    Command command = parse(READ);
+    assertEquals(Kind.READ, command.kind());
+    assertEquals("7f3a9c21e0b4d655", text(command.key()));
+    assertEquals("9b1f03aa5c7e2d41", text(command.id()));
+    assertEquals("c=read,t=acme,d=480", text(command.list()));
+    assertEquals("read", command.requestClass());
+    assertEquals("acme", command.tenant());
+    assertEquals(480, command.waitMs());
+  }
+
+  @Test
+  void aWriteGoesOnUnchangedButForTheTimeToWait() {
+    Command command = parse(WRITE);
+    assertEquals("ab\r\nc", text(command.value()));
+    String sent = text(new Writer(MEMORY).command(command, 123));
+    assertEquals(WRITE.replace("d=480", "d=123"), sent);
+    assertEquals(WRITE, text(new Writer(MEMORY).command(command, 480)), "what was sent can be sent again");
+  }
+
+  /** Guards against a reader that loses or doubles bytes where a segment ends. */
+  @Test
+  void aCommandMayComeByteByByteAndNothingIsTakenBeforeItIsWhole() {
+    String all = WRITE + READ;
+    Buffer in = null;
+    int found = 0;
+    for (int i = 0; i < all.length(); i++) {
+      Buffer next = buffer(all.substring(i, i + 1));
+      in = in == null || !in.hasRemaining() ? next : Buffers.appendBuffers(MEMORY, in, next);
+      Command command = CommandFilter.parse(in);
+      if (command != null) {
+        found++;
+        assertEquals(i == WRITE.length() - 1 ? Kind.WRITE : Kind.READ, command.kind());
+        assertEquals(found == 1 ? WRITE : READ, text(new Writer(MEMORY).command(command, 480)));
+      }
+    }
+    assertEquals(2, found);
+  }
+
+  @Test
+  void badCommandsCostOnlyThemselves() {
+    Buffer in = buffer("hello\r\n\r\nmg\r\nmg k v Oid\r\n"
+        + "mg k v Oid Pc=read\r\nmg k x Oid Pc=r,d=1\r\nmn\r\n");
+    for (String problem : new String[] {"ERROR", "ERROR", "CLIENT_ERROR", "CLIENT_ERROR", "CLIENT_ERROR",
+        "CLIENT_ERROR"}) {
+      Command command = CommandFilter.parse(in);
+      assertEquals(Kind.BAD, command.kind());
+      assertTrue(command.problem().startsWith(problem), command.problem());
+    }
+    assertEquals(Kind.READY, CommandFilter.parse(in).kind());
+    isRefused(Kind.BAD, "CLIENT_ERROR", "mg " + "k".repeat(251) + " v Oid Pc=read,d=1\r\n");
+  }
+
+  @Test
+  void whatCanNotBeReadOnEndsTheConnection() {
+    isRefused(Kind.FATAL, "CLIENT_ERROR line too long", "m".repeat(5000));
+    isRefused(Kind.FATAL, "SERVER_ERROR object too large", "ms k 65537 Oid Pc=put,d=1\r\n");
+    isRefused(Kind.FATAL, "CLIENT_ERROR bad data chunk", "ms k five Oid Pc=put,d=1\r\n");
+    isRefused(Kind.FATAL, "CLIENT_ERROR bad data chunk", "ms k 2 Oid Pc=put,d=1\r\nabcd");
+    // Guards against a carriage return in an id, which would end a header of the request to the origin.
+    isRefused(Kind.FATAL, "CLIENT_ERROR control", "mg k v Oid\rX-Evil:1 Pc=read,d=1\r\n");
+    assertNull(parse("mg k v Oid Pc=read,d=1"));
+  }
+
+  @Test
+  void theLargestValueIsTaken() {
+    String value = "x".repeat(64 * 1024);
+    Command command = parse("ms k 65536 Oid Pc=put,d=1\r\n" + value + "\r\n");
+    assertEquals(value, text(command.value()));
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/serve/ConfigTest.java
@@ -0,0 +1,99 @@
+package beampoint.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.Idempotency;
+import beampoint.settings.InputException;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.HeapMemoryManager;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The configuration, and the names on the sockets as the module's numbers. */
+class ConfigTest {
+
+  private static JsonObject good() {
+    return JsonParser.parseString("""
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"ffffffffffffffff",
+         "known":{"seq":1,"whole":true,"hosts":[%s]},"settings":%s}"""
+        .formatted(ProxyFixture.host("s-1", "127.0.0.1:2", "origin"), ProxyFixture.SETTINGS))
+        .getAsJsonObject();
+  }
+
+  private static String problem(JsonObject json) {
+    return assertThrows(InputException.class, () -> Config.read("config.json", json)).getMessage();
+  }
+
+  private static long key(String text) {
+    Buffer buffer = Buffers.wrap(new HeapMemoryManager(), text);
+    return Directory.key(buffer);
+  }
+
+  @Test
+  void theSettingsHaveTheSameNamesAsInTheSimulator() throws Exception {
+    Config config = Config.read("config.json", good());
+    assertEquals(-1, config.seed(), "all of 64 bits");
+    assertEquals(-1, config.settings().seed());
+    assertEquals(1, config.settings().originKind());
+    assertEquals(2, config.settings().siblings());
+    assertEquals(Idempotency.KEYED, config.settings().classes().get(1).idempotency());
+    assertEquals(50, config.settings().tenants().get(0).quotaPerSecond());
+    assertEquals(List.of("read", "put"), config.socketSettings().classes());
+    assertEquals(60_000, config.socketSettings().connectionIdle());
+    assertEquals(1, new Directory(config.socketSettings()).endpoint(config.known().hosts().get(0)).kind());
+  }
+
+  @Test
+  void whatIsWrongIsToldPlainly(@TempDir Path dir) throws Exception {
+    JsonObject json = good();
+    json.addProperty("listen", "nowhere");
+    assertTrue(problem(json).contains("'listen'"), problem(json));
+    json = good();
+    json.addProperty("seed", "xyz");
+    assertTrue(problem(json).contains("'seed'"), problem(json));
+    json = good();
+    json.remove("settings");
+    assertTrue(problem(json).contains("'settings'"), problem(json));
+    json = good();
+    json.getAsJsonObject("settings").getAsJsonArray("lanes").get(0).getAsJsonObject().remove("target-ms");
+    assertTrue(problem(json).contains("lanes.0.target-ms"), problem(json));
+    Path file = dir.resolve("config.json");
+    assertThrows(InputException.class, () -> Config.read(file));
+    for (String text : new String[] {"", "[]", "{", "{\"name\":\"n0\"}", "{\"known\":{\"hosts\":3}}"}) {
+      Files.writeString(file, text);
+      String message = assertThrows(InputException.class, () -> Config.read(file)).getMessage();
+      assertTrue(message.contains("config.json"), message);
+    }
+  }
+
+  /** Guards against the key that tells the module that there is none, and against proxies that disagree. */
+  @Test
+  void aKeyHasOneNumberEverywhereAndNeverANegativeOne() {
+    assertEquals(0x7f3a9c21e0b4d655L, key("7f3a9c21e0b4d655"));
+    assertEquals(0x7f3a9c21e0b4d655L, key("ff3a9c21e0b4d655"));
+    assertEquals(0x7fffffffffffffffL, key("ffffffffffffffff"));
+    assertEquals(key("any-word"), key("any-word"));
+    assertTrue(key("any-word") >= 0 && key("another word than that") >= 0);
+  }
+
+  @Test
+  void theClockIsUnixTimeAndNeverGoesBack() {
+    Clock clock = new Clock();
+    double before = System.currentTimeMillis();
+    double read = clock.getAsDouble();
+    assertTrue(Math.abs(read - before) < 5000, "a host's start is Unix time, and so must be the clock");
+    for (int i = 0; i < 1000; i++) {
+      double next = clock.getAsDouble();
+      assertTrue(next >= read);
+      read = next;
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/serve/ProxyFixture.java
@@ -0,0 +1,145 @@
+package beampoint.serve;
+
+import beampoint.Balancer;
+import beampoint.Stub;
+import com.google.gson.JsonParser;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/** A proxy with a scripted module, among scripted peers on loopback, and a client that talks to it. */
+final class ProxyFixture implements AutoCloseable {
+
+  static final String SETTINGS = """
+      {"discovery":"automatic","siblings":2,"zone":0,"localities":["a"],"skus":["m2","origin"],
+       "family-info":{"mode":"aside","origin-kind":1},
+       "policy-limits":{"max-attempts":3,"probes":true,"retry-after":true,"max-retry-after-ms":700,
+                        "connect-timeout-ms":200,"conn-idle-ms":60000},
+       "rules":{"drain-grace-ms":1000},
+       "lanes":[{"name":"read","idempotency":"safe","target-ms":500,"hard-limit-ms":1000},
+                {"name":"put","idempotency":"keyed","group":"all","target-ms":500,"hard-limit-ms":1000}],
+       "accounts":[{"name":"acme","quota-per-s":50},{"name":"other","quota-per-s":50}]}""";
+
+  /** Plays the module: notes every event and answers it as the test says. */
+  static final class Module implements Balancer {
+    final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    volatile Function<Event, List<Action>> script = event -> List.of();
+
+    @Override
+    public List<Action> handle(double now, Event event) {
+      events.add(event);
+      return script.apply(event);
+    }
+
+    /** The next event of a type; fails after five seconds without one. */
+    <E extends Event> E next(Class<E> type) throws InterruptedException {
+      while (true) {
+        Event event = events.poll(5, TimeUnit.SECONDS);
+        if (event == null) {
+          throw new AssertionError("no " + type.getSimpleName() + " came");
+        }
+        if (type.isInstance(event)) {
+          return type.cast(event);
+        }
+      }
+    }
+  }
+
+  /** A client's connection. */
+  static final class Client implements AutoCloseable {
+    final Socket socket;
+    private final InputStream in;
+
+    Client(ProxyFixture proxy) throws IOException {
+      socket = new Socket("127.0.0.1", proxy.port);
+      socket.setSoTimeout(5000);
+      in = new BufferedInputStream(socket.getInputStream());
+    }
+
+    void say(String text) throws IOException {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** The next line, or null at the end. */
+    String line() throws IOException {
+      return Stub.readLine(in);
+    }
+
+    String ask(String text) throws IOException {
+      say(text);
+      return line();
+    }
+
+    String bytes(int count) throws IOException {
+      return new String(in.readNBytes(count), StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+
+  final Module module = new Module();
+  final Proxy proxy;
+  final int port;
+  private final Stub discovery = new Stub(Stub.Peer::beSilent);
+
+  /** A proxy that knows a cache node and an origin at these addresses. */
+  ProxyFixture(String cache, String origin, int sockets) throws Exception {
+    List<String> hosts = new ArrayList<>();
+    hosts.add(host("cache", cache, "m2"));
+    hosts.add(host("origin", origin, "origin"));
+    proxy = new Proxy(config(hosts, sockets, discovery.address()), settings -> module);
+    proxy.start();
+    port = proxy.port();
+    module.next(Balancer.ListReceived.class);
+  }
+
+  ProxyFixture(String cache, String origin) throws Exception {
+    this(cache, origin, 1024);
+  }
+
+  static String host(String name, String dial, String kind) {
+    return "{\"host\":\"" + name + "\",\"dial\":\"" + dial + "\",\"site\":\"a\",\"class\":\"" + kind
+        + "\",\"block\":0,\"health\":\"Ready\",\"share\":1.0,\"born_ms\":0}";
+  }
+
+  static Config config(List<String> hosts, int sockets, String discovery) throws Exception {
+    String json = "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery
+        + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets
+        + "},\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[" + String.join(",", hosts)
+        + "]},\"settings\":" + SETTINGS + "}";
+    return Config.read("test", JsonParser.parseString(json).getAsJsonObject());
+  }
+
+  /** Sends every request to one endpoint, and refuses what did not end there. */
+  void sendTo(String endpoint) {
+    module.script = event -> {
+      if (event instanceof Balancer.RequestReceived e) {
+        return List.of(new Balancer.Send(e.id(), endpoint, 0));
+      }
+      if (event instanceof Balancer.AttemptEnded e && !e.done()) {
+        return List.of(new Balancer.Refuse(e.id(), 0));
+      }
+      return List.of();
+    };
+  }
+
+  Balancer.AttemptEnded ended() throws InterruptedException {
+    return module.next(Balancer.AttemptEnded.class);
+  }
+
+  @Override
+  public void close() throws IOException {
+    proxy.stop();
+    discovery.close();
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/serve/ProxyTest.java
@@ -0,0 +1,437 @@
+package beampoint.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.AttemptEnded;
+import beampoint.Balancer.Cancel;
+import beampoint.Balancer.Fail;
+import beampoint.Balancer.Probe;
+import beampoint.Balancer.ProbeEnded;
+import beampoint.Balancer.Refuse;
+import beampoint.Balancer.RequestGone;
+import beampoint.Balancer.RequestReceived;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Send;
+import beampoint.Balancer.SetTimer;
+import beampoint.Balancer.TimerFired;
+import beampoint.Stub;
+import beampoint.count.Counter;
+import beampoint.serve.ProxyFixture.Client;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The proxy on sockets, with a scripted module: what peers do becomes the right event, and once. */
+@Timeout(30)
+class ProxyTest {
+
+  private static final String READ = "mg 7f3a v O9b Pc=read,t=acme,d=480\r\n";
+  private static final String WRITE = "ms 7f3a 5 O9b Pc=put,t=acme,d=480,k=5c\r\nhello\r\n";
+
+  /** A cache node that answers every command so. */
+  private static Stub cache(String answer) throws Exception {
+    return new Stub(peer -> {
+      while (peer.line() != null) {
+        peer.say(answer);
+      }
+    });
+  }
+
+  private static AttemptEnded oneRead(String cache) throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(cache, Stub.nobody()); Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      assertEquals("SERVER_ERROR busy", client.ask(READ));
+      return proxy.ended();
+    }
+  }
+
+  @Test
+  void aValueGoesFromTheCacheNodeToTheClient() throws Exception {
+    try (Stub cache = cache("VA 5 O9b h1 Linflight=1\r\nab\r\nc\r\n");
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      assertEquals("VA 5 O9b", client.ask(READ));
+      assertEquals("ab\r\nc\r\n", client.bytes(7));
+      String sent = cache.nextLine();
+      assertTrue(sent.matches("mg 7f3a v O9b Pc=read,t=acme,d=4[78]\\d"), sent);
+      RequestReceived request = proxy.module.next(RequestReceived.class);
+      assertEquals(0x7f3a, request.key());
+      assertEquals(0, request.requestClass());
+      assertEquals(0, request.tenant());
+      AttemptEnded ended = proxy.ended();
+      assertEquals(Result.OK, ended.result());
+      assertTrue(ended.done());
+    }
+  }
+
+  @Test
+  void aSecondRequestUsesTheSameConnection() throws Exception {
+    try (Stub cache = cache("VA 0 O9b\r\n\r\n");
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      for (int i = 0; i < 3; i++) {
+        assertEquals("VA 0 O9b", client.ask(READ));
+        assertEquals("", client.line());
+        proxy.ended();
+      }
+      assertEquals(1, cache.connections());
+    }
+  }
+
+  @Test
+  void theOriginIsAskedByHttpForReadsAndWrites() throws Exception {
+    try (Stub origin = new Stub(peer -> {
+      for (String head = peer.head(); head != null; head = peer.head()) {
+        boolean write = head.startsWith("PUT");
+        peer.say("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n"
+            + (write && !peer.bytes(5).equals("hello") ? "garbled" : write ? "receipt" : "a value"));
+      }
+    }); ProxyFixture proxy = new ProxyFixture(Stub.nobody(), origin.address());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("origin");
+      assertEquals("VA 7 O9b", client.ask(READ));
+      assertEquals("a value", client.line());
+      assertEquals("HD O9b creceipt", client.ask(WRITE));
+      assertEquals("GET /7f3a HTTP/1.1", origin.nextLine());
+      assertEquals("Host: " + origin.address(), origin.nextLine());
+      assertEquals("Req-Id: 9b", origin.nextLine());
+      assertEquals("Req-Extra: c=read,t=acme,d=480", origin.nextLine());
+      assertTrue(proxy.module.next(RequestReceived.class).id() > 0);
+      assertTrue(proxy.module.next(RequestReceived.class).write());
+    }
+  }
+
+  @Test
+  void whatTheOriginSaysNeverRanIsToldSo() throws Exception {
+    for (String[] answer : new String[][] {{"503 Busy\r\nSrv-Declined: 1", "FULL"}, {"503 Busy", "ERROR"},
+        {"504 Late\r\nSrv-Declined: 1", "FULL"}, {"500 Failed\r\nSrv-Declined: 1", "ERROR"}}) {
+      try (Stub origin = new Stub(peer -> {
+        peer.head();
+        peer.say("HTTP/1.1 " + answer[0] + "\r\nContent-Length: 0\r\n\r\n");
+        peer.beSilent();
+      }); ProxyFixture proxy = new ProxyFixture(Stub.nobody(), origin.address());
+          Client client = new Client(proxy)) {
+        proxy.sendTo("origin");
+        assertEquals("SERVER_ERROR busy", client.ask(READ));
+        assertEquals(Result.valueOf(answer[1]), proxy.ended().result(), answer[0]);
+      }
+    }
+  }
+
+  @Test
+  void everyAnswerOfACacheNodeHasItsOutcome() throws Exception {
+    for (String[] answer : new String[][] {{"EN O9b h0\r\n", "MISS"}, {"SERVER_ERROR busy\r\n", "FULL"},
+        {"SERVER_ERROR failed\r\n", "ERROR"}, {"VA 0 Oother\r\n\r\n", "RESET"}, {"nonsense\r\n", "RESET"}}) {
+      try (Stub cache = cache(answer[0])) {
+        assertEquals(Result.valueOf(answer[1]), oneRead(cache.address()).result(), answer[0]);
+      }
+    }
+  }
+
+  /** Guards against a request told as perhaps run, and so failed, that never reached anybody. */
+  @Test
+  void aRefusedConnectionMeansThatItNeverRan() throws Exception {
+    assertEquals(Result.CONNECT_FAILED, oneRead(Stub.nobody()).result());
+  }
+
+  /** Guards against a repeat of what may have run: after the last byte a break proves nothing. */
+  @Test
+  void aBreakAfterTheLastByteIsAReset() throws Exception {
+    try (Stub cache = new Stub(peer -> {
+      peer.line();
+      peer.reset();
+    })) {
+      assertEquals(Result.RESET, oneRead(cache.address()).result());
+      assertEquals(1, cache.connections(), "nothing is sent again but by the module");
+    }
+  }
+
+  @Test
+  void aValueCutOffIsNoAnswer() throws Exception {
+    try (Stub cache = new Stub(peer -> {
+      peer.line();
+      peer.say("VA 5 O9b\r\nab");
+    })) {
+      assertEquals(Result.RESET, oneRead(cache.address()).result());
+    }
+    try (Stub origin = new Stub(peer -> {
+      peer.head();
+      peer.say("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
+    }); ProxyFixture proxy = new ProxyFixture(Stub.nobody(), origin.address());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("origin");
+      assertEquals("SERVER_ERROR busy", client.ask(READ));
+      assertEquals(Result.RESET, proxy.ended().result());
+    }
+  }
+
+  @Test
+  void aSilentPeerIsGivenUpWhenTheClientStopsWaiting() throws Exception {
+    try (Stub cache = new Stub(peer -> {
+      peer.line();
+      peer.beSilent();
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.module.script = event -> event instanceof RequestReceived e
+          ? List.of(new Send(e.id(), "cache", 0))
+          : event instanceof AttemptEnded e ? List.of(new Fail(e.id())) : List.of();
+      assertEquals("SERVER_ERROR failed", client.ask(READ.replace("480", "100")));
+      AttemptEnded ended = proxy.ended();
+      assertEquals(Result.TIMEOUT, ended.result());
+      assertFalse(ended.done());
+      assertTrue(ended.elapsed() >= 90 && ended.elapsed() < 1000, "after " + ended.elapsed());
+      assertTrue(cache.ends.take(), "the connection is ended, which gives the attempt up");
+    }
+  }
+
+  @Test
+  void anAttemptHasItsOwnLimitAndMayBeCancelled() throws Exception {
+    try (Stub cache = new Stub(peer -> {
+      peer.line();
+      peer.beSilent();
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.module.script = event -> event instanceof RequestReceived e
+          ? List.of(new Send(e.id(), "cache", 30)) : event instanceof AttemptEnded e && e.attempt() == 0
+          ? List.of(new Send(e.id(), "cache", 0), new Cancel(e.id(), 1))
+          : event instanceof AttemptEnded e ? List.of(new Refuse(e.id(), 40)) : List.of();
+      assertEquals("SERVER_ERROR busy 40", client.ask(READ));
+      assertEquals(Result.TIMEOUT, proxy.ended().result());
+      AttemptEnded second = proxy.ended();
+      assertEquals(1, second.attempt());
+    }
+  }
+
+  @Test
+  void answersComeInTheOrderOfTheCommands() throws Exception {
+    try (Stub cache = new Stub(peer -> {
+      String line = peer.line();
+      if (line.contains("Oslow")) {
+        peer.stub().ends.take(); // until the quick one has been answered
+      }
+      peer.say("VA 0 O" + (line.contains("Oslow") ? "slow" : "quick") + "\r\n\r\n");
+      peer.beSilent();
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      client.say("mg 1 v Oslow Pc=read,d=4000\r\nmg 2 v Oquick Pc=read,d=4000\r\nmn\r\n");
+      assertEquals(2, proxy.ended().id(), "the quick one ends first");
+      cache.ends.add(true);
+      assertEquals("VA 0 Oslow", client.line());
+      client.line();
+      assertEquals("VA 0 Oquick", client.line());
+      client.line();
+      assertEquals("MN", client.line());
+    }
+  }
+
+  @Test
+  void theLargestValueGoesThroughWholeInBothDirections() throws Exception {
+    String value = "0123456789abcdef".repeat(4096);
+    try (Stub origin = new Stub(peer -> {
+      peer.head();
+      boolean whole = peer.bytes(value.length()).equals(value);
+      peer.say("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n" + (whole ? "done" : "torn"));
+      peer.head();
+      peer.say("HTTP/1.1 200 OK\r\nContent-Length: " + value.length() + "\r\n\r\n" + value);
+      peer.beSilent();
+    }); ProxyFixture proxy = new ProxyFixture(Stub.nobody(), origin.address());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("origin");
+      client.say("ms 1 65536 Oa Pc=put,d=4000\r\n" + value + "\r\n");
+      assertEquals("HD Oa cdone", client.line());
+      assertEquals("VA 65536 Ob", client.ask("mg 1 v Ob Pc=read,d=4000\r\n"));
+      assertEquals(value, client.bytes(65536));
+    }
+  }
+
+  @Test
+  void aClientThatLeavesIsToldToTheModuleAndTheAttemptEndsAfterIt() throws Exception {
+    try (Stub cache = new Stub(peer -> {
+      peer.line();
+      peer.stub().ends.take();
+      peer.say("VA 0 O9b\r\n\r\n");
+      peer.beSilent();
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody())) {
+      proxy.sendTo("cache");
+      Client client = new Client(proxy);
+      client.say(READ.replace("480", "4000"));
+      cache.nextLine();
+      client.close();
+      assertEquals(1, proxy.module.next(RequestGone.class).id());
+      cache.ends.add(true);
+      AttemptEnded ended = proxy.ended();
+      assertEquals(Result.OK, ended.result());
+      assertTrue(ended.done());
+    }
+  }
+
+  @Test
+  void badInputCostsAnAnswerAndOverlongInputItsConnectionOnly() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client client = new Client(proxy); Client other = new Client(proxy)) {
+      assertEquals("ERROR", client.ask("hello\r\n"));
+      assertEquals("CLIENT_ERROR unknown class", client.ask("mg 1 v O1 Pc=none,d=100\r\n"));
+      assertEquals("MN", other.ask("mn\r\n"));
+      assertTrue(client.ask("x".repeat(6000)).startsWith("CLIENT_ERROR"));
+      assertNull(client.line());
+      assertEquals("MN", other.ask("mn\r\n"));
+      assertNull(other.ask("quit\r\n"));
+    }
+  }
+
+  /** Guards against a fault in the module that ends the proxy, or leaves its request without an answer. */
+  @Test
+  void anExceptionOfTheModuleFailsItsRequestAndTheProxyLives() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.module.script = event -> {
+        throw new IllegalStateException("a fault, as the test has it");
+      };
+      assertEquals("SERVER_ERROR failed", client.ask(READ));
+      proxy.module.script = event -> event instanceof RequestReceived e
+          ? List.of(new Refuse(e.id(), 0)) : List.of();
+      assertEquals("SERVER_ERROR busy", client.ask(READ));
+      assertEquals(1, proxy.proxy.counters().get(Counter.LOGIC_EXCEPTIONS));
+    }
+  }
+
+  @Test
+  void timersAndProbesComeBack() throws Exception {
+    try (Stub cache = cache("MN\r\n"); Stub origin = new Stub(peer -> {
+      peer.head();
+      peer.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      peer.beSilent();
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), origin.address());
+        Client client = new Client(proxy)) {
+      proxy.module.script = event -> event instanceof RequestReceived e
+          ? List.of(new SetTimer(5, e.id())) : event instanceof TimerFired e
+          ? List.of(new Probe("cache"), new Probe("origin"), new Refuse(e.token(), 700)) : List.of();
+      assertEquals("SERVER_ERROR busy 700", client.ask(READ));
+      assertEquals(Result.OK, proxy.module.next(ProbeEnded.class).result());
+      assertEquals(Result.OK, proxy.module.next(ProbeEnded.class).result());
+      assertEquals("mn", cache.nextLine());
+      assertEquals("GET /alive HTTP/1.1", origin.nextLine());
+    }
+  }
+
+  @Test
+  void aProbeOfASilentOrMissingPeerFails() throws Exception {
+    try (Stub cache = new Stub(Stub.Peer::beSilent);
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.module.script = event -> event instanceof RequestReceived e
+          ? List.of(new Probe("origin"), new Probe("cache"), new Fail(e.id())) : List.of();
+      assertEquals("SERVER_ERROR failed", client.ask(READ));
+      assertEquals(Result.CONNECT_FAILED, proxy.module.next(ProbeEnded.class).result());
+      assertEquals(Result.TIMEOUT, proxy.module.next(ProbeEnded.class).result());
+    }
+  }
+
+  /** Guards against accepting without end, or not at all, once all descriptors for clients are taken. */
+  @Test
+  void clientsBeyondTheDescriptorsWaitOrTakeThePlaceOfIdleOnes() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody(), 96 + 8)) {
+      proxy.module.script = event -> List.of(); // requests stay open, so no connection is idle
+      Client[] busy = new Client[4];
+      for (int i = 0; i < busy.length; i++) {
+        busy[i] = new Client(proxy);
+        busy[i].say("mg 1 v O1 Pc=read,d=4000\r\n");
+        proxy.module.next(RequestReceived.class);
+      }
+      try (Client waiting = new Client(proxy)) {
+        waiting.say("mn\r\n");
+        assertEquals(4, proxy.proxy.counters().get(Counter.CLIENT_CONNECTIONS));
+        busy[0].close();
+        assertEquals("MN", waiting.line());
+        busy[1].close();
+        proxy.module.next(RequestGone.class);
+        proxy.module.next(RequestGone.class);
+        try (Client next = new Client(proxy)) {
+          assertEquals("MN", next.ask("mn\r\n"));
+          assertNull(waiting.line(), "the idle one made room");
+        }
+      }
+      busy[2].close();
+      busy[3].close();
+    }
+  }
+
+  @Test
+  void anOpenRequestIsAnsweredBeforeTheEndAndIdleClientsAreClosed() throws Exception {
+    try (Stub cache = new Stub(peer -> {
+      peer.line();
+      peer.stub().ends.take();
+      peer.say("VA 0 O9b\r\n\r\n");
+      peer.beSilent();
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client busy = new Client(proxy); Client idle = new Client(proxy)) {
+      proxy.sendTo("cache");
+      assertEquals("MN", idle.ask("mn\r\n"));
+      busy.say(READ.replace("480", "4000"));
+      cache.nextLine();
+      Thread end = new Thread(() -> {
+        try {
+          proxy.proxy.drain();
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+      });
+      end.start();
+      try (Client late = new Client(proxy)) {
+        assertEquals("MN", late.ask("mn\r\n"), "clients still come for a while");
+      }
+      assertNull(idle.line());
+      cache.ends.add(true);
+      assertEquals("VA 0 O9b", busy.line());
+      busy.line();
+      assertNull(busy.line());
+      end.join(5000);
+      assertFalse(end.isAlive());
+    }
+  }
+
+  /** Guards against a request that is still open when the SIGKILL comes: its time is cut short. */
+  @Test
+  void whatNobodyAnswersIsFailedBeforeTheEnd() throws Exception {
+    try (Stub cache = new Stub(peer -> {
+      peer.line();
+      peer.beSilent();
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.module.script = event -> event instanceof RequestReceived e
+          ? List.of(new Send(e.id(), "cache", 0))
+          : event instanceof AttemptEnded e ? List.of(new Refuse(e.id(), 0)) : List.of();
+      client.say(READ.replace("480", "60000"));
+      cache.nextLine();
+      long before = System.nanoTime();
+      proxy.proxy.drain();
+      double took = (System.nanoTime() - before) / 1e6;
+      assertTrue(took < 1700, "a SIGKILL comes a deadline of 1 s and 0.7 s later; took " + took);
+      assertEquals("SERVER_ERROR busy", client.line(), "the module answers, its attempt timed out");
+      assertEquals(Result.TIMEOUT, proxy.ended().result());
+    }
+  }
+
+  @Test
+  void countersAreToldOnRequest() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      assertEquals("SERVER_ERROR busy", client.ask(READ));
+      client.say("stats\r\n");
+      StringBuilder stats = new StringBuilder();
+      for (String line = client.line(); !line.equals("END"); line = client.line()) {
+        stats.append(line).append('\n');
+      }
+      assertTrue(stats.toString().contains("STAT requests_taken 1\n"), stats.toString());
+      assertTrue(stats.toString().contains("STAT attempts_connect_failed 1\n"), stats.toString());
+      assertTrue(stats.toString().contains("STAT answered_refused 1\n"), stats.toString());
+    }
+  }
+}
