What must hold is checked on the proxy's path; a SIGTERM at any time ends it in order

The end's hook was set after the listener, so a SIGTERM between the two ended the JVM with its own code (Main.ServeCommand.call); it is set first now, and a test of a real process checks exit code 0. The timer that fails an unanswered request is set before the module is called, as an Error of the module would have left it unset (Proxy.take). Invariants: one attempt out at a time, idle connections have nothing out, connections are counted right; a test loads the class without assertions and sees them counted.

--- a/src/main/java/beampoint/cli/Main.java
+++ b/src/main/java/beampoint/cli/Main.java
@@ -77,16 +77,25 @@
         return 2;
       }
       try {
-        Proxy proxy = new Proxy(Config.read(config), Logic::new);
-        proxy.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(proxy), "end"));
-        return SERVING;
+        return start(new Proxy(Config.read(config), Logic::new));
       } catch (InputException e) {
         LOG.error("bad configuration: " + e.getMessage());
+        return 2;
+      }
+    }
+
+    private static int start(Proxy proxy) {
+      // Set before clients can come: a SIGTERM just after that must be obeyed in order too.
+      Thread end = new Thread(() -> end(proxy), "end");
+      Runtime.getRuntime().addShutdownHook(end);
+      try {
+        proxy.start();
+        return SERVING;
       } catch (IOException e) {
+        Runtime.getRuntime().removeShutdownHook(end);
         LOG.error("can't serve: " + e.getMessage());
+        return 2;
       }
-      return 2;
     }
 
     private static void end(Proxy proxy) {
--- a/src/main/java/beampoint/exchange/Answer.java
+++ b/src/main/java/beampoint/exchange/Answer.java
@@ -13,8 +13,4 @@
   public static Answer refused(long waitMs) {
     return new Answer(Kind.REFUSED, null, waitMs);
   }
-
-  public boolean isServed() {
-    return kind == Kind.VALUE || kind == Kind.RECEIPT;
-  }
 }
--- a/src/main/java/beampoint/exchange/Exchange.java
+++ b/src/main/java/beampoint/exchange/Exchange.java
@@ -80,10 +80,6 @@
     return attempts++;
   }
 
-  public int attempts() {
-    return attempts;
-  }
-
   public void endAttempt() {
     counters.check(attemptsOut > 0, "an attempt ends that was out");
     attemptsOut--;
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -148,9 +148,9 @@
     exchanges.put(exchange.id(), exchange);
     // Queued, as its place in the order of answers must stand before the module may answer.
     loop.execute(() -> {
+      after(notAfter + LATE_MS - now(), () -> failLate(exchange.id()));
       give(new RequestReceived(exchange.id(), Math.min(notAfter, endsBy), directory.tenant(command),
           requestClass, Directory.key(command.key()), command.kind() == Command.Kind.WRITE));
-      after(notAfter + LATE_MS - now(), () -> failLate(exchange.id()));
     });
     return exchange;
   }
@@ -270,6 +270,8 @@
     }
     double now = now();
     double last = Math.min(exchange.notAfter(), endsBy);
+    counters.check(settings.limits().secondCopies() || exchange.attemptsOut() == 0,
+        "one attempt is out at a time");
     int attempt = exchange.beginAttempt();
     if (exchange.isOver() || now >= last || attempt >= settings.limits().maxAttempts()) {
       loop.execute(() -> ended(exchange, attempt, a.endpoint(), 0, Result.NOT_SENT, null));
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -174,6 +174,7 @@
     }
     Link link = pool.idle.poll();
     if (link != null) {
+      counters.check(link.flight == null && !link.closed, "an idle connection is open and has nothing out");
       link.flight = flight;
       flight.link = link;
       write(link);
@@ -380,6 +381,7 @@
     if (!link.closed) {
       link.close();
       connections--;
+      counters.check(connections >= 0, "no more connections end than were begun");
       link.flight = null;
       link.pool.idle.remove(link);
     }
--- a/src/test/java/beampoint/cli/MainTest.java
+++ b/src/test/java/beampoint/cli/MainTest.java
@@ -3,12 +3,19 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beampoint.Stub;
+import java.io.BufferedReader;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
 
 /** The command line's usage errors. */
+@Timeout(30)
 class MainTest {
 
   private final StringWriter errors = new StringWriter();
@@ -28,4 +35,36 @@
     assertEquals(2, run("dril"));
     assertEquals(2, run("drill", "--fast"));
   }
+
+  @Test
+  void aConfigurationThatCanNotBeUsedExitsTwo(@TempDir Path dir) throws Exception {
+    assertEquals(2, run("serve", "--config", dir.resolve("none.json").toString()));
+    Path bad = Files.writeString(dir.resolve("bad.json"), "{\"name\":\"n0\"}");
+    assertEquals(2, run("serve", "--config", bad.toString()));
+  }
+
+  /** Guards against a planned restart that counts as a crash: after a SIGTERM the exit code is 0. */
+  @Test
+  void aSigtermEndsTheProgramInOrder(@TempDir Path dir) throws Exception {
+    Path config = Files.writeString(dir.resolve("config.json"), """
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"1",
+         "known":{"seq":1,"whole":true,"hosts":[]},"settings":{}}""".formatted(Stub.nobody()));
+    String classes = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+    Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-cp", classes, Main.class.getName(), "serve", "--config", config.toString())
+        .redirectErrorStream(true).start();
+    try (BufferedReader log = process.inputReader()) {
+      String line = log.readLine();
+      assertTrue(line.contains("n0 listens on"), line);
+      process.toHandle().destroy(); // a SIGTERM
+      String last = line;
+      while ((line = log.readLine()) != null) {
+        last = line;
+      }
+      assertTrue(last.contains("n0 ends: client_connections=0"), last);
+      assertEquals(0, process.waitFor());
+    } finally {
+      process.destroyForcibly();
+    }
+  }
 }
--- a/src/test/java/beampoint/count/CountersTest.java
+++ b/src/test/java/beampoint/count/CountersTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.URL;
+import java.net.URLClassLoader;
 import org.junit.jupiter.api.Test;
 
 /** Counting, and what must hold. */
@@ -24,4 +26,18 @@
     counters.check(true, "one is one");
     assertThrows(AssertionError.class, () -> counters.check(false, "one is two"));
   }
+
+  /** Guards against a release that dies of what it should only count: its classes run without assertions. */
+  @Test
+  void whatMustHoldIsCountedInReleases() throws Exception {
+    URL classes = Counters.class.getProtectionDomain().getCodeSource().getLocation();
+    try (URLClassLoader release = new URLClassLoader(new URL[] {classes}, null)) {
+      release.setDefaultAssertionStatus(false);
+      Class<?> type = release.loadClass(Counters.class.getName());
+      Object counters = type.getConstructor().newInstance();
+      type.getMethod("check", boolean.class, String.class)
+          .invoke(counters, false, "one is two, as the test has it");
+      assertTrue(counters.toString().endsWith("invariants_broken=1"), counters.toString());
+    }
+  }
 }
