--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -52,6 +52,7 @@
 
   private static final Log LOG = Log.of("serve");
   private static final int RESERVED_DESCRIPTORS = 96; // for the machine, discovery and standard streams
+  private static final int READ_BUFFER = 32 * 1024; // at most this is read at once, however much has come
   private static final double LATE_MS = 15; // after which the proxy itself fails what nobody answered
   private static final long FRONT_LEAVES_MS = 450; // after a SIGTERM new clients come for up to 400 ms
   private static final double LONGEST_DEADLINE_MS = 3000; // that the platform waits for after a SIGTERM
@@ -87,6 +88,7 @@
         .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setPoolName("selector")
             .setCorePoolSize(1).setMaxPoolSize(1))
         .setMemoryManager(new HeapMemoryManager())
+        .setReadBufferSize(READ_BUFFER)
         .setTcpNoDelay(true)
         .setReuseAddress(true)
         .setServerConnectionBackLog(1024)
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -56,6 +56,7 @@
   private final double connectTimeout;
   private final double idleTime;
   private final int maxConnections;
+  private final int maxToCaches;
   private final Writer writer;
   private final HttpWriter httpWriter;
   private final TCPNIOConnectorHandler toCaches;
@@ -76,6 +77,8 @@
     // Guards against a request that crosses the cache node's own closing of an idle connection.
     this.idleTime = idleTime - Math.max(idleTime / 10, 2 * connectTimeout);
     this.maxConnections = maxConnections;
+    // Guards against caches whose silence holds all connections: misses and writes need the origin.
+    this.maxToCaches = maxConnections - Math.max(1, maxConnections / 8);
     this.writer = new Writer(transport.getMemoryManager());
     this.httpWriter = new HttpWriter(transport.getMemoryManager());
     this.toCaches = connector(new ReplyFilter());
@@ -178,10 +181,10 @@
       link.flight = flight;
       flight.link = link;
       write(link);
-    } else if (connections < maxConnections || closeLongestIdle()) {
+    } else if (connections < (pool.origin ? maxConnections : maxToCaches) || closeLongestIdle()) {
       connect(new Link(pool, flight));
     } else {
-      LOG.warn("all " + maxConnections + " upstream connections are in use");
+      LOG.warn("all upstream connections are in use: " + connections);
       land(flight, Result.CONNECT_FAILED, null);
     }
   }
