--- a/src/main/java/beampoint/cli/Main.java
+++ b/src/main/java/beampoint/cli/Main.java
@@ -76,6 +76,7 @@
         LOG.error("no configuration: give --config FILE or set PROXY_CONFIG");
         return 2;
       }
+      Log.takeOverLibraries();
       try {
         return start(new Proxy(Config.read(config), Logic::new));
       } catch (InputException e) {
--- a/src/main/java/beampoint/serve/Config.java
+++ b/src/main/java/beampoint/serve/Config.java
@@ -18,6 +18,8 @@
 public record Config(String name, InetSocketAddress listen, String discovery, long seed, int sockets,
     HostList known, Settings settings, SocketSettings socketSettings) {
 
+  private static final int MIN_SOCKETS = 104;
+
   /** Reads the file; whatever is wrong with it is told in one plain sentence. */
   public static Config read(Path file) throws InputException {
     try {
@@ -43,9 +45,13 @@
     }
     JsonFields settings = new JsonFields(source + ", settings", json.getAsJsonObject("settings"));
     settings.put("nonce64", Long.toString(seed));
+    int sockets = top.index("limits.sockets", 1024);
+    if (sockets < MIN_SOCKETS) {
+      throw top.malformed("limits.sockets", "too few: " + sockets + ", at least " + MIN_SOCKETS);
+    }
     address(top, "discovery");
     return new Config(top.text("name"), address(top, "listen"), top.text("discovery"), seed,
-        top.index("limits.sockets", 1024), HostList.read(json.getAsJsonObject("known")),
+        sockets, HostList.read(json.getAsJsonObject("known")),
         SettingsReader.read(settings), SocketSettings.read(settings));
   }
 
--- a/src/test/java/beampoint/serve/ConfigTest.java
+++ b/src/test/java/beampoint/serve/ConfigTest.java
@@ -60,6 +60,9 @@
     json.addProperty("seed", "xyz");
     assertTrue(problem(json).contains("'seed'"), problem(json));
     json = good();
+    json.add("limits", JsonParser.parseString("{\"sockets\":64}"));
+    assertTrue(problem(json).contains("too few: 64"), problem(json));
+    json = good();
     json.remove("settings");
     assertTrue(problem(json).contains("'settings'"), problem(json));
     json = good();
