--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -65,15 +65,13 @@
 
   /** The given call back is told of every list, {@code broken} of every end of a watch. */
   public Watch(TCPNIOTransport transport, ScheduledExecutorService loop, Counters counters, Random random,
-      String address, long version, Consumer<HostList> listed, Runnable broken,
+      InetSocketAddress address, long version, Consumer<HostList> listed, Runnable broken,
       long silenceMs) {
     this.loop = loop;
     this.counters = counters;
     this.random = random;
-    int colon = address.lastIndexOf(':');
-    this.address = new InetSocketAddress(address.substring(0, colon),
-        Integer.parseInt(address.substring(colon + 1)));
-    this.host = address;
+    this.address = address;
+    this.host = address.getHostString() + ":" + address.getPort();
     this.version = version;
     this.listed = listed;
     this.broken = broken;
--- a/src/main/java/beampoint/serve/Config.java
+++ b/src/main/java/beampoint/serve/Config.java
@@ -2,6 +2,7 @@
 
 import beampoint.Balancer.Settings;
 import beampoint.discovery.HostList;
+import beampoint.settings.Address;
 import beampoint.settings.InputException;
 import beampoint.settings.JsonFields;
 import beampoint.settings.SettingsReader;
@@ -15,8 +16,8 @@
 import java.nio.file.Path;
 
 /** What a proxy is told at its start. */
-public record Config(String name, InetSocketAddress listen, String discovery, long seed, int sockets,
-    HostList known, Settings settings, SocketSettings socketSettings) {
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+    int sockets, HostList known, Settings settings, SocketSettings socketSettings) {
 
   private static final int MIN_SOCKETS = 104;
 
@@ -49,22 +50,17 @@
     if (sockets < MIN_SOCKETS) {
       throw top.malformed("limits.sockets", "too few: " + sockets + ", at least " + MIN_SOCKETS);
     }
-    address(top, "discovery");
-    return new Config(top.text("name"), address(top, "listen"), top.text("discovery"), seed,
+    return new Config(top.text("name"), address(top, "listen"), address(top, "discovery"), seed,
         sockets, HostList.read(json.getAsJsonObject("known")),
         SettingsReader.read(settings), SocketSettings.read(settings));
   }
 
   private static InetSocketAddress address(JsonFields fields, String field) throws InputException {
     String text = fields.text(field);
-    if (!text.matches("[^:\\s]+:\\d{1,5}")) {
+    InetSocketAddress address = Address.parse(text);
+    if (address == null) {
       throw fields.malformed(field, "not of the form address:port: '" + text + "'");
     }
-    int colon = text.lastIndexOf(':');
-    int port = Integer.parseInt(text.substring(colon + 1));
-    if (port > 65_535) {
-      throw fields.malformed(field, "no such port: " + port);
-    }
-    return new InetSocketAddress(text.substring(0, colon), port);
+    return address;
   }
 }
--- a/src/main/java/beampoint/upstream/Pool.java
+++ b/src/main/java/beampoint/upstream/Pool.java
@@ -10,11 +10,15 @@
   final String endpoint;
   final Deque<Link> idle = new ArrayDeque<>();
   boolean origin;
-  String dial;
-  InetSocketAddress address;
+  InetSocketAddress dial;
   double startedAt;
 
   Pool(String endpoint) {
     this.endpoint = endpoint;
   }
+
+  /** The address as HTTP names it. */
+  String host() {
+    return dial.getHostString() + ":" + dial.getPort();
+  }
 }
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -116,14 +116,11 @@
   // ---- What it is told to do ------------------------------------------------------------------------------
 
   /** Takes an endpoint's address; a new address or a new start makes its old connections worthless. */
-  public void place(String endpoint, String dial, boolean origin, double startedAt) {
+  public void place(String endpoint, InetSocketAddress dial, boolean origin, double startedAt) {
     Pool pool = pools.computeIfAbsent(endpoint, Pool::new);
     if (!dial.equals(pool.dial) || startedAt != pool.startedAt) {
       closeIdle(endpoint);
-      int colon = dial.lastIndexOf(':');
       pool.dial = dial;
-      int port = Integer.parseInt(dial.substring(colon + 1));
-      pool.address = new InetSocketAddress(dial.substring(0, colon), port);
       pool.startedAt = startedAt;
     }
     pool.origin = origin;
@@ -193,7 +190,7 @@
     connections++;
     counters.add(Counter.UPSTREAM_CONNECTIONS);
     link.flight.link = link;
-    var made = (link.pool.origin ? toOrigin : toCaches).connect(link.pool.address);
+    var made = (link.pool.origin ? toOrigin : toCaches).connect(link.pool.dial);
     link.connectTimer = at(clock.getAsDouble() + connectTimeout, () -> {
       if (link.connection == null) {
         made.cancel(true); // closes the socket
@@ -235,12 +232,12 @@
     link.body = null;
     Buffer request;
     if (flight.isProbe()) {
-      request = pool.origin ? httpWriter.get("/alive", pool.dial) : writer.line("mn");
+      request = pool.origin ? httpWriter.get("/alive", pool.host()) : writer.line("mn");
     } else {
       Command command = flight.exchange.command();
       long wait = Math.max(1, (long) (flight.endsAt - clock.getAsDouble()));
       request = pool.origin
-          ? httpWriter.request(pool.dial, command.key(), command.id(), command.list(), command.value())
+          ? httpWriter.request(pool.host(), command.key(), command.id(), command.list(), command.value())
           : writer.command(command, wait);
     }
     link.connection.write(request, new EmptyCompletionHandler<>() {
