A shortage of the proxy's own connections is told as not sent, so no cache is blamed for it

Upstreams.start told CONNECT_FAILED where no descriptor was left; the module takes that for a cache that refuses and skips it for a while. NOT_SENT says the same of the request (it never ran) and nothing of the cache. The tests of the proxy also pass with the heap, stack, class and direct-buffer limits of deploy/balancer.toml.

--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -181,8 +181,9 @@
     } else if (connections < (pool.origin ? maxConnections : maxToCaches) || closeLongestIdle()) {
       connect(new Link(pool, flight));
     } else {
+      // Guards against a cache that is blamed, and skipped, for this proxy's own shortage.
       LOG.warn("all upstream connections are in use: " + connections);
-      land(flight, Result.CONNECT_FAILED, null);
+      land(flight, Result.NOT_SENT, null);
     }
   }
 
