A client connection is never closed on a command that was read and is about to be taken

Read again: Session.closeWhenIdle closed a connection whose command the selector had already read but the decision thread had not yet seen, at the end and where an idle client makes room (Sessions.opened). The command was then still taken and sent upstream (Session.command), with nobody to answer: a lost request, or an effect twice, as the client sends it again elsewhere. Commands read and unanswered are now counted from the selector on, and what comes after a close is not begun. The test holds the decision thread and failed before the change.

--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -50,8 +50,9 @@
     this.sessions = sessions;
   }
 
+  /** True where nothing that was read is unanswered, also what is on its way from the selector's thread. */
   boolean isIdle() {
-    return slots.isEmpty() && unwritten == 0;
+    return sessions.pending(connection) == 0;
   }
 
   void command(Command command, double readAt) {
@@ -70,8 +71,8 @@
       case VERSION -> slot.answer = writer.line("VERSION beampoint");
       case QUIT -> {
         slots.removeLast();
-        closeWhenIdle();
-        return;
+        sessions.answered(connection);
+        closing = true;
       }
       default -> {
         counters.add(Counter.BAD_COMMANDS);
@@ -124,7 +125,10 @@
       closing |= slot.ends;
       connection.write(slot.answer, written);
     }
-    if (closing && slots.isEmpty()) {
+    // Guards against closing on a command that was read and is about to come: it would be lost or, as the
+    // client sends it again elsewhere, carried out twice. What comes after the close is not begun.
+    if (closing && slots.isEmpty() && (ended || sessions.pending(connection) == unwritten)) {
+      closed = true;
       connection.closeSilently(); // once all is written
     }
   }
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -158,6 +158,11 @@
     }
   }
 
+  /** How many commands were read on a connection whose answers are not written. */
+  int pending(Connection<?> connection) {
+    return pending.get(connection).get();
+  }
+
   /** One more answer is written: the connection may be read again. */
   void answered(Connection<?> connection) {
     if (pending.get(connection).decrementAndGet() == MAX_PENDING / 2) {
--- a/src/main/java/beampoint/settings/SocketSettings.java
+++ b/src/main/java/beampoint/settings/SocketSettings.java
@@ -10,7 +10,7 @@
   public static SocketSettings read(Fields m) throws InputException {
     return new SocketSettings(names(m, "lanes", ".name"), names(m, "accounts", ".name"),
         names(m, "localities", ""), names(m, "skus", ""),
-        m.number("policy-limits.conn-idle-ms", Double.POSITIVE_INFINITY));
+        m.number("policy-limits.conn-idle-ms", Double.MAX_VALUE));
   }
 
   private static List<String> names(Fields m, String list, String field) throws InputException {
--- a/src/test/java/beampoint/serve/ProxyTest.java
+++ b/src/test/java/beampoint/serve/ProxyTest.java
@@ -20,7 +20,9 @@
 import beampoint.Stub;
 import beampoint.count.Counter;
 import beampoint.serve.ProxyFixture.Client;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -408,6 +410,56 @@
     }
   }
 
+  /** Guards against a request that is lost, or sent on twice, as its idle connection is just being closed. */
+  @Test
+  void aCommandThatWasReadIsAnsweredThoughItsConnectionWasIdleWhenRoomWasNeeded() throws Exception {
+    CountDownLatch held = new CountDownLatch(1);
+    List<Client> all = new ArrayList<>();
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody(), 96 + 2 * 40)) {
+      for (int i = 0; i < 36; i++) {
+        all.add(new Client(proxy));
+        assertEquals("MN", all.get(i).ask("mn\r\n"));
+      }
+      proxy.module.script = event -> {
+        if (event instanceof RequestReceived e) {
+          await(held);
+          return List.of(new Refuse(e.id(), 0));
+        }
+        return List.of();
+      };
+      all.get(35).say(READ); // holds the decision thread
+      proxy.module.next(RequestReceived.class);
+      all.add(new Client(proxy)); // one too many: the first is to make room
+      awaitAccepted(proxy, 37);
+      all.get(0).say(READ);
+      for (int i = 38; i < 40; i++) { // once the second is accepted, what came before the first has been read
+        all.add(new Client(proxy));
+        awaitAccepted(proxy, i);
+      }
+      held.countDown();
+      assertEquals("SERVER_ERROR busy", all.get(0).line());
+      assertNull(all.get(1).line(), "the next that was idle made room");
+    } finally {
+      for (Client client : all) {
+        client.close();
+      }
+    }
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void awaitAccepted(ProxyFixture proxy, long count) {
+    while (proxy.proxy.counters().get(Counter.CLIENT_CONNECTIONS) < count) {
+      Thread.onSpinWait();
+    }
+  }
+
   @Test
   void anOpenRequestIsAnsweredBeforeTheEndAndIdleClientsAreClosed() throws Exception {
     try (Stub cache = new Stub(peer -> {
