--- a/src/main/java/beampoint/http/HttpWriter.java
+++ b/src/main/java/beampoint/http/HttpWriter.java
@@ -1,9 +1,7 @@
 package beampoint.http;
 
-import java.nio.charset.StandardCharsets;
+import beampoint.buffer.Gather;
 import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.memory.Buffers;
-import org.glassfish.grizzly.memory.BuffersBuffer;
 import org.glassfish.grizzly.memory.MemoryManager;
 
 /** Writes requests: a head of texts and slices, and the body handed on as it lies. */
@@ -17,30 +15,18 @@
 
   /** A request without a body. */
   public Buffer get(String path, String host) {
-    return wrap("GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n");
+    return new Gather(memory).text("GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n").message();
   }
 
   /** The request of a client, with its id and its list of names and values; a write has a body. */
   public Buffer request(String host, Buffer key, Buffer id, Buffer list, Buffer body) {
-    BuffersBuffer out = BuffersBuffer.create(memory);
-    out.append(wrap(body == null ? "GET /" : "PUT /"));
-    out.append(share(key));
-    out.append(wrap(" HTTP/1.1\r\nHost: " + host + "\r\nReq-Id: "));
-    out.append(share(id));
-    out.append(wrap("\r\nReq-Extra: "));
-    out.append(share(list));
-    out.append(wrap(body == null ? "\r\n\r\n" : "\r\nContent-Length: " + body.remaining() + "\r\n\r\n"));
-    if (body != null && body.hasRemaining()) {
-      out.append(share(body));
+    Gather out = new Gather(memory);
+    out.text(body == null ? "GET /" : "PUT /").bytes(key);
+    out.text(" HTTP/1.1\r\nHost: " + host + "\r\nReq-Id: ").bytes(id);
+    out.text("\r\nReq-Extra: ").bytes(list);
+    if (body == null) {
+      return out.text("\r\n\r\n").message();
     }
-    return out;
-  }
-
-  private Buffer wrap(String text) {
-    return Buffers.wrap(memory, text.getBytes(StandardCharsets.ISO_8859_1));
-  }
-
-  private static Buffer share(Buffer buffer) {
-    return buffer.slice(buffer.position(), buffer.limit());
+    return out.text("\r\nContent-Length: " + body.remaining() + "\r\n\r\n").bytes(body).message();
   }
 }
