--- a/src/main/java/beampoint/serve/Directory.java
+++ b/src/main/java/beampoint/serve/Directory.java
@@ -6,6 +6,7 @@
 import beampoint.memcache.Command;
 import beampoint.settings.SocketSettings;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.glassfish.grizzly.Buffer;
 
 /** Turns the names on the sockets into the module's numbers. */
@@ -23,8 +24,8 @@
       case TERMINATING -> EndpointState.DRAINING;
       case GONE -> EndpointState.GONE;
     };
-    return new Endpoint(host.host(), settings.zones().indexOf(host.site()),
-        settings.kinds().indexOf(host.kind()), host.block(), state, host.share(), host.bornMs());
+    return new Endpoint(host.host(), number(settings.zones(), host.site()),
+        number(settings.kinds(), host.kind()), host.block(), state, host.share(), host.bornMs());
   }
 
   /** A class's number, or -1. */
@@ -32,10 +33,17 @@
     return settings.classes().indexOf(command.requestClass());
   }
 
-  /** A tenant's number; one past the last for a tenant that the settings don't know. */
   int tenant(Command command) {
-    int tenant = command.tenant() == null ? 0 : settings.tenants().indexOf(command.tenant());
-    return tenant < 0 ? settings.tenants().size() : tenant;
+    return command.tenant() == null ? 0 : number(settings.tenants(), command.tenant());
+  }
+
+  /**
+   * The number of a name; one past the last for a name that the settings don't know. Guards against a host of
+   * an unknown kind that passes for the origin, whose kind is -1 where there is none.
+   */
+  private static int number(List<String> names, String name) {
+    int number = names.indexOf(name);
+    return number < 0 ? names.size() : number;
   }
 
   /** A key as all proxies number it. A number below 0 would tell the module that there is no key. */
--- a/src/test/java/beampoint/serve/ConfigTest.java
+++ b/src/test/java/beampoint/serve/ConfigTest.java
@@ -51,6 +51,17 @@
     assertEquals(1, new Directory(config.socketSettings()).endpoint(config.known().hosts().get(0)).kind());
   }
 
+  /** Guards against a host of a kind that the settings don't know, taken for an origin that is not there. */
+  @Test
+  void anUnknownKindIsNoOrigin() throws Exception {
+    JsonObject json = good();
+    json.getAsJsonObject("settings").remove("family-info");
+    json.getAsJsonObject("known").getAsJsonArray("hosts").get(0).getAsJsonObject().addProperty("class", "m9");
+    Config config = Config.read("config.json", json);
+    assertEquals(-1, config.settings().originKind());
+    assertEquals(2, new Directory(config.socketSettings()).endpoint(config.known().hosts().get(0)).kind());
+  }
+
   @Test
   void whatIsWrongIsToldPlainly(@TempDir Path dir) throws Exception {
     JsonObject json = good();
--- a/src/test/java/beampoint/serve/ProxyTest.java
+++ b/src/test/java/beampoint/serve/ProxyTest.java
@@ -8,6 +8,9 @@
 import beampoint.Balancer.AttemptEnded;
 import beampoint.Balancer.Cancel;
 import beampoint.Balancer.Fail;
+import beampoint.Balancer.FollowList;
+import beampoint.Balancer.ListKind;
+import beampoint.Balancer.ListReceived;
 import beampoint.Balancer.Probe;
 import beampoint.Balancer.ProbeEnded;
 import beampoint.Balancer.Refuse;
@@ -23,6 +26,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -516,6 +520,37 @@
     }
   }
 
+  /** Guards against a list that is asked for behind the module's back, which costs discovery work. */
+  @Test
+  void aListThatMustBeAskedForIsAskedForByTheModuleAlone() throws Exception {
+    String list = "{\"seq\":2,\"whole\":true,\"hosts\":["
+        + ProxyFixture.host("s-2", "127.0.0.1:1", "m2") + "]}\n";
+    ProxyFixture.Module module = new ProxyFixture.Module();
+    module.script = event -> event instanceof ListReceived e && e.kind() == ListKind.REMEMBERED
+        ? List.of(new FollowList()) : List.of();
+    try (Stub discovery = new Stub(peer -> {
+      peer.head();
+      peer.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(list.length())
+          + "\r\n" + list + "\r\n");
+    })) {
+      Proxy proxy = new Proxy(ProxyFixture.config(List.of(), 1024, discovery.address(),
+          ProxyFixture.SETTINGS.replace("automatic", "subscribe")), settings -> module);
+      try {
+        proxy.start();
+        assertEquals(ListKind.REMEMBERED, module.next(ListReceived.class).kind());
+        ListReceived full = module.next(ListReceived.class);
+        assertEquals(ListKind.FULL, full.kind());
+        assertEquals("s-2", full.endpoints().get(0).id());
+        assertEquals(ListKind.UNAVAILABLE, module.next(ListReceived.class).kind());
+        assertEquals("GET /discovery/hosts?watch=1&from=1 HTTP/1.1", discovery.nextLine());
+        assertNull(module.events.poll(500, TimeUnit.MILLISECONDS), "nobody asked again");
+        assertEquals(1, discovery.connections());
+      } finally {
+        proxy.stop();
+      }
+    }
+  }
+
   @Test
   void countersAreToldOnRequest() throws Exception {
     try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
