Clean-up after reading: one place words an address, an outcome's counter is looked up once

No change of behaviour. Upstreams.land built a counter's name and searched it for every attempt; the counters stand in a map now. Pool and Watch each wrote out an address: Address.text does, and a pool keeps its text, which was built anew for every request to the origin. Sessions.draining changed nothing, as sessions are closing by then. The figures of the end have names. Five scripts of cache nodes in ProxyTest were two.

--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -49,7 +49,6 @@
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("pending-commands", AtomicInteger::new);
   private TCPNIOServerConnection listener;
   private volatile boolean full;
-  private boolean draining;
 
   public Sessions(TCPNIOTransport transport, Executor loop, DoubleSupplier clock, Intake intake,
       Counters counters, int maxConnections) {
@@ -114,9 +113,6 @@
   private void opened(Connection<?> connection) {
     Session session = new Session(connection, this);
     open.put(connection, session);
-    if (draining) {
-      return;
-    }
     // Guards against a full house of idle clients: the one that was idle longest makes room for others.
     Iterator<Session> all = open.values().iterator();
     for (int over = open.size() - maxConnections * 9 / 10; over > 0 && all.hasNext();) {
@@ -176,7 +172,6 @@
 
   /** Takes no more connections and ends those that there are, each once it has no command open. */
   public void drain() {
-    draining = true;
     if (listener != null) {
       listener.closeSilently();
     }
--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -7,6 +7,7 @@
 import beampoint.http.HttpHead;
 import beampoint.http.HttpWriter;
 import beampoint.log.Log;
+import beampoint.settings.Address;
 import com.google.gson.JsonParseException;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
@@ -71,7 +72,7 @@
     this.counters = counters;
     this.random = random;
     this.address = address;
-    this.host = address.getHostString() + ":" + address.getPort();
+    this.host = Address.text(address);
     this.version = version;
     this.listed = listed;
     this.broken = broken;
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -57,6 +57,8 @@
   private static final long FRONT_LEAVES_MS = 450; // after a SIGTERM new clients come for up to 400 ms
   private static final double LONGEST_DEADLINE_MS = 3000; // that the platform waits for after a SIGTERM
   private static final double KILL_MS = 700; // after that deadline a SIGKILL may come
+  private static final double END_MS = 300; // before it all is answered
+  private static final double LAST_WRITES_MS = 100; // until the last answers are written
 
   private final Config config;
   private final Settings settings;
@@ -309,7 +311,7 @@
     double longest = settings.classes().stream().mapToDouble(RequestClass::deadline).max().orElse(0);
     double killed = Math.min(longest, LONGEST_DEADLINE_MS) + KILL_MS;
     loop.execute(() -> {
-      endsBy = now() + killed - 3 * KILL_MS / 7;
+      endsBy = now() + killed - END_MS;
       after(FRONT_LEAVES_MS, this::endSessions);
       after(endsBy - now(), this::endAll);
     });
@@ -339,6 +341,6 @@
         after(LATE_MS, () -> failLate(exchange.id()));
       }
     }
-    after(KILL_MS / 7, drained::countDown);
+    after(LAST_WRITES_MS, drained::countDown);
   }
 }
--- a/src/main/java/beampoint/settings/Address.java
+++ b/src/main/java/beampoint/settings/Address.java
@@ -18,4 +18,9 @@
     int port = matcher.matches() ? Integer.parseInt(matcher.group(2)) : -1;
     return port < 0 || port > LAST_PORT ? null : new InetSocketAddress(matcher.group(1), port);
   }
+
+  /** An address in that form. */
+  public static String text(InetSocketAddress address) {
+    return address.getHostString() + ":" + address.getPort();
+  }
 }
--- a/src/main/java/beampoint/upstream/Pool.java
+++ b/src/main/java/beampoint/upstream/Pool.java
@@ -11,14 +11,10 @@
   final Deque<Link> idle = new ArrayDeque<>();
   boolean origin;
   InetSocketAddress dial;
+  String host; // the address as HTTP names it
   double startedAt;
 
   Pool(String endpoint) {
     this.endpoint = endpoint;
   }
-
-  /** The address as HTTP names it. */
-  String host() {
-    return dial.getHostString() + ":" + dial.getPort();
-  }
 }
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -14,8 +14,10 @@
 import beampoint.memcache.Reply;
 import beampoint.memcache.ReplyFilter;
 import beampoint.memcache.Writer;
+import beampoint.settings.Address;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +49,13 @@
 public final class Upstreams {
 
   private static final Log LOG = Log.of("upstream");
+  private static final Map<Result, Counter> COUNTERS = new EnumMap<>(Result.class);
+
+  static {
+    for (Result result : Result.values()) {
+      COUNTERS.put(result, Counter.valueOf("ATTEMPTS_" + result));
+    }
+  }
 
   private final TCPNIOTransport transport;
   private final ScheduledExecutorService loop;
@@ -121,6 +130,7 @@
     if (!dial.equals(pool.dial) || startedAt != pool.startedAt) {
       closeIdle(endpoint);
       pool.dial = dial;
+      pool.host = Address.text(dial);
       pool.startedAt = startedAt;
     }
     pool.origin = origin;
@@ -233,12 +243,12 @@
     link.body = null;
     Buffer request;
     if (flight.isProbe()) {
-      request = pool.origin ? httpWriter.get("/alive", pool.host()) : writer.line("mn");
+      request = pool.origin ? httpWriter.get("/alive", pool.host) : writer.line("mn");
     } else {
       Command command = flight.exchange.command();
       long wait = Math.max(1, (long) (flight.endsAt - clock.getAsDouble()));
       request = pool.origin
-          ? httpWriter.request(pool.host(), command.key(), command.id(), command.list(), command.value())
+          ? httpWriter.request(pool.host, command.key(), command.id(), command.list(), command.value())
           : writer.command(command, wait);
     }
     link.connection.write(request, new EmptyCompletionHandler<>() {
@@ -364,7 +374,7 @@
     if (own.isEmpty()) {
       flights.remove(flight.exchange.id());
     }
-    counters.add(Counter.valueOf("ATTEMPTS_" + result));
+    counters.add(COUNTERS.get(result));
     loop.execute(() ->
         reports.ended(flight.exchange, flight.number, flight.endpoint, elapsed, result, answer));
   }
--- a/src/test/java/beampoint/serve/ProxyTest.java
+++ b/src/test/java/beampoint/serve/ProxyTest.java
@@ -46,6 +46,24 @@
     });
   }
 
+  /** A cache node that takes a command and never answers. */
+  private static Stub silentCache() throws Exception {
+    return new Stub(peer -> {
+      peer.line();
+      peer.beSilent();
+    });
+  }
+
+  /** A cache node that answers a read once the test adds to the stub's ends. */
+  private static Stub heldCache() throws Exception {
+    return new Stub(peer -> {
+      peer.line();
+      peer.stub().ends.take();
+      peer.say("VA 0 O9b\r\n\r\n");
+      peer.beSilent();
+    });
+  }
+
   private static AttemptEnded oneRead(String cache) throws Exception {
     try (ProxyFixture proxy = new ProxyFixture(cache, Stub.nobody()); Client client = new Client(proxy)) {
       proxy.sendTo("cache");
@@ -178,10 +196,7 @@
 
   @Test
   void aSilentPeerIsGivenUpWhenTheClientStopsWaiting() throws Exception {
-    try (Stub cache = new Stub(peer -> {
-      peer.line();
-      peer.beSilent();
-    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+    try (Stub cache = silentCache(); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
         Client client = new Client(proxy)) {
       proxy.module.script = event -> event instanceof RequestReceived e
           ? List.of(new Send(e.id(), "cache", 0))
@@ -197,10 +212,7 @@
 
   @Test
   void anAttemptHasItsOwnLimitAndMayBeCancelled() throws Exception {
-    try (Stub cache = new Stub(peer -> {
-      peer.line();
-      peer.beSilent();
-    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+    try (Stub cache = silentCache(); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
         Client client = new Client(proxy)) {
       proxy.module.script = event -> event instanceof RequestReceived e
           ? List.of(new Send(e.id(), "cache", 300)) : event instanceof AttemptEnded e && e.attempt() == 0
@@ -304,12 +316,7 @@
 
   @Test
   void aClientThatLeavesIsToldToTheModuleAndTheAttemptEndsAfterIt() throws Exception {
-    try (Stub cache = new Stub(peer -> {
-      peer.line();
-      peer.stub().ends.take();
-      peer.say("VA 0 O9b\r\n\r\n");
-      peer.beSilent();
-    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody())) {
+    try (Stub cache = heldCache(); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody())) {
       proxy.sendTo("cache");
       Client client = new Client(proxy);
       client.say(READ);
@@ -466,12 +473,7 @@
 
   @Test
   void anOpenRequestIsAnsweredBeforeTheEndAndIdleClientsAreClosed() throws Exception {
-    try (Stub cache = new Stub(peer -> {
-      peer.line();
-      peer.stub().ends.take();
-      peer.say("VA 0 O9b\r\n\r\n");
-      peer.beSilent();
-    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+    try (Stub cache = heldCache(); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
         Client busy = new Client(proxy); Client idle = new Client(proxy)) {
       proxy.sendTo("cache");
       assertEquals("MN", idle.ask("mn\r\n"));
@@ -501,10 +503,7 @@
   /** Guards against a request that is still open when the SIGKILL comes: its time is cut short. */
   @Test
   void whatNobodyAnswersIsFailedBeforeTheEnd() throws Exception {
-    try (Stub cache = new Stub(peer -> {
-      peer.line();
-      peer.beSilent();
-    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+    try (Stub cache = silentCache(); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
         Client client = new Client(proxy)) {
       proxy.module.script = event -> event instanceof RequestReceived e
           ? List.of(new Send(e.id(), "cache", 0))
