SIGHUP reads the configuration again and moves the watch without a gap

Ruled out: a crash or a memory kill; the log ends with the line of an orderly end. At fault: cli/Main installed no handler; discovery/Watch had one fixed address.

Now Hangup handles the signal, the file is read once at a time, an unusable one is logged and changes nothing, and Watch.move reads the old address until the new one has brought a list or its empty line.

Tests: a move, two in a row, one while the watch waits, and a real SIGHUP with a spoilt and a good file.

--- a/src/main/java/beampoint/cli/Main.java
+++ b/src/main/java/beampoint/cli/Main.java
@@ -78,13 +78,24 @@
       }
       Log.takeOverLibraries();
       try {
-        return start(new Proxy(Config.read(config), Logic::new));
+        Proxy proxy = new Proxy(Config.read(config), Logic::new);
+        Hangup.handle(() -> reload(proxy));
+        return start(proxy);
       } catch (InputException e) {
         LOG.error("bad configuration: " + e.getMessage());
         return 2;
       }
     }
 
+    /** Reads the file again, once at a time; one that can't be used leaves all as it was. */
+    private synchronized void reload(Proxy proxy) {
+      try {
+        proxy.reload(Config.read(config));
+      } catch (InputException | RuntimeException e) {
+        LOG.error("the new configuration can't be used, the old one stays: " + e.getMessage());
+      }
+    }
+
     private static int start(Proxy proxy) {
       // Set before clients can come: a SIGTERM just after that must be obeyed in order too.
       Thread end = new Thread(() -> end(proxy), "end");
--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -45,23 +45,31 @@
   private final ScheduledExecutorService loop;
   private final Counters counters;
   private final Random random;
-  private final InetSocketAddress address;
-  private final String host;
   private final Consumer<HostList> listed;
   private final Runnable broken;
   private final long silenceMs;
   private final HttpWriter writer;
   private final TCPNIOConnectorHandler connector;
+  private InetSocketAddress address;
   private long version;
   private Call call;
+  private Call before; // at the address that was left, until the new one has brought something
   private long wait = FIRST_WAIT_MS;
 
   /** One watch, from its connection to its end. */
   private static final class Call {
+    private final InetSocketAddress address;
+    private final String host;
     private Connection<?> connection;
+    private boolean heard; // a list, or the empty line that stands for no change
     private Future<?> connecting;
     private Future<?> silence;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+
+    Call(InetSocketAddress address) {
+      this.address = address;
+      this.host = Address.text(address);
+    }
   }
 
   /** The given call back is told of every list, {@code broken} of every end of a watch. */
@@ -72,7 +80,6 @@
     this.counters = counters;
     this.random = random;
     this.address = address;
-    this.host = Address.text(address);
     this.version = version;
     this.listed = listed;
     this.broken = broken;
@@ -90,29 +97,31 @@
     public NextAction handleRead(FilterChainContext ctx) {
       Connection<?> connection = ctx.getConnection();
       Object message = ctx.getMessage();
-      loop.execute(() -> read(connection, message));
+      loop.execute(() -> read(callOn(connection), message));
       return ctx.getStopAction();
     }
 
     @Override
     public NextAction handleClose(FilterChainContext ctx) {
       Connection<?> connection = ctx.getConnection();
-      loop.execute(() -> {
-        if (call != null && call.connection == connection) {
-          end("closed by discovery");
-        }
-      });
+      loop.execute(() -> end(callOn(connection), "closed by discovery"));
       return ctx.getInvokeAction();
     }
   }
 
+  /** The call that a connection serves, or null. */
+  private Call callOn(Connection<?> connection) {
+    return call != null && call.connection == connection ? call
+        : before != null && before.connection == connection ? before : null;
+  }
+
   /** Asks for the changes from the last version on; a watch that is open is given up. */
   public void follow() {
-    drop();
-    Call own = new Call();
+    drop(call);
+    Call own = new Call(address);
     call = own;
     listen(own);
-    var made = connector.connect(address);
+    var made = connector.connect(own.address);
     own.connecting = made;
     made.addCompletionHandler(new EmptyCompletionHandler<>() {
       @Override
@@ -122,15 +131,30 @@
 
       @Override
       public void failed(Throwable cause) {
-        loop.execute(() -> {
-          if (call == own) {
-            end("not reached: " + cause.getMessage());
-          }
-        });
+        loop.execute(() -> end(own, "not reached: " + cause.getMessage()));
       }
     });
   }
 
+  /**
+   * Follows the list at another address. Guards against a gap: the watch that is open is read on until the
+   * new one has brought something. False where none is open: who asks next asks there.
+   */
+  public boolean move(InetSocketAddress to) {
+    address = to;
+    wait = FIRST_WAIT_MS;
+    if (call == null) {
+      return false;
+    }
+    if (call.heard) {
+      drop(before);
+      before = call;
+      call = null;
+    }
+    follow();
+    return true;
+  }
+
   /** Asks again after a while; every wait without a list between is longer. */
   public void followLater() {
     long scattered = wait / 2 + (long) (random.nextDouble() * wait);
@@ -148,54 +172,62 @@
       return;
     }
     own.connection = connection;
-    connection.write(writer.get("/discovery/hosts?watch=1&from=" + version, host));
+    connection.write(writer.get("/discovery/hosts?watch=1&from=" + version, own.host));
   }
 
-  private void read(Connection<?> connection, Object message) {
-    if (call == null || call.connection != connection) {
+  private void read(Call own, Object message) {
+    if (own == null) {
       return;
     }
-    listen(call);
+    listen(own);
     if (message instanceof HttpHead head && (head.status() != 200 || head.whole())) {
-      end("answered " + head.status());
+      end(own, "answered " + head.status());
     } else if (message instanceof HttpContent content) {
-      take(call, content.bytes());
+      take(own, content.bytes());
       if (content.last()) {
-        end("ended by discovery");
+        end(own, "ended by discovery");
       }
     }
   }
 
+  private boolean isOpen(Call own) {
+    return own != null && (own == call || own == before);
+  }
+
   private void take(Call own, Buffer bytes) {
-    for (int i = bytes.position(); i < bytes.limit() && call == own; i++) {
+    for (int i = bytes.position(); i < bytes.limit() && isOpen(own); i++) {
       if (bytes.get(i) != '\n') {
         own.line.write(bytes.get(i));
       } else {
         String text = own.line.toString(StandardCharsets.UTF_8).trim();
         own.line.reset();
-        if (!text.isEmpty()) {
-          line(text);
-        }
+        line(own, text);
       }
     }
     if (own.line.size() > MAX_LINE) {
-      end("line too long");
+      end(own, "line too long");
     }
   }
 
-  private void line(String text) {
-    HostList list;
+  private void line(Call own, String text) {
+    HostList list = null;
     try {
-      list = HostList.parse(text);
+      list = text.isEmpty() ? null : HostList.parse(text);
     } catch (JsonParseException e) {
       version = 0; // what it held is lost: the next watch must bring the whole list
-      end(e.getMessage());
+      end(own, e.getMessage());
       return;
     }
-    version = list.version();
-    wait = FIRST_WAIT_MS;
-    counters.add(Counter.LISTS_RECEIVED);
-    listed.accept(list);
+    own.heard = true;
+    if (own == call) {
+      drop(before);
+    }
+    if (list != null) {
+      version = list.version();
+      wait = FIRST_WAIT_MS;
+      counters.add(Counter.LISTS_RECEIVED);
+      listed.accept(list);
+    }
   }
 
   /** Guards against a discovery that is down and says nothing: its connection would never end. */
@@ -203,30 +235,33 @@
     if (own.silence != null) {
       own.silence.cancel(false);
     }
-    own.silence = loop.schedule(() -> {
-      if (call == own) {
-        end("silent");
-      }
-    }, silenceMs, TimeUnit.MILLISECONDS);
+    own.silence = loop.schedule(() -> end(own, "silent"), silenceMs, TimeUnit.MILLISECONDS);
   }
 
-  private void end(String why) {
-    LOG.warn("the watch ended: " + why);
-    counters.add(Counter.WATCHES_BROKEN);
-    drop();
-    broken.run();
+  private void end(Call own, String why) {
+    if (!isOpen(own)) {
+      return;
+    }
+    LOG.warn("the watch at " + own.host + " ended: " + why);
+    boolean replaced = own == before; // its successor is open, or is asked for again
+    drop(own);
+    if (!replaced) {
+      counters.add(Counter.WATCHES_BROKEN);
+      broken.run();
+    }
   }
 
-  private void drop() {
-    if (call == null) {
+  private void drop(Call own) {
+    if (own == null) {
       return;
     }
-    call.silence.cancel(false);
-    if (call.connection != null) {
-      call.connection.terminateSilently();
-    } else if (call.connecting != null) {
-      call.connecting.cancel(true);
+    own.silence.cancel(false);
+    if (own.connection != null) {
+      own.connection.terminateSilently();
+    } else {
+      own.connecting.cancel(true);
     }
-    call = null;
+    call = call == own ? null : call;
+    before = before == own ? null : before;
   }
 }
--- a/src/main/java/beampoint/serve/Config.java
+++ b/src/main/java/beampoint/serve/Config.java
@@ -55,6 +55,15 @@
         SettingsReader.read(settings), SocketSettings.read(settings));
   }
 
+  /** True where the next configuration differs in what holds from a start on. */
+  boolean needsRestart(Config next) {
+    return !name.equals(next.name) || !listen.equals(next.listen) || sockets != next.sockets
+        || !socketSettings.equals(next.socketSettings) || !settings.limits().equals(next.settings.limits())
+        || !settings.rules().equals(next.settings.rules())
+        || !settings.classes().equals(next.settings.classes())
+        || !settings.tenants().equals(next.settings.tenants());
+  }
+
   private static InetSocketAddress address(JsonFields fields, String field) throws InputException {
     String text = fields.text(field);
     InetSocketAddress address = Address.parse(text);
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -60,7 +60,8 @@
   private static final double END_MS = 300; // before it all is answered
   private static final double LAST_WRITES_MS = 100; // until the last answers are written
 
-  private final Config config;
+  private Config config; // belongs to the decision thread
+  private final String name;
   private final Settings settings;
   private final Balancer balancer;
   private final Counters counters = new Counters();
@@ -80,6 +81,7 @@
 
   public Proxy(Config config, Function<Settings, Balancer> factory) {
     this.config = config;
+    this.name = config.name();
     this.settings = config.settings();
     this.balancer = factory.apply(settings);
     this.directory = new Directory(config.socketSettings());
@@ -107,14 +109,31 @@
   /** Begins to serve; returns once clients are listened to. */
   public void start() throws IOException {
     transport.start();
+    Config start = config;
     loop.execute(() -> {
-      listed(config.known(), ListKind.REMEMBERED);
+      listed(start.known(), ListKind.REMEMBERED);
       if (settings.listPushed()) {
         watch.follow();
       }
     });
-    port = sessions.listen(config.listen());
-    LOG.info(config.name() + " listens on " + config.listen());
+    port = sessions.listen(start.listen());
+    LOG.info(name + " listens on " + start.listen());
+  }
+
+  /** Takes a new configuration while it serves: discovery moves, all else holds from the next start on. */
+  public void reload(Config next) {
+    loop.execute(() -> {
+      boolean moves = !next.discovery().equals(config.discovery());
+      LOG.info("configuration read again: discovery " + (moves ? "moves to " : "stays at ")
+          + next.discovery());
+      if (config.needsRestart(next)) {
+        LOG.warn("name, listen, limits and settings that changed hold from the next start on");
+      }
+      config = next;
+      if (moves && !watch.move(next.discovery()) && settings.listPushed()) {
+        watch.follow(); // it waited to ask again
+      }
+    });
   }
 
   /** The port that clients connect to. */
@@ -316,7 +335,7 @@
       after(endsBy - now(), this::endAll);
     });
     drained.await((long) (killed + KILL_MS), TimeUnit.MILLISECONDS);
-    LOG.info(config.name() + " ends: " + counters);
+    LOG.info(name + " ends: " + counters);
   }
 
   private void endSessions() {
--- a/src/test/java/beampoint/cli/MainTest.java
+++ b/src/test/java/beampoint/cli/MainTest.java
@@ -46,13 +46,7 @@
   /** Guards against a planned restart that counts as a crash: after a SIGTERM the exit code is 0. */
   @Test
   void aSigtermEndsTheProgramInOrder(@TempDir Path dir) throws Exception {
-    Path config = Files.writeString(dir.resolve("config.json"), """
-        {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"1",
-         "known":{"seq":1,"whole":true,"hosts":[]},"settings":{}}""".formatted(Stub.nobody()));
-    String classes = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
-    Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-        "-cp", classes, Main.class.getName(), "serve", "--config", config.toString())
-        .redirectErrorStream(true).start();
+    Process process = serve(writeConfig(dir, Stub.nobody()));
     try (BufferedReader log = process.inputReader()) {
       String line = log.readLine();
       assertTrue(line.contains("n0 listens on"), line);
@@ -67,4 +61,55 @@
       process.destroyForcibly();
     }
   }
+
+  /** Guards against a SIGHUP that ends the program, and a spoilt file that takes its settings away. */
+  @Test
+  void aSighupReadsTheConfigurationAgainAndASpoiltOneChangesNothing(@TempDir Path dir) throws Exception {
+    try (Stub first = new Stub(Stub.Peer::beSilent); Stub second = new Stub(Stub.Peer::beSilent)) {
+      Path config = writeConfig(dir, first.address());
+      Process process = serve(config);
+      try (BufferedReader log = process.inputReader()) {
+        await(log, "n0 listens on");
+        Files.writeString(config, "{\"name\":");
+        hangUp(process);
+        await(log, "the old one stays");
+        writeConfig(dir, second.address());
+        hangUp(process);
+        await(log, "discovery moves to /" + second.address());
+        hangUp(process);
+        await(log, "discovery stays at");
+        assertTrue(process.isAlive());
+        while (second.connections() == 0) {
+          Thread.onSpinWait();
+        }
+      } finally {
+        process.destroyForcibly();
+      }
+    }
+  }
+
+  private static void hangUp(Process process) throws Exception {
+    assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+  }
+
+  /** Reads on up to the line with this text. */
+  private static void await(BufferedReader log, String text) throws Exception {
+    String line = log.readLine();
+    while (!line.contains(text)) {
+      line = log.readLine();
+    }
+  }
+
+  private static Path writeConfig(Path dir, String discovery) throws Exception {
+    return Files.writeString(dir.resolve("config.json"), """
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"1",
+         "known":{"seq":1,"whole":true,"hosts":[]},"settings":{}}""".formatted(discovery));
+  }
+
+  private static Process serve(Path config) throws Exception {
+    String classes = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+    return new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-cp", classes, Main.class.getName(), "serve", "--config", config.toString())
+        .redirectErrorStream(true).start();
+  }
 }
--- a/src/test/java/beampoint/discovery/WatchTest.java
+++ b/src/test/java/beampoint/discovery/WatchTest.java
@@ -121,6 +121,86 @@
     }
   }
 
+  /** Guards against a gap in what discovery tells, while the watch moves to another address. */
+  @Test
+  void aWatchThatMovesReadsTheOldAddressUntilTheNewOneHasBroughtSomething() throws Exception {
+    try (Stub old = new Stub(peer -> {
+      peer.head();
+      peer.say(HEAD + chunk(list(42, true, "")));
+      peer.stub().ends.take(); // the new one has been asked
+      peer.say(chunk(list(43, false, "")));
+      peer.beSilent();
+    }); Stub next = new Stub(peer -> {
+      peer.head();
+      peer.stub().ends.take(); // the old one has told more
+      peer.say(HEAD + chunk("\n"));
+      peer.stub().ends.take(); // the old one has been left
+      peer.say(chunk(list(44, false, "")));
+      peer.beSilent();
+    })) {
+      follow(old, 5000);
+      assertEquals(42, next().version());
+      loop.execute(() -> watch.move(Address.parse(next.address())));
+      assertEquals("GET /discovery/hosts?watch=1&from=42 HTTP/1.1", next.nextLine());
+      old.ends.add(true);
+      assertEquals(43, next().version());
+      next.ends.add(true);
+      assertTrue(old.ends.take(), "the old one is left");
+      next.ends.add(true);
+      assertEquals(44, next().version());
+      assertEquals(0, counters.get(Counter.WATCHES_BROKEN));
+      assertEquals(1, next.connections());
+    }
+  }
+
+  /** Guards against a second move, or an end of the old watch, that leaves none or two open. */
+  @Test
+  void aWatchMayMoveTwiceInARowAndLoseTheOldOneMeanwhile() throws Exception {
+    try (Stub old = new Stub(peer -> {
+      peer.head();
+      peer.say(HEAD + chunk(list(42, true, "")));
+      peer.stub().ends.take();
+    }); Stub silent = new Stub(Stub.Peer::beSilent); Stub last = new Stub(peer -> {
+      peer.head();
+      peer.stub().ends.take();
+      peer.say(HEAD + chunk(list(43, false, "")));
+      peer.beSilent();
+    })) {
+      follow(old, 5000);
+      next();
+      loop.execute(() -> watch.move(Address.parse(silent.address())));
+      loop.execute(() -> watch.move(Address.parse(last.address())));
+      last.nextLine();
+      old.ends.add(true);
+      last.ends.add(true);
+      assertEquals(43, next().version());
+      assertEquals(1, last.connections());
+      assertEquals(0, counters.get(Counter.WATCHES_BROKEN));
+    }
+  }
+
+  /** Guards against a move that is forgotten where the watch is broken and waits to be asked for again. */
+  @Test
+  void aMoveWhileTheWatchWaitsIsForTheNextOne() throws Exception {
+    try (Stub next = new Stub(peer -> {
+      peer.head();
+      peer.say(HEAD + chunk(list(44, true, "")));
+      peer.beSilent();
+    })) {
+      LinkedBlockingQueue<Boolean> broken = new LinkedBlockingQueue<>();
+      watch = new Watch(transport, loop, counters, new Random(1), Address.parse(Stub.nobody()), 41,
+          lists::add, () -> broken.add(true), 5000);
+      loop.execute(watch::follow);
+      assertTrue(broken.take());
+      loop.execute(() -> {
+        if (!watch.move(Address.parse(next.address()))) {
+          watch.followLater();
+        }
+      });
+      assertEquals(44, next().version());
+    }
+  }
+
   @Test
   void aLineThatIsNoListBringsTheWholeListAgain() throws Exception {
     try (Stub discovery = new Stub(peer -> {
