Spoilt answers are told apart strictly and end as errors; surplus bytes end a connection

Ruled out: spoilt answers of the memcache side, none was passed on. Besides, noise and second copies behind good answers spoilt the next request on the connection (105 lines 'nothing was asked for'), and each spoilt answer counted as a reset, after which the module skips the whole cache (156 ejections).

At fault: HttpFilter.head (the last length won, any line passed, 1xx was the answer), Upstreams.rest (pooled whatever stood behind the answer), Upstreams.bad (RESET for a peer that lives). Bodies of the origin are bounded at 64 KiB.

--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -3,6 +3,7 @@
 import beampoint.count.Counter;
 import beampoint.count.Counters;
 import beampoint.http.HttpContent;
+import beampoint.http.HttpFault;
 import beampoint.http.HttpFilter;
 import beampoint.http.HttpHead;
 import beampoint.http.HttpWriter;
@@ -180,7 +181,9 @@
       return;
     }
     listen(own);
-    if (message instanceof HttpHead head && (head.status() != 200 || head.whole())) {
+    if (message instanceof HttpFault fault) {
+      end(own, fault.problem());
+    } else if (message instanceof HttpHead head && (head.status() != 200 || head.whole())) {
       end(own, "answered " + head.status());
     } else if (message instanceof HttpContent content) {
       take(own, content.bytes());
--- a/src/main/java/beampoint/http/HttpFilter.java
+++ b/src/main/java/beampoint/http/HttpFilter.java
@@ -1,10 +1,10 @@
 package beampoint.http;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -39,8 +39,10 @@
       ctx.setMessage(message);
       return in.hasRemaining() ? ctx.getInvokeAction(in) : ctx.getInvokeAction();
     } catch (HttpException e) {
-      connection.terminateSilently();
-      return ctx.getStopAction();
+      // Nothing can be read after it, and a peer may send without end.
+      connection.disableIOEvent(IOEvent.READ);
+      ctx.setMessage(new HttpFault(e.getMessage()));
+      return ctx.getInvokeAction();
     }
   }
 
@@ -49,7 +51,12 @@
     while (true) {
       switch (p.part) {
         case HEAD -> {
-          return head(p, in);
+          int end = headEnd(in);
+          HttpHead head = end < 0 ? null : head(p, in, end);
+          if (head == null || head.status() >= 200) {
+            return head;
+          }
+          // An interim answer: the one that counts comes behind it.
         }
         case BODY, CHUNK -> {
           if (!in.hasRemaining()) {
@@ -63,7 +70,7 @@
           if (p.left == 0) {
             p.part = last ? Part.HEAD : Part.CHUNK_END;
           }
-          return new HttpContent(bytes, last);
+          return new HttpContent(bytes, last, last && in.hasRemaining());
         }
         default -> {
           int end = lineEnd(in);
@@ -72,15 +79,18 @@
           }
           int from = in.position();
           in.position(end);
-          boolean empty = end - from <= 2;
+          int textEnd = textEnd(in, from, end);
           if (p.part == Part.CHUNK_SIZE) {
-            p.left = hex(in, from, end);
+            p.left = hex(in, from, textEnd);
             p.part = p.left == 0 ? Part.TRAILER : Part.CHUNK;
           } else if (p.part == Part.CHUNK_END) {
+            if (textEnd > from) {
+              throw new HttpException("a chunk longer than stated");
+            }
             p.part = Part.CHUNK_SIZE;
-          } else if (empty) {
+          } else if (textEnd == from) {
             p.part = Part.HEAD;
-            return new HttpContent(Buffers.EMPTY_BUFFER, true);
+            return new HttpContent(Buffers.EMPTY_BUFFER, true, in.hasRemaining());
           }
         }
       }
@@ -100,56 +110,79 @@
     return -1;
   }
 
+  /** The size of a chunk, which an extension may follow. */
   private static long hex(Buffer in, int from, int to) throws HttpException {
     long value = 0;
     int i = from;
-    for (; i < to; i++) {
-      int digit = Character.digit(in.get(i), 16);
-      if (digit < 0 || value > Integer.MAX_VALUE) {
-        break;
-      }
-      value = value * 16 + digit;
+    for (; i < to && Character.digit(in.get(i), 16) >= 0 && value <= Integer.MAX_VALUE; i++) {
+      value = value * 16 + Character.digit(in.get(i), 16);
     }
-    if (i == from || value > Integer.MAX_VALUE) {
+    if (i == from || value > Integer.MAX_VALUE || i < to && in.get(i) != ';' && !isBlank(in.get(i))) {
       throw new HttpException("bad chunk size");
     }
     return value;
   }
 
-  private static HttpHead head(Progress p, Buffer in) throws HttpException {
-    int end = headEnd(in);
-    if (end < 0) {
-      return null;
-    }
+  /**
+   * Takes a head off the buffer. Guards against spoilt answers that pass for good ones: a line that is no
+   * header, or lengths that contradict each other, leave open where the body ends.
+   */
+  private static HttpHead head(Progress p, Buffer in, int end) throws HttpException {
     int at = in.position();
-    if (end - at < 12 || !matches(in, at, "http/1.")) {
+    int statusEnd = textEnd(in, at, nextLine(in, at, end));
+    if (statusEnd - at < 12 || !matches(in, at, "http/1.") || in.get(at + 8) != ' '
+        || statusEnd > at + 12 && in.get(at + 12) != ' ') {
       throw new HttpException("no HTTP answer");
     }
-    int status = (int) digits(in, at + 9, at + 12);
+    int status = number(in, at + 9, at + 12);
     boolean declined = false;
     boolean closes = false;
     boolean chunked = false;
-    long length = status == 204 || status == 304 ? 0 : -1;
+    long length = -1;
     for (int line = nextLine(in, at, end); line < end; line = nextLine(in, line, end)) {
+      int textEnd = textEnd(in, line, nextLine(in, line, end));
+      if (textEnd == line) {
+        break;
+      }
+      checkName(in, line, textEnd);
       if (matches(in, line, "content-length:")) {
-        length = digits(in, line + 15, nextLine(in, line, end));
+        long stated = number(in, line + 15, textEnd);
+        if (length >= 0 && length != stated) {
+          throw new HttpException("lengths that contradict each other");
+        }
+        length = stated;
       } else if (matches(in, line, "transfer-encoding:")) {
-        chunked = contains(in, line, end, "chunked");
+        if (chunked || !isWord(in, line + 18, textEnd, "chunked")) {
+          throw new HttpException("an unknown transfer encoding");
+        }
+        chunked = true;
       } else if (matches(in, line, "connection:")) {
         closes = contains(in, line, end, "close");
       } else if (matches(in, line, "srv-declined:")) {
-        declined = digits(in, line + 13, nextLine(in, line, end)) == 1;
+        declined = isWord(in, line + 13, textEnd, "1");
       }
     }
-    if (!chunked && length < 0) {
+    in.position(end);
+    boolean noBody = status < 200 || status == 204 || status == 304;
+    if (status < 100 || status == 101 || chunked && length >= 0 || !noBody && !chunked && length < 0) {
       throw new HttpException("a body without a stated length can't be told from one cut off");
     }
-    in.position(end);
     // Guards against an answer that is never noticed: nothing is read for a body of no length.
-    boolean whole = !chunked && length == 0;
-    p.left = length;
+    boolean whole = noBody || length == 0;
+    p.left = noBody ? 0 : length;
     p.part = whole ? Part.HEAD : chunked ? Part.CHUNK_SIZE : Part.BODY;
-    return new HttpHead(status, declined, closes, whole);
+    return new HttpHead(status, declined, closes, whole, whole && in.hasRemaining());
+  }
+
+  /** A header begins with a name of visible characters and a colon. */
+  private static void checkName(Buffer in, int from, int to) throws HttpException {
+    int i = from;
+    while (i < to && in.get(i) > ' ' && in.get(i) < 0x7f && in.get(i) != ':') {
+      i++;
+    }
+    if (i == from || i == to || in.get(i) != ':') {
+      throw new HttpException("a line that is no header");
+    }
   }
 
   private static int headEnd(Buffer in) throws HttpException {
@@ -196,12 +229,50 @@
     return false;
   }
 
-  private static long digits(Buffer in, int from, int to) throws HttpException {
-    String text = in.toStringContent(StandardCharsets.ISO_8859_1, from, to).trim();
-    try {
-      return Integer.parseInt(text);
-    } catch (NumberFormatException e) {
-      throw new HttpException("not a number: " + text);
+  /** The end of a line's text, without the line's end. */
+  private static int textEnd(Buffer in, int from, int next) {
+    int end = next;
+    if (end > from && in.get(end - 1) == '\n') {
+      end--;
+    }
+    return end > from && in.get(end - 1) == '\r' ? end - 1 : end;
+  }
+
+  private static boolean isBlank(byte b) {
+    return b == ' ' || b == '\t';
+  }
+
+  /** True where a value, without the blanks round it, is this word. */
+  private static boolean isWord(Buffer in, int from, int to, String lowerCase) {
+    int start = from;
+    int end = to;
+    while (start < end && isBlank(in.get(start))) {
+      start++;
     }
+    while (end > start && isBlank(in.get(end - 1))) {
+      end--;
+    }
+    return end - start == lowerCase.length() && matches(in, start, lowerCase);
+  }
+
+  /** A number of up to nine digits, with blanks round it. */
+  private static int number(Buffer in, int from, int to) throws HttpException {
+    int value = 0;
+    int digits = 0;
+    boolean over = false;
+    for (int i = from; i < to; i++) {
+      int digit = in.get(i) - '0';
+      if (isBlank(in.get(i))) {
+        over = digits > 0;
+      } else if (over || digit < 0 || digit > 9 || ++digits > 9) {
+        throw new HttpException("not a number");
+      } else {
+        value = value * 10 + digit;
+      }
+    }
+    if (digits == 0) {
+      throw new HttpException("not a number");
+    }
+    return value;
   }
 }
--- a/src/main/java/beampoint/http/HttpHead.java
+++ b/src/main/java/beampoint/http/HttpHead.java
@@ -1,7 +1,7 @@
 package beampoint.http;
 
 /**
- * The head of an answer: its status, whether it says that nothing was done, whether the peer closes, and
- * whether it is all, as no body follows.
+ * The head of an answer: its status, whether it says that nothing was done, whether the peer closes, whether
+ * it is all, as no body follows, and whether more stands behind it then.
  */
-public record HttpHead(int status, boolean declined, boolean closes, boolean whole) {}
+public record HttpHead(int status, boolean declined, boolean closes, boolean whole, boolean surplus) {}
--- a/src/main/java/beampoint/memcache/Reply.java
+++ b/src/main/java/beampoint/memcache/Reply.java
@@ -2,8 +2,11 @@
 
 import org.glassfish.grizzly.Buffer;
 
-/** One answer of a cache node; the body is the value or the receipt, a slice of what was read. */
-public record Reply(Kind kind, Buffer id, Buffer body) {
+/**
+ * One answer of a cache node; the body is the value or the receipt, a slice of what was read. There is a
+ * surplus where more stands behind it than belongs to it.
+ */
+public record Reply(Kind kind, Buffer id, Buffer body, boolean surplus) {
 
   /** What the answer says; BAD is not of this protocol, and what follows it can't be read. */
   public enum Kind { VALUE, RECEIPT, MISS, FAILED, BUSY, ALIVE, BAD }
--- a/src/main/java/beampoint/memcache/ReplyFilter.java
+++ b/src/main/java/beampoint/memcache/ReplyFilter.java
@@ -3,6 +3,7 @@
 import beampoint.memcache.Reply.Kind;
 import java.io.IOException;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
@@ -17,8 +18,12 @@
     if (reply == null) {
       return ctx.getStopAction(in);
     }
+    if (reply.surplus() || reply.kind() == Kind.BAD) {
+      // One request is out at a time: what stands behind its answer belongs to none and may have no end.
+      ctx.getConnection().disableIOEvent(IOEvent.READ);
+    }
     ctx.setMessage(reply);
-    return in.hasRemaining() ? ctx.getInvokeAction(in) : ctx.getInvokeAction();
+    return ctx.getInvokeAction();
   }
 
   /** Takes one answer off the buffer; null, and nothing taken, while it is not whole. */
@@ -27,7 +32,7 @@
     if (words == null && in.remaining() <= CommandFilter.MAX_LINE) {
       return null;
     }
-    if (words == null || !words.next()) {
+    if (words == null || !words.isPlain() || !words.next()) {
       return bad(in);
     }
     int after = words.after();
@@ -42,27 +47,22 @@
       if (in.get(after + length) != '\r' || in.get(after + length + 1) != '\n') {
         return bad(in);
       }
-      Reply reply = new Reply(Kind.VALUE, flag(words, 'O'), in.slice(after, after + length));
       in.position(after + length + 2);
-      return reply;
+      return new Reply(Kind.VALUE, id(words), in.slice(after, after + length), in.hasRemaining());
     }
     in.position(after);
     if (words.is("HD")) {
-      return receipt(words);
+      return receipt(words, in.hasRemaining());
     }
     if (words.is("EN")) {
-      return new Reply(Kind.MISS, flag(words, 'O'), null);
-    }
-    if (words.is("MN")) {
-      return new Reply(Kind.ALIVE, null, null);
-    }
-    if (words.is("SERVER_ERROR")) {
-      return new Reply(words.next() && words.is("busy") ? Kind.BUSY : Kind.FAILED, null, null);
+      return new Reply(Kind.MISS, id(words), null, in.hasRemaining());
     }
-    return words.is("ERROR") || words.is("CLIENT_ERROR") ? new Reply(Kind.FAILED, null, null) : bad(in);
+    Kind kind = words.is("MN") ? Kind.ALIVE : words.is("ERROR") || words.is("CLIENT_ERROR") ? Kind.FAILED
+        : !words.is("SERVER_ERROR") ? Kind.BAD : words.next() && words.is("busy") ? Kind.BUSY : Kind.FAILED;
+    return kind == Kind.BAD ? bad(in) : new Reply(kind, null, null, in.hasRemaining());
   }
 
-  private static Reply receipt(Words words) {
+  private static Reply receipt(Words words, boolean surplus) {
     Buffer id = null;
     Buffer receipt = null;
     while (words.next()) {
@@ -72,20 +72,24 @@
         receipt = words.slice(1);
       }
     }
-    return new Reply(Kind.RECEIPT, id, receipt);
+    return new Reply(Kind.RECEIPT, id, receipt, surplus);
   }
 
-  private static Buffer flag(Words words, char letter) {
+  /** The id that an answer names; null where it names none, or two. */
+  private static Buffer id(Words words) {
+    Buffer id = null;
+    int count = 0;
     while (words.next()) {
-      if (words.first() == letter) {
-        return words.slice(1);
+      if (words.first() == 'O') {
+        id = words.slice(1);
+        count++;
       }
     }
-    return null;
+    return count == 1 ? id : null;
   }
 
   private static Reply bad(Buffer in) {
     in.position(in.limit());
-    return new Reply(Kind.BAD, null, null);
+    return new Reply(Kind.BAD, null, null, false);
   }
 }
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -6,6 +6,7 @@
 import beampoint.exchange.Answer;
 import beampoint.exchange.Exchange;
 import beampoint.http.HttpContent;
+import beampoint.http.HttpFault;
 import beampoint.http.HttpFilter;
 import beampoint.http.HttpHead;
 import beampoint.http.HttpWriter;
@@ -49,6 +50,7 @@
 public final class Upstreams {
 
   private static final Log LOG = Log.of("upstream");
+  private static final int MAX_BODY = 64 * 1024;
   private static final Map<Result, Counter> COUNTERS = new EnumMap<>(Result.class);
 
   static {
@@ -268,10 +270,12 @@
       bad(link, "an answer that nothing was asked for");
     } else if (message instanceof Reply reply) {
       answered(link, flight, reply);
+    } else if (message instanceof HttpFault fault) {
+      bad(link, fault.problem());
     } else if (message instanceof HttpHead head) {
       link.head = head;
       if (head.whole()) {
-        content(link, flight, new HttpContent(Buffers.EMPTY_BUFFER, true));
+        content(link, flight, new HttpContent(Buffers.EMPTY_BUFFER, true, head.surplus()));
       }
     } else if (message instanceof HttpContent content) {
       content(link, flight, content);
@@ -280,12 +284,12 @@
 
   private void answered(Link link, Flight flight, Reply reply) {
     Command command = flight.isProbe() ? null : flight.exchange.command();
-    boolean own = reply.id() == null || command != null && reply.id().equals(command.id());
+    boolean own = command != null && reply.id() != null && reply.id().equals(command.id());
     boolean write = command != null && command.kind() == Command.Kind.WRITE;
     Result result = switch (reply.kind()) {
-      case VALUE -> own && reply.id() != null && !write ? Result.OK : null;
-      case RECEIPT -> own && reply.id() != null && reply.body() != null && write ? Result.OK : null;
-      case MISS -> own && !flight.isProbe() ? Result.MISS : null;
+      case VALUE -> own && !write ? Result.OK : null;
+      case RECEIPT -> own && reply.body() != null && write ? Result.OK : null;
+      case MISS -> own ? Result.MISS : null;
       case ALIVE -> flight.isProbe() ? Result.OK : null;
       case BUSY -> Result.FULL;
       case FAILED -> Result.ERROR;
@@ -295,7 +299,7 @@
       bad(link, "an answer that does not fit: " + reply.kind());
       return;
     }
-    rest(link);
+    release(link, reply.surplus());
     boolean served = result == Result.OK && !flight.isProbe();
     Answer.Kind kind = reply.kind() == Reply.Kind.VALUE ? Answer.Kind.VALUE : Answer.Kind.RECEIPT;
     land(flight, result, served ? new Answer(kind, reply.body(), 0) : null);
@@ -304,16 +308,16 @@
   private void content(Link link, Flight flight, HttpContent content) {
     link.body = link.body == null ? content.bytes()
         : Buffers.appendBuffers(transport.getMemoryManager(), link.body, content.bytes());
+    if (link.body.remaining() > MAX_BODY) {
+      bad(link, "a body that is longer than any value");
+      return;
+    }
     if (!content.last()) {
       return;
     }
     HttpHead head = link.head;
     Buffer body = link.body;
-    if (head.closes()) {
-      close(link);
-    } else {
-      rest(link);
-    }
+    release(link, head.closes() || content.surplus());
     if (head.status() == 200) {
       boolean write = !flight.isProbe() && flight.exchange.command().kind() == Command.Kind.WRITE;
       Answer.Kind kind = write ? Answer.Kind.RECEIPT : Answer.Kind.VALUE;
@@ -324,21 +328,28 @@
     }
   }
 
-  /** After what can't be understood nothing more is read; the request may have run. */
+  /**
+   * After what can't be understood nothing more is read. The peer lives, and the request may have run: that
+   * is an error, and no reason to take the peer for broken as after a reset.
+   */
   private void bad(Link link, String what) {
     counters.add(Counter.UPSTREAM_BAD_REPLIES);
     LOG.warn(what + ", from " + link.pool.endpoint);
-    lost(link);
+    end(link, Result.ERROR);
   }
 
   /** The connection has ended or was never made. */
   private void lost(Link link) {
+    end(link, Result.RESET);
+  }
+
+  private void end(Link link, Result afterWriting) {
     Flight flight = link.flight;
     boolean written = link.written;
     close(link);
     if (flight != null) {
       // Before the request's last byte was written it can't have run: a cache node begins it only then.
-      land(flight, written ? Result.RESET : Result.CONNECT_FAILED, null);
+      land(flight, written ? afterWriting : Result.CONNECT_FAILED, null);
     }
   }
 
@@ -381,6 +392,15 @@
 
   // ---- Connections ----------------------------------------------------------------------------------------
 
+  /** Guards against a connection used again though more stands on it than its answer. */
+  private void release(Link link, boolean spent) {
+    if (spent) {
+      close(link);
+    } else {
+      rest(link);
+    }
+  }
+
   private void rest(Link link) {
     link.flight = null;
     link.written = false;
--- a/src/test/java/beampoint/memcache/ReplyFilterTest.java
+++ b/src/test/java/beampoint/memcache/ReplyFilterTest.java
@@ -1,7 +1,9 @@
 package beampoint.memcache;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.memcache.Reply.Kind;
 import java.nio.charset.StandardCharsets;
@@ -56,10 +58,29 @@
     assertEquals(Kind.ALIVE, parse("MN\r\n").kind());
   }
 
+  /** Guards against a connection used again though more stands on it than the answer. */
+  @Test
+  void whatStandsBehindAnAnswerIsToldWithIt() {
+    for (String answer : new String[] {"VA 2 O9b1f h1\r\nok\r\n", "HD O9b1f c1\r\n", "EN O9b1f h0\r\n",
+        "MN\r\n", "SERVER_ERROR busy\r\n"}) {
+      assertFalse(parse(answer).surplus(), answer);
+      assertTrue(parse(answer + "x").surplus(), answer);
+    }
+  }
+
+  /** Guards against an answer of which it is not clear whose it is. */
+  @Test
+  void anAnswerThatNamesTwoRequestsNamesNone() {
+    assertNull(parse("VA 0 O9b1f Oother\r\n\r\n").id());
+    assertNull(parse("EN O9b1f O9b1f\r\n").id());
+  }
+
   @Test
   void whatIsNotOfTheProtocolIsBad() {
     assertEquals(Kind.BAD, parse("HTTP/1.1 200 OK\r\n").kind());
     assertEquals(Kind.BAD, parse("\r\n").kind());
+    assertEquals(Kind.BAD, parse("EN\u0001 O9b1f\r\n").kind());
+    assertEquals(Kind.BAD, parse("VA 3000000000\r\nabc").kind());
     assertEquals(Kind.BAD, parse("VA x O9b1f\r\n").kind());
     assertEquals(Kind.BAD, parse("VA 70000 O9b1f\r\n").kind());
     assertEquals(Kind.BAD, parse("VA 2 O9b1f\r\nabcdef\r\n").kind());
