--- a/src/test/java/beampoint/serve/ProxyFixture.java
+++ b/src/test/java/beampoint/serve/ProxyFixture.java
@@ -59,16 +59,20 @@
     private final InputStream in;
 
     Client(ProxyFixture proxy) throws IOException {
-      this(proxy, 0);
+      this(proxy.port);
+    }
+
+    Client(int port) throws IOException {
+      this(port, 0);
     }
 
     /** A client that takes in only so many bytes ahead of its reading, if that is not 0. */
-    Client(ProxyFixture proxy, int receiveBuffer) throws IOException {
+    Client(int port, int receiveBuffer) throws IOException {
       socket = new Socket();
       if (receiveBuffer > 0) {
         socket.setReceiveBufferSize(receiveBuffer);
       }
-      socket.connect(new InetSocketAddress("127.0.0.1", proxy.port));
+      socket.connect(new InetSocketAddress("127.0.0.1", port));
       socket.setSoTimeout(5000);
       in = new BufferedInputStream(socket.getInputStream());
     }
--- a/src/test/java/beampoint/serve/ProxyTest.java
+++ b/src/test/java/beampoint/serve/ProxyTest.java
@@ -315,7 +315,7 @@
         peer.say("VA 65536 " + line.split(" ")[3] + "\r\n" + value + "\r\n");
       }
     }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
-        Client client = new Client(proxy, 4096)) {
+        Client client = new Client(proxy.port, 4096)) {
       proxy.sendTo("cache");
       for (int i = 0; i < count; i++) {
         client.say("mg " + i + " v O" + i + " Pc=read,d=9000\r\n");
--- /dev/null
+++ b/src/test/java/beampoint/serve/Rehearsal.java
@@ -0,0 +1,88 @@
+package beampoint.serve;
+
+import beampoint.Stub;
+import beampoint.cli.Main;
+import beampoint.serve.ProxyFixture.Client;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * Runs the program once among scripted peers, so that the build can list the classes it uses and archive
+ * them: a restarted proxy has a part of a core, and loading them from the jar was half of its start.
+ */
+public final class Rehearsal {
+
+  private static final int REQUESTS = 200;
+
+  private Rehearsal() {}
+
+  public static void main(String[] args) throws Exception {
+    Stub cache = new Stub(peer -> {
+      int count = 0;
+      for (String line = peer.line(); line != null; line = peer.line()) {
+        String id = line.startsWith("mg") ? line.split(" ")[3] : "";
+        peer.say(id.isEmpty() ? "MN\r\n" : switch (count++ % 100) {
+          case 0, 1 -> "EN " + id + " h0\r\n";
+          case 2 -> "SERVER_ERROR busy\r\n";
+          case 3 -> "nonsense\r\n";
+          default -> "VA 5 " + id + " h1\r\nvalue\r\n";
+        });
+      }
+    });
+    Stub origin = new Stub(peer -> {
+      for (String head = peer.head(); head != null; head = peer.head()) {
+        peer.bytes(head.startsWith("PUT") ? 5 : 0);
+        peer.say("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue");
+      }
+    });
+    String hosts = String.join(",", ProxyFixture.host("cache", cache.address(), "m2"),
+        ProxyFixture.host("gone", Stub.nobody(), "m2"),
+        ProxyFixture.host("origin", origin.address(), "origin"));
+    String list = "{\"seq\":2,\"whole\":true,\"hosts\":[" + hosts + "]}\n";
+    Stub.Script follows = peer -> {
+      peer.head();
+      peer.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+      peer.beSilent();
+    };
+    Path directory = Files.createTempDirectory("rehearsal");
+    int port;
+    try (ServerSocket free = new ServerSocket()) {
+      free.bind(new InetSocketAddress("127.0.0.1", 0));
+      port = free.getLocalPort();
+    }
+    Path config = configure(directory, port, new Stub(follows), hosts);
+    Main.main(new String[] {"serve", "--config", config.toString()});
+    try (Client client = new Client(port); Client leaving = new Client(port)) {
+      for (int i = 0; i < REQUESTS; i++) {
+        client.say(i % 10 == 0 ? "ms " + i + " 5 O" + i + " Pc=put,t=acme,d=900,k=" + i + "\r\nvalue\r\n"
+            : "mg " + i + " v O" + i + " Pc=read,t=acme,d=900\r\n");
+        if (client.line().startsWith("VA")) {
+          client.line();
+        }
+      }
+      leaving.say("mg 1 v Oleaving Pc=read,t=acme,d=900\r\n");
+      for (String command : List.of("mn", "version", "mg", "hello", "mg 1 v O1 Pc=none,d=1")) {
+        client.ask(command + "\r\n");
+      }
+      configure(directory, port, new Stub(follows), hosts);
+      String self = Long.toString(ProcessHandle.current().pid());
+      new ProcessBuilder("kill", "-HUP", self).start().waitFor();
+      client.say("stats\r\n");
+      while (!client.line().equals("END")) {
+        // read on
+      }
+    }
+    System.exit(0); // as a SIGTERM does
+  }
+
+  private static Path configure(Path directory, int port, Stub discovery, String hosts) throws Exception {
+    String text = "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"seed\":\"1\",\"discovery\":\""
+        + discovery.address() + "\",\"limits\":{\"sockets\":384},\"known\":{\"seq\":1,\"whole\":true,"
+        + "\"hosts\":[" + hosts + "]},\"settings\":" + ProxyFixture.SETTINGS + "}";
+    return Files.writeString(directory.resolve("config.json"), text);
+  }
+}
