--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -39,26 +39,57 @@
           sessions.loop().execute(Session.this::answerWritten);
         }
       };
+  private double restsSince; // without a whole command, a half one once it has been seen
+  private boolean spoke;
+  private boolean half;
   private int unwritten;
   private boolean ended; // no command that comes after can be read
   private boolean closing;
   private boolean closed;
 
   @SuppressWarnings("unchecked") // all connections of a TCP transport have socket addresses
-  Session(Connection<?> connection, Sessions sessions) {
+  Session(Connection<?> connection, Sessions sessions, double openedAt) {
     this.connection = (Connection<SocketAddress>) connection;
     this.sessions = sessions;
+    this.restsSince = openedAt;
   }
 
   /** True where nothing that was read is unanswered, also what is on its way from the selector's thread. */
-  boolean isIdle() {
+  private boolean isIdle() {
     return sessions.pending(connection) == 0;
   }
 
+  boolean isOpenAndIdle() {
+    return !closing && isIdle();
+  }
+
+  /** True where no command has ever come that could be read. */
+  boolean isSilent() {
+    return !spoke;
+  }
+
+  /** Closes the connection where nobody will use it: it says nothing, or half a command and no more. */
+  void closeWhenStale(double now, boolean hasHalf, double silence, double idle) {
+    if (closing || !isIdle()) {
+      restsSince = now;
+      return;
+    }
+    if (hasHalf && !half && spoke) {
+      restsSince = now;
+    }
+    half = hasHalf;
+    if (now - restsSince >= (spoke && !half ? idle : silence)) {
+      sessions.counters().add(Counter.CLIENT_CONNECTIONS_CLOSED_STALE);
+      closeWhenIdle();
+    }
+  }
+
   void command(Command command, double readAt) {
     if (closed || ended) {
       return;
     }
+    spoke |= command.problem() == null;
+    restsSince = readAt;
     Slot slot = new Slot();
     slots.add(slot);
     Writer writer = sessions.writer();
@@ -85,16 +116,16 @@
   }
 
   private void request(Slot slot, Command command, double readAt) {
-    Exchange exchange = sessions.intake().take(command, readAt, answer -> {
+    String problem = sessions.intake().problem(command);
+    if (problem != null) {
+      sessions.counters().add(Counter.BAD_COMMANDS);
+      slot.answer = sessions.writer().line("CLIENT_ERROR " + problem);
+      return;
+    }
+    slot.exchange = sessions.intake().take(command, readAt, answer -> {
       slot.answer = encode(command, answer);
       flush();
     });
-    if (exchange == null) {
-      sessions.counters().add(Counter.BAD_COMMANDS);
-      slot.answer = sessions.writer().line("CLIENT_ERROR unknown class");
-    } else {
-      slot.exchange = exchange;
-    }
   }
 
   private static String stats(Counters counters) {
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -10,11 +10,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleSupplier;
 import org.glassfish.grizzly.Connection;
@@ -35,9 +35,12 @@
 
   private static final Log LOG = Log.of("client");
   private static final int MAX_PENDING = 32; // commands read and not answered, on one connection
+  private static final long SWEEP_MS = 250;
+  private static final double SILENCE_MS = 2000; // before the first command, or in the middle of one
+  private static final double IDLE_MS = 15_000; // between commands
 
   private final TCPNIOTransport transport;
-  private final Executor loop;
+  private final ScheduledExecutorService loop;
   private final DoubleSupplier clock;
   private final Intake intake;
   private final Counters counters;
@@ -47,11 +50,12 @@
   private final AtomicInteger accepted = new AtomicInteger();
   private final Attribute<AtomicInteger> pending =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("pending-commands", AtomicInteger::new);
+  private final CommandFilter codec = new CommandFilter();
   private TCPNIOServerConnection listener;
   private volatile boolean full;
 
-  public Sessions(TCPNIOTransport transport, Executor loop, DoubleSupplier clock, Intake intake,
-      Counters counters, int maxConnections) {
+  public Sessions(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
+      Intake intake, Counters counters, int maxConnections) {
     this.transport = transport;
     this.loop = loop;
     this.clock = clock;
@@ -59,12 +63,13 @@
     this.counters = counters;
     this.maxConnections = maxConnections;
     this.writer = new Writer(transport.getMemoryManager());
+    loop.scheduleWithFixedDelay(this::closeStale, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Listens on this address only; returns the port, which the system picks where it is 0. */
   public int listen(SocketAddress address) throws IOException {
     FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter())
-        .add(new CommandFilter()).add(new Events());
+        .add(codec).add(new Events());
     listener = TCPNIOBindingHandler.builder(transport).processor(chain.build()).build().bind(address);
     return ((InetSocketAddress) listener.getLocalAddress()).getPort();
   }
@@ -111,20 +116,37 @@
   }
 
   private void opened(Connection<?> connection) {
-    Session session = new Session(connection, this);
+    Session session = new Session(connection, this, clock.getAsDouble());
     open.put(connection, session);
-    // Guards against a full house of idle clients: the one that was idle longest makes room for others.
-    Iterator<Session> all = open.values().iterator();
-    for (int over = open.size() - maxConnections * 9 / 10; over > 0 && all.hasNext();) {
-      Session old = all.next();
-      if (old != session && old.isIdle()) {
+    // Guards against a full house: who has said nothing for longest makes room for others, before who has
+    // been idle for longest. Crowds that only connect must not cost the usual clients their connections.
+    if (open.size() > maxConnections * 9 / 10) {
+      Session old = longestUnused(true, session);
+      old = old == null ? longestUnused(false, session) : old;
+      if (old != null) {
         counters.add(Counter.CLIENT_CONNECTIONS_CLOSED_FULL);
         old.closeWhenIdle();
-        over--;
       }
     }
   }
 
+  private Session longestUnused(boolean silent, Session except) {
+    for (Session session : open.values()) {
+      if (session != except && session.isSilent() == silent && session.isOpenAndIdle()) {
+        return session;
+      }
+    }
+    return null;
+  }
+
+  /** Guards against connections that are held and not used, and so keep others out. */
+  private void closeStale() {
+    double now = clock.getAsDouble();
+    for (Map.Entry<Connection<?>, Session> entry : List.copyOf(open.entrySet())) {
+      entry.getValue().closeWhenStale(now, codec.hasHalf(entry.getKey()), SILENCE_MS, IDLE_MS);
+    }
+  }
+
   private void closed(Connection<?> connection) {
     Session session = open.remove(connection);
     if (session != null) {
@@ -194,7 +216,7 @@
     return counters;
   }
 
-  Executor loop() {
+  ScheduledExecutorService loop() {
     return loop;
   }
 }
--- a/src/main/java/beampoint/exchange/Intake.java
+++ b/src/main/java/beampoint/exchange/Intake.java
@@ -9,7 +9,10 @@
   /** True once requests can be decided. */
   boolean isReady();
 
-  /** Takes a request that had come whole at the given time; null where its class is not known. */
+  /** What is wrong with a request that can't be taken, or null. */
+  String problem(Command command);
+
+  /** Takes a request that had come whole at the given time. */
   Exchange take(Command command, double readAt, Consumer<Answer> client);
 
   /** The client of a request has left. */
--- a/src/main/java/beampoint/memcache/CommandFilter.java
+++ b/src/main/java/beampoint/memcache/CommandFilter.java
@@ -2,7 +2,13 @@
 
 import beampoint.memcache.Command.Kind;
 import java.io.IOException;
+import java.util.HashSet;
+import java.util.Set;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
@@ -12,16 +18,44 @@
 
   static final int MAX_LINE = 4096;
   static final int MAX_KEY = 250;
+  static final int MAX_ID = 32;
   static final int MAX_VALUE = 64 * 1024;
+  private static final int MAX_BAD = 8; // commands that can't be taken, on one connection
+
+  /** What was read of one connection. Belongs to the selector's thread, but for {@code half}. */
+  private static final class Reading {
+    private int bad;
+    private boolean over;
+    private volatile boolean half;
+  }
+
+  private final Attribute<Reading> readings =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("commands-read", Reading::new);
+
+  /** True while a command has begun on a connection and is not whole. */
+  public boolean hasHalf(Connection<?> connection) {
+    return readings.get(connection).half;
+  }
 
   @Override
   public NextAction handleRead(FilterChainContext ctx) throws IOException {
     Buffer in = ctx.getMessage();
-    Command command = parse(in);
+    Reading reading = readings.get(ctx.getConnection());
+    Command command = reading.over ? null : parse(in);
+    reading.half = command == null && !reading.over;
     if (command == null) {
-      return ctx.getStopAction(in);
+      return reading.over ? ctx.getStopAction() : ctx.getStopAction(in);
+    }
+    // Guards against clients that send nonsense at full speed: each such line costs an answer.
+    if (command.kind() == Kind.BAD && ++reading.bad == MAX_BAD) {
+      command = Command.of(Kind.FATAL, command.problem());
     }
     ctx.setMessage(command);
+    if (command.kind() == Kind.FATAL) {
+      reading.over = true;
+      ctx.getConnection().disableIOEvent(IOEvent.READ);
+      return ctx.getInvokeAction();
+    }
     return in.hasRemaining() ? ctx.getInvokeAction(in) : ctx.getInvokeAction();
   }
 
@@ -58,7 +92,6 @@
   }
 
   private static Command request(Buffer in, Words words, Kind kind) {
-    String problem = null;
     boolean hasKey = words.next() && words.length() <= MAX_KEY;
     Buffer key = hasKey ? words.slice(0) : null;
     Buffer value = null;
@@ -83,58 +116,70 @@
     }
     Buffer id = null;
     Buffer list = null;
+    boolean wantsValue = false;
+    boolean good = true;
     while (words.next()) {
       switch (words.first()) {
-        case 'O' -> id = words.slice(1);
-        case 'P' -> list = words.slice(1);
-        case 'v' -> problem = words.length() == 1 ? problem : "CLIENT_ERROR invalid flag";
-        default -> problem = "CLIENT_ERROR invalid flag";
+        case 'O' -> {
+          good &= id == null && words.length() <= MAX_ID + 1;
+          id = words.slice(1);
+        }
+        case 'P' -> {
+          good &= list == null;
+          list = words.slice(1);
+        }
+        default -> {
+          good &= words.is("v") && !wantsValue;
+          wantsValue = true;
+        }
       }
     }
     in.position(after);
-    if (problem != null || !hasKey || id == null || list == null || !id.hasRemaining()) {
-      return Command.of(Kind.BAD, problem == null ? "CLIENT_ERROR bad command line format" : problem);
+    if (!good || wantsValue != (kind == Kind.READ)) {
+      return Command.of(Kind.BAD, "CLIENT_ERROR invalid flag");
+    }
+    if (!hasKey || id == null || list == null || !id.hasRemaining()) {
+      return Command.of(Kind.BAD, "CLIENT_ERROR bad command line format");
     }
     return withList(kind, key, id, list, value);
   }
 
+  /** Reads the list; a name may stand in it once, or it would mean one thing here and another further on. */
   private static Command withList(Kind kind, Buffer key, Buffer id, Buffer list, Buffer value) {
+    Set<String> names = new HashSet<>();
     String requestClass = null;
     String tenant = null;
     int waitFrom = 0;
     int waitTo = 0;
+    boolean good = true;
     int from = list.position();
-    while (from < list.limit()) {
-      int to = from;
-      while (to < list.limit() && list.get(to) != ',') {
-        to++;
-      }
-      if (to - from >= 2 && list.get(from + 1) == '=') {
-        switch ((char) list.get(from)) {
-          case 'c' -> requestClass = Words.text(list, from + 2, to);
-          case 't' -> tenant = Words.text(list, from + 2, to);
-          case 'd' -> {
-            waitFrom = from + 2;
-            waitTo = to;
-          }
-          default -> { }
-        }
+    while (good && from <= list.limit()) {
+      int to = find(list, ',', from, list.limit());
+      int equals = find(list, '=', from, to);
+      String name = Words.text(list, from, equals);
+      good = equals > from && equals + 1 < to && names.add(name);
+      if (good && name.equals("c")) {
+        requestClass = Words.text(list, equals + 1, to);
+      } else if (good && name.equals("t")) {
+        tenant = Words.text(list, equals + 1, to);
+      } else if (good && name.equals("d")) {
+        waitFrom = equals + 1;
+        waitTo = to;
       }
       from = to + 1;
     }
-    int wait = wholePart(list, waitFrom, waitTo);
-    if (requestClass == null || wait < 0) {
+    int wait = Words.number(list, waitFrom, waitTo);
+    if (!good || requestClass == null || wait < 0) {
       return Command.of(Kind.BAD, "CLIENT_ERROR class or time to wait missing");
     }
     return new Command(kind, key, id, list, waitFrom, waitTo, value, requestClass, tenant, wait, null);
   }
 
-  /** Milliseconds may have a fraction, which is dropped. */
-  private static int wholePart(Buffer list, int from, int to) {
-    int end = from;
-    while (end < to && list.get(end) != '.') {
-      end++;
+  private static int find(Buffer in, char sought, int from, int to) {
+    int i = from;
+    while (i < to && in.get(i) != sought) {
+      i++;
     }
-    return Words.number(list, from, end);
+    return i;
   }
 }
--- a/src/main/java/beampoint/memcache/ReplyFilter.java
+++ b/src/main/java/beampoint/memcache/ReplyFilter.java
@@ -32,7 +32,7 @@
     if (words == null && in.remaining() <= CommandFilter.MAX_LINE) {
       return null;
     }
-    if (words == null || !words.isPlain() || !words.next()) {
+    if (words == null || !words.next()) {
       return bad(in);
     }
     int after = words.after();
--- a/src/main/java/beampoint/memcache/Words.java
+++ b/src/main/java/beampoint/memcache/Words.java
@@ -36,10 +36,10 @@
     return after;
   }
 
-  /** True if the line holds no control characters. */
+  /** True if the line holds visible ASCII characters and blanks only. */
   boolean isPlain() {
     for (int i = in.position(); i < lineEnd; i++) {
-      if ((in.get(i) & 0xff) < ' ' || in.get(i) == 0x7f) {
+      if (in.get(i) < ' ' || in.get(i) == 0x7f) {
         return false;
       }
     }
--- a/src/main/java/beampoint/serve/Config.java
+++ b/src/main/java/beampoint/serve/Config.java
@@ -19,7 +19,7 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
     int sockets, HostList known, Settings settings, SocketSettings socketSettings) {
 
-  private static final int MIN_SOCKETS = 104;
+  private static final int MIN_SOCKETS = 40;
 
   /** Reads the file; whatever is wrong with it is told in one plain sentence. */
   public static Config read(Path file) throws InputException {
--- a/src/main/java/beampoint/serve/Directory.java
+++ b/src/main/java/beampoint/serve/Directory.java
@@ -33,6 +33,12 @@
     return settings.classes().indexOf(command.requestClass());
   }
 
+  /** False for a tenant that the settings don't name, where they name any. */
+  boolean knowsTenant(Command command) {
+    return command.tenant() == null || settings.tenants().isEmpty()
+        || settings.tenants().contains(command.tenant());
+  }
+
   int tenant(Command command) {
     return command.tenant() == null ? 0 : number(settings.tenants(), command.tenant());
   }
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -29,15 +29,19 @@
 import beampoint.upstream.Reports;
 import beampoint.upstream.Upstreams;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.glassfish.grizzly.memory.HeapMemoryManager;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
@@ -51,7 +55,7 @@
 public final class Proxy implements Intake, Reports {
 
   private static final Log LOG = Log.of("serve");
-  private static final int RESERVED_DESCRIPTORS = 96; // for the machine, discovery and standard streams
+  private static final int RESERVED_DESCRIPTORS = 32; // for the machine, discovery and standard streams
   private static final int READ_BUFFER = 32 * 1024; // at most this is read at once, however much has come
   private static final double LATE_MS = 15; // after which the proxy itself fails what nobody answered
   private static final long FRONT_LEAVES_MS = 450; // after a SIGTERM new clients come for up to 400 ms
@@ -73,6 +77,7 @@
   private final Sessions sessions;
   private final Watch watch;
   private final Map<Long, Exchange> exchanges = new HashMap<>(); // open, or with an attempt out
+  private final Set<String> idsInUse = new HashSet<>(); // of these, as the clients word them
   private final CountDownLatch drained = new CountDownLatch(1);
   private int port;
   private long lastId;
@@ -159,16 +164,26 @@
     return ready;
   }
 
+  /** Guards against an id that stands for two requests at once: an answer names its request by it. */
+  @Override
+  public String problem(Command command) {
+    return directory.requestClass(command) < 0 ? "unknown class"
+        : !directory.knowsTenant(command) ? "unknown tenant"
+        : idsInUse.contains(id(command)) ? "id in use" : null;
+  }
+
+  private static String id(Command command) {
+    return command.id().toStringContent(StandardCharsets.ISO_8859_1);
+  }
+
   @Override
   public Exchange take(Command command, double readAt, Consumer<Answer> client) {
     int requestClass = directory.requestClass(command);
-    if (requestClass < 0) {
-      return null;
-    }
     double notAfter = readAt + command.waitMs();
     Exchange exchange = new Exchange(++lastId, command, notAfter, client, counters);
     counters.add(Counter.REQUESTS_TAKEN);
     exchanges.put(exchange.id(), exchange);
+    idsInUse.add(id(command));
     // Queued, as its place in the order of answers must stand before the module may answer.
     loop.execute(() -> {
       after(notAfter + LATE_MS - now(), () -> failLate(exchange.id()));
@@ -217,11 +232,14 @@
 
   private void listed(HostList list, ListKind kind) {
     List<Endpoint> endpoints = new ArrayList<>();
+    if (kind == ListKind.FULL) {
+      upstreams.retain(list.hosts().stream().map(Host::host).collect(Collectors.toSet()));
+    }
     for (Host host : list.hosts()) {
       Endpoint endpoint = directory.endpoint(host);
       endpoints.add(endpoint);
       if (endpoint.state() == EndpointState.GONE) {
-        upstreams.closeIdle(endpoint.id());
+        upstreams.remove(endpoint.id());
       } else {
         upstreams.place(endpoint.id(), host.dial(), endpoint.kind() == settings.originKind(),
             endpoint.startedAt());
@@ -312,6 +330,7 @@
   private void forget(Exchange exchange) {
     if (exchange.isOver() && exchange.attemptsOut() == 0) {
       exchanges.remove(exchange.id());
+      idsInUse.remove(id(exchange.command()));
     }
   }
 
--- a/src/main/java/beampoint/upstream/Pool.java
+++ b/src/main/java/beampoint/upstream/Pool.java
@@ -1,5 +1,6 @@
 package beampoint.upstream;
 
+import beampoint.settings.Address;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -9,12 +10,15 @@
 
   final String endpoint;
   final Deque<Link> idle = new ArrayDeque<>();
+  final InetSocketAddress dial;
+  final String host; // the address as HTTP names it
+  final double startedAt;
   boolean origin;
-  InetSocketAddress dial;
-  String host; // the address as HTTP names it
-  double startedAt;
 
-  Pool(String endpoint) {
+  Pool(String endpoint, InetSocketAddress dial, double startedAt) {
     this.endpoint = endpoint;
+    this.dial = dial;
+    this.host = Address.text(dial);
+    this.startedAt = startedAt;
   }
 }
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -15,13 +15,13 @@
 import beampoint.memcache.Reply;
 import beampoint.memcache.ReplyFilter;
 import beampoint.memcache.Writer;
-import beampoint.settings.Address;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
@@ -128,16 +128,26 @@
 
   /** Takes an endpoint's address; a new address or a new start makes its old connections worthless. */
   public void place(String endpoint, InetSocketAddress dial, boolean origin, double startedAt) {
-    Pool pool = pools.computeIfAbsent(endpoint, Pool::new);
-    if (!dial.equals(pool.dial) || startedAt != pool.startedAt) {
-      closeIdle(endpoint);
-      pool.dial = dial;
-      pool.host = Address.text(dial);
-      pool.startedAt = startedAt;
+    Pool pool = pools.get(endpoint);
+    if (pool == null || !dial.equals(pool.dial) || startedAt != pool.startedAt) {
+      remove(endpoint);
+      pool = new Pool(endpoint, dial, startedAt);
+      pools.put(endpoint, pool);
     }
     pool.origin = origin;
   }
 
+  /** Forgets an endpoint that is gone; the connections still in use are closed once they are free. */
+  public void remove(String endpoint) {
+    closeIdle(endpoint);
+    pools.remove(endpoint);
+  }
+
+  /** Forgets all endpoints but these. */
+  public void retain(Set<String> endpoints) {
+    List.copyOf(pools.keySet()).stream().filter(e -> !endpoints.contains(e)).forEach(this::remove);
+  }
+
   public void closeIdle(String endpoint) {
     Pool pool = pools.get(endpoint);
     while (pool != null && !pool.idle.isEmpty()) {
@@ -231,7 +241,7 @@
     if (link.closed) {
       connection.terminateSilently();
     } else if (link.flight == null) {
-      rest(link);
+      release(link, false);
     } else {
       write(link);
     }
@@ -392,9 +402,12 @@
 
   // ---- Connections ----------------------------------------------------------------------------------------
 
-  /** Guards against a connection used again though more stands on it than its answer. */
+  /**
+   * Guards against a connection used again though more stands on it than its answer, or though its endpoint
+   * is gone, has moved or has started anew.
+   */
   private void release(Link link, boolean spent) {
-    if (spent) {
+    if (spent || pools.get(link.pool.endpoint) != link.pool) {
       close(link);
     } else {
       rest(link);
--- a/src/test/java/beampoint/memcache/CommandFilterTest.java
+++ b/src/test/java/beampoint/memcache/CommandFilterTest.java
@@ -92,6 +92,23 @@
     isRefused(Kind.BAD, "CLIENT_ERROR", "mg " + "k".repeat(251) + " v Oid Pc=read,d=1\r\n");
   }
 
+  /** Guards against a command that means one thing here and another further on, or that nobody can answer. */
+  @Test
+  void aCommandHasTheFormOfTheProtocolOrIsNotTaken() {
+    for (String odd : new String[] {"mg k Oid Pc=r,d=1", "mg k v v Oid Pc=r,d=1", "mg k v Oid Oid Pc=r,d=1",
+        "mg k v Oid Pc=r,d=1 Pc=r,d=2", "mg k v O Pc=r,d=1", "mg k v O" + "i".repeat(33) + " Pc=r,d=1",
+        "mg k v Oid P", "mg k v Oid Pc=r,d=1,d=2", "mg k v Oid Pc=r,c=s,d=1", "mg k v Oid Pc=r,d=-1",
+        "mg k v Oid Pc=r,d=1.x", "mg k v Oid Pc=r,d=+1", "mg k v Oid Pc=r,d=1e3", "mg k v Oid Pc=r,d=",
+        "mg k v Oid Pc=r,d=99999999999", "mg k v Oid Pc=,d=1", "mg k v Oid Pc=r,,d=1", "mg k v Oid Pc=r,d=1,",
+        "mg k v Oid Pc=r,d=1,t", "mg k v Oid Pd=1", "mg k 5 Oid Pc=r,d=1"}) {
+      isRefused(Kind.BAD, "CLIENT_ERROR", odd + "\r\n");
+    }
+    isRefused(Kind.BAD, "CLIENT_ERROR", "ms k 2 v Oid Pc=r,d=1\r\nab\r\n");
+    isRefused(Kind.FATAL, "CLIENT_ERROR", "ms k -2 Oid Pc=r,d=1\r\nab\r\n");
+    isRefused(Kind.FATAL, "CLIENT_ERROR", "mg \u00e9 v Oid Pc=r,d=1\r\n");
+    assertEquals(Kind.READ, parse("mg k v Oid Pc=r,size=7,r=1,d=1\r\n").kind());
+  }
+
   @Test
   void whatCanNotBeReadOnEndsTheConnection() {
     isRefused(Kind.FATAL, "CLIENT_ERROR line too long", "m".repeat(5000));
