A proxy is ready once it is warm; beliefs fade when nothing is asked; no attempt is leaked

A probe that logged beliefs twice a second (not kept) showed two causes. 1. In the first second code is compiled (1.2 s of C1 for 2100 methods at half a core): answers waited 60 to 140 ms for the decision thread, attempts timed out, caches looked slow (480 ms); reads were then refused, nothing was asked, and the mean of what was seen does not move without new evidence (Logic.fleetTime; 5.5 s in the test). 2. 15 attempts stood as out for ever, growing older: a client that left before its request was told was told as gone first and as a request after that (Proxy.take); its attempts were never ended. Ruled out: the times that classes take longer (-3 to 10 ms), skipped caches (none), the tenants' shares.

Now a proxy runs its paths before mn is answered MN (WarmUp: 1000 made-up events, 400 questions to itself); the evidence of all caches fades by how long none has been asked; a request whose client has left is not told.

--- /dev/null
+++ b/src/main/java/beampoint/Heat.java
@@ -0,0 +1,35 @@
+package beampoint;
+
+import java.util.Arrays;
+
+/** How often each bucket was asked for of late; it holds counts and decides nothing. */
+final class Heat {
+
+  private final double[] counts;
+  private final double halfLife;
+  private double total;
+  private double halvedAt;
+
+  Heat(int buckets, double halfLife) {
+    this.counts = new double[buckets];
+    this.halfLife = halfLife;
+  }
+
+  void add(double now, int bucket) {
+    if (now - halvedAt >= halfLife) {
+      Arrays.setAll(counts, i -> counts[i] / 2);
+      total /= 2;
+      halvedAt = now;
+    }
+    counts[bucket]++;
+    total++;
+  }
+
+  double of(int bucket) {
+    return counts[bucket];
+  }
+
+  double total() {
+    return total;
+  }
+}
--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -119,9 +119,7 @@
 
   // ---- Pick -----------------------------------------------------------------------------------------------
 
-  private final double[] heat = new double[BUCKETS]; // recent requests of each bucket
-  private double heatTotal;
-  private double heatHalvedAt;
+  private final Heat heat = new Heat(BUCKETS, HEAT_FADE); // recent requests of each bucket
 
   /** The primary, or the next distinct cache when that one is busy; null if neither can take it. */
   private Node pick(Request r) {
@@ -173,22 +171,12 @@
 
   /** A bucket has as many primaries as its traffic fills: a key hotter than two caches would sink them. */
   private int copy(Request r) {
-    double share = Math.max(0, heat[r.bucket] - 1) / (heatTotal + caches.size());
+    double share = Math.max(0, heat.of(r.bucket) - 1) / (heat.total() + caches.size());
     double warmth = caches.isEmpty() ? 1 : warmth(ring.owner(ring.after(Hash.of(~(long) r.bucket))));
     double most = COPY_PART * warmth / Math.max(1, caches.size());
     return (int) Math.max(0, Math.min(caches.size() - 2, r.luck * (1 + Math.floor(share / most))));
   }
 
-  private void countHeat(int bucket) {
-    if (now - heatHalvedAt >= HEAT_FADE) {
-      Arrays.setAll(heat, i -> heat[i] / 2);
-      heatTotal /= 2;
-      heatHalvedAt = now;
-    }
-    heat[bucket]++;
-    heatTotal++;
-  }
-
   private final Mean pool = new Mean(); // logarithms of times at all caches
   private final Mean taken = new Mean(); // requests
   private final double[] extraTime; // by how much a class takes longer than others, or less
@@ -221,9 +209,13 @@
     return Math.max(time * Math.max(1, (node.inFlight + 1) / depth), node.oldest(now));
   }
 
-  /** The recent time at all caches and the age of what is out, as a jam gives no answers; it fades. */
+  /**
+   * The recent time at all caches and the age of what is out, as a jam gives no answers. It fades, the sooner
+   * the longer none is asked: else refusals, which end the evidence, would uphold what they rest on.
+   */
   private double fleetTime() {
-    double answered = pool.value(now, FADE, 0, PRIOR / 8);
+    double silence = outAtCaches > 0 ? 0 : pool.count(now, FADE) * pool.age(now) / memory();
+    double answered = pool.value(now, FADE, 0, PRIOR / 8 + silence);
     double age = outAtCaches == 0 ? 0 : Math.log(Math.max(1, now - outSince / outAtCaches));
     double known = (age * outAtCaches + answered * PRIOR) / (outAtCaches + PRIOR);
     return Math.exp(age <= answered ? answered : pool.value(now, FADE, known, outAtCaches + PRIOR));
@@ -384,7 +376,7 @@
     r.bucket = (int) Long.remainderUnsigned(Hash.of(e.key() >= 0 ? e.key() : ~e.id()), BUCKETS);
     r.overShare = e.tenant() < usages.size() && countUsage(e.tenant());
     requests.put(r.id, r);
-    countHeat(r.bucket);
+    heat.add(now, r.bucket);
     taken.add(now, LONGEST_FADE, 1);
     retryBudget = Math.min(RETRY_SAVED, retryBudget + RETRY_SHARE);
     dispatch(r);
@@ -484,7 +476,9 @@
 
   private void closeIdle() {
     double hold = holdTime();
-    idle.removeIf(node -> node.inFlight == 0 && now >= node.usedAt + hold
+    // Hosts that are gone leave the list too: those that come in their place have new names.
+    idle.removeIf(node -> node.inFlight == 0
+        && (now >= node.usedAt + hold || node.entry.state() == EndpointState.GONE)
         && out.add(new CloseIdle(node.entry.id())));
   }
 
--- a/src/main/java/beampoint/Mean.java
+++ b/src/main/java/beampoint/Mean.java
@@ -6,9 +6,11 @@
   private double sum;
   private double count;
   private double at;
+  private double addedAt;
 
   void add(double now, double halfLife, double value) {
     fade(now, halfLife);
+    addedAt = now;
     sum += value;
     count++;
   }
@@ -25,6 +27,11 @@
     return count;
   }
 
+  /** How long ago the last observation was. */
+  double age(double now) {
+    return now - addedAt;
+  }
+
   /** Observations a millisecond. */
   double rate(double now, double halfLife) {
     return count(now, halfLife) * Math.log(2) / halfLife;
--- a/src/main/java/beampoint/cli/Main.java
+++ b/src/main/java/beampoint/cli/Main.java
@@ -101,7 +101,7 @@
       Thread end = new Thread(() -> end(proxy), "end");
       Runtime.getRuntime().addShutdownHook(end);
       try {
-        proxy.start();
+        proxy.startWarm();
         return SERVING;
       } catch (IOException e) {
         Runtime.getRuntime().removeShutdownHook(end);
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -66,12 +66,12 @@
     loop.scheduleWithFixedDelay(this::closeStale, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
-  /** Listens on this address only; returns the port, which the system picks where it is 0. */
-  public int listen(SocketAddress address) throws IOException {
+  /** Listens on this address only; returns it with the port that the system picks where it is 0. */
+  public InetSocketAddress listen(SocketAddress address) throws IOException {
     FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter())
         .add(codec).add(new Events());
     listener = TCPNIOBindingHandler.builder(transport).processor(chain.build()).build().bind(address);
-    return ((InetSocketAddress) listener.getLocalAddress()).getPort();
+    return (InetSocketAddress) listener.getLocalAddress();
   }
 
   /** Runs on the selector's thread and hands all on to the decision thread. */
--- a/src/main/java/beampoint/memcache/ReplyFilter.java
+++ b/src/main/java/beampoint/memcache/ReplyFilter.java
@@ -11,6 +11,12 @@
 /** Reads the answers of cache nodes. A value is given on only whole: what is cut off is no answer. */
 public final class ReplyFilter extends BaseFilter {
 
+  /**
+   * The longest value that is passed on. Clients may send 64 KiB; but caches and origin were seen to hold
+   * values of 400 KiB, which came whole. What is said to be longer is spoilt, and would fill the memory.
+   */
+  public static final int MAX_VALUE = 1024 * 1024;
+
   @Override
   public NextAction handleRead(FilterChainContext ctx) throws IOException {
     Buffer in = ctx.getMessage();
@@ -38,7 +44,7 @@
     int after = words.after();
     if (words.is("VA")) {
       int length = words.next() ? words.number() : -1;
-      if (length < 0 || length > CommandFilter.MAX_VALUE) {
+      if (length < 0 || length > MAX_VALUE) {
         return bad(in);
       }
       if (in.limit() - after < length + 2) {
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -29,8 +29,8 @@
 import beampoint.upstream.Reports;
 import beampoint.upstream.Upstreams;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -67,6 +67,7 @@
   private Config config; // belongs to the decision thread
   private final String name;
   private final Settings settings;
+  private final Function<Settings, Balancer> factory;
   private final Balancer balancer;
   private final Counters counters = new Counters();
   private final Clock clock = new Clock();
@@ -79,15 +80,17 @@
   private final Map<Long, Exchange> exchanges = new HashMap<>(); // open, or with an attempt out
   private final Set<String> idsInUse = new HashSet<>(); // of these, as the clients word them
   private final CountDownLatch drained = new CountDownLatch(1);
-  private int port;
+  private InetSocketAddress address;
   private long lastId;
-  private boolean ready;
+  private boolean listed; // any host at all
+  private volatile boolean warm = true; // code is compiled
   private double endsBy = Double.POSITIVE_INFINITY;
 
   public Proxy(Config config, Function<Settings, Balancer> factory) {
     this.config = config;
     this.name = config.name();
     this.settings = config.settings();
+    this.factory = factory;
     this.balancer = factory.apply(settings);
     this.directory = new Directory(config.socketSettings());
     // One selector, and all filters on its thread: the proxy has one core.
@@ -111,6 +114,14 @@
         this::watchBroken, Watch.SILENCE_MS);
   }
 
+  /** As {@link #start()}, but says that it is ready only once its code has been run a while. */
+  public void startWarm() throws IOException {
+    warm = false;
+    start();
+    loop.execute(() -> new WarmUp(transport, loop, clock, this::warmedUp)
+        .start(factory.apply(settings), settings, received(config.known(), ListKind.FULL), address));
+  }
+
   /** Begins to serve; returns once clients are listened to. */
   public void start() throws IOException {
     transport.start();
@@ -121,7 +132,7 @@
         watch.follow();
       }
     });
-    port = sessions.listen(start.listen());
+    address = sessions.listen(start.listen());
     LOG.info(name + " listens on " + start.listen());
   }
 
@@ -143,7 +154,7 @@
 
   /** The port that clients connect to. */
   public int port() {
-    return port;
+    return address.getPort();
   }
 
   /** Stops at once, whatever is open. */
@@ -161,7 +172,7 @@
 
   @Override
   public boolean isReady() {
-    return ready;
+    return listed && warm;
   }
 
   /** Guards against an id that stands for two requests at once: an answer names its request by it. */
@@ -186,6 +197,9 @@
     idsInUse.add(id(command));
     // Queued, as its place in the order of answers must stand before the module may answer.
     loop.execute(() -> {
+      if (exchange.isOver()) {
+        return; // the client has left: the module must not hear of its leaving first, and of it after that
+      }
       after(notAfter + LATE_MS - now(), () -> failLate(exchange.id()));
       give(new RequestReceived(exchange.id(), Math.min(notAfter, endsBy), directory.tenant(command),
           requestClass, Directory.key(command.key()), command.kind() == Command.Kind.WRITE));
@@ -230,14 +244,21 @@
     give(new ProbeEnded(endpoint, result, elapsed));
   }
 
+  private void warmedUp() {
+    warm = true;
+    LOG.info(name + " is warm");
+  }
+
+  private ListReceived received(HostList list, ListKind kind) {
+    return new ListReceived(kind, list.hosts().stream().map(directory::endpoint).toList());
+  }
+
   private void listed(HostList list, ListKind kind) {
-    List<Endpoint> endpoints = new ArrayList<>();
     if (kind == ListKind.FULL) {
       upstreams.retain(list.hosts().stream().map(Host::host).collect(Collectors.toSet()));
     }
     for (Host host : list.hosts()) {
       Endpoint endpoint = directory.endpoint(host);
-      endpoints.add(endpoint);
       if (endpoint.state() == EndpointState.GONE) {
         upstreams.remove(endpoint.id());
       } else {
@@ -245,8 +266,8 @@
             endpoint.startedAt());
       }
     }
-    give(new ListReceived(kind, endpoints));
-    ready |= !endpoints.isEmpty();
+    give(received(list, kind));
+    listed |= !list.hosts().isEmpty();
   }
 
   private void watchBroken() {
--- /dev/null
+++ b/src/main/java/beampoint/serve/WarmUp.java
@@ -0,0 +1,92 @@
+package beampoint.serve;
+
+import beampoint.Balancer;
+import beampoint.Balancer.AttemptEnded;
+import beampoint.Balancer.Event;
+import beampoint.Balancer.ListKind;
+import beampoint.Balancer.ListReceived;
+import beampoint.Balancer.RequestClass;
+import beampoint.Balancer.RequestReceived;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Send;
+import beampoint.Balancer.Settings;
+import beampoint.count.Counters;
+import beampoint.exchange.Answer;
+import beampoint.exchange.Exchange;
+import beampoint.upstream.Reports;
+import beampoint.upstream.Upstreams;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.DoubleSupplier;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/**
+ * Runs the program's paths before it says that it is ready. Guards against a first second in which code that
+ * is still being compiled makes answers late, and caches look slow: an instance of the module that is thrown
+ * away decides on made-up events, and the proxy asks itself, as a client would, whether it is ready.
+ */
+final class WarmUp implements Reports {
+
+  private static final String SELF = "self";
+  private static final int EVENTS = 1000;
+  private static final int QUESTIONS = 400;
+  private static final double LONGEST_MS = 1500;
+
+  private final ScheduledExecutorService loop;
+  private final DoubleSupplier clock;
+  private final Upstreams upstreams;
+  private final Runnable done;
+  private double endsAt;
+  private int asked;
+
+  WarmUp(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock, Runnable done) {
+    this.loop = loop;
+    this.clock = clock;
+    this.done = done;
+    this.upstreams = new Upstreams(transport, loop, clock, this, new Counters(), LONGEST_MS, LONGEST_MS, 2);
+  }
+
+  /** Begins; the module's part is done at once, the questions to itself come and go on their own. */
+  void start(Balancer module, Settings settings, ListReceived known, InetSocketAddress self) {
+    endsAt = clock.getAsDouble() + LONGEST_MS;
+    rehearse(module, settings, known);
+    upstreams.place(SELF, self, false, 0);
+    upstreams.probe(SELF);
+  }
+
+  private void rehearse(Balancer module, Settings settings, ListReceived known) {
+    double now = clock.getAsDouble();
+    module.handle(now, new ListReceived(ListKind.FULL, known.endpoints()));
+    int classes = settings.classes().size();
+    for (int id = 1; id <= EVENTS && classes > 0 && clock.getAsDouble() < endsAt; id++) {
+      RequestClass type = settings.classes().get(id % classes);
+      Event event = new RequestReceived(id, ++now + type.deadline(), 0, id % classes, id, id % 50 == 0);
+      for (int attempt = 0; event != null; attempt++) {
+        Event next = null;
+        for (Balancer.Action action : module.handle(++now, event)) {
+          if (action instanceof Send send) {
+            Result result = attempt == 0 && id % 4 == 0 ? Result.MISS : Result.OK;
+            next = new AttemptEnded(id, attempt, send.endpoint(), 1, result, result == Result.OK);
+          }
+        }
+        event = next;
+      }
+    }
+  }
+
+  @Override
+  public void probed(String endpoint, double elapsed, Result result) {
+    if (++asked < QUESTIONS && clock.getAsDouble() < endsAt) {
+      upstreams.probe(SELF);
+    } else {
+      upstreams.close();
+      loop.execute(done);
+    }
+  }
+
+  @Override
+  public void ended(Exchange exchange, int attempt, String endpoint, double elapsed, Result result,
+      Answer answer) {
+    throw new IllegalStateException("no attempt is made here");
+  }
+}
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -50,7 +50,7 @@
 public final class Upstreams {
 
   private static final Log LOG = Log.of("upstream");
-  private static final int MAX_BODY = 64 * 1024;
+  private static final int MAX_BODY = ReplyFilter.MAX_VALUE;
   private static final Map<Result, Counter> COUNTERS = new EnumMap<>(Result.class);
 
   static {
@@ -75,6 +75,7 @@
   private final Map<String, Pool> pools = new TreeMap<>();
   private final Map<Long, Map<Integer, Flight>> flights = new HashMap<>(); // by request, then by attempt
   private final Attribute<Link> linkOf = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("link");
+  private final Future<?> closing; // of connections that have stood idle
   private int connections;
 
   public Upstreams(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
@@ -94,7 +95,7 @@
     this.httpWriter = new HttpWriter(transport.getMemoryManager());
     this.toCaches = connector(new ReplyFilter());
     this.toOrigin = connector(new HttpFilter());
-    loop.scheduleWithFixedDelay(this::closeOld, 1, 1, TimeUnit.SECONDS);
+    this.closing = loop.scheduleWithFixedDelay(this::closeOld, 1, 1, TimeUnit.SECONDS);
   }
 
   private TCPNIOConnectorHandler connector(Filter codec) {
@@ -155,6 +156,12 @@
     }
   }
 
+  /** Forgets all endpoints: nothing will be sent any more. */
+  public void close() {
+    closing.cancel(false);
+    retain(Set.of());
+  }
+
   /** Starts an attempt that is given up at the given time. */
   public void send(Exchange exchange, int number, String endpoint, double endsAt) {
     Flight flight = new Flight(exchange, number, endpoint, clock.getAsDouble(), endsAt);
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Balancer.Action;
+import beampoint.Balancer.CloseIdle;
 import beampoint.Balancer.DedupGroup;
 import beampoint.Balancer.Endpoint;
 import beampoint.Balancer.EndpointState;
@@ -625,4 +626,38 @@
     f.list(ListKind.FULL, List.of(Fixture.cache(1, EndpointState.DRAINING, 0)));
     assertTrue(Fixture.has(f.read(5), Refuse.class));
   }
+
+  /** Guards against refusals that uphold themselves: they end the evidence on which they rest. */
+  @Test
+  void whatLookedSlowIsTriedAgainSoonOnceNothingIsAsked() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(6);
+    Map<Long, String> out = new HashMap<>();
+    for (int i = 0; i < 100; i++) {
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(i));
+      if (endpoint != null) {
+        out.put(id, endpoint);
+      }
+    }
+    f.now += 900; // this balancer itself was late
+    out.forEach((id, endpoint) -> f.end(id, 0, endpoint, 900, Result.OK));
+    assertTrue(out.size() > 50, "sent: " + out.size());
+    assertNull(Fixture.sentTo(f.read(100)), "caches look slow");
+    int refused = 0;
+    while (Fixture.sentTo(f.read(101 + refused)) == null) {
+      f.now += 50;
+      refused++;
+    }
+    assertTrue(refused * 50 <= 1500, "refused for " + refused * 50 + " ms");
+  }
+
+  /** Guards against hosts that are gone and stay in memory, as new ones come under new names all day. */
+  @Test
+  void aHostThatIsGoneLeavesNothingBehind() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(3);
+    String endpoint = f.served(1);
+    Endpoint host = Fixture.fleet(3).stream().filter(e -> e.id().equals(endpoint)).findFirst().orElseThrow();
+    List<Action> actions = f.list(ListKind.CHANGES, List.of(host.gone()));
+    assertTrue(actions.contains(new CloseIdle(endpoint)), actions.toString());
+  }
 }
