A cache that answers others is alive, though a connection to it broke or fell silent

At fault: Logic.observe skipped a cache at each reset; State.Node.oldest took the oldest attempt's age.

--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -38,6 +38,7 @@
   private static final double PRIOR = 2; // what is known of all caches counts like so many answers of one
   private static final double PROBE_PART = 0.1; // of the time left that a probe may take
   private static final double ERROR_LIMIT = 0.3; // share of errors at which a cache is skipped
+  private static final double MUTE_PART = 0.25; // of what is remembered: a cache that answered later is alive
   private static final double RETRY_SHARE = 0.2; // further attempts after a failure, of requests
   private static final double RETRY_SAVED = 3; // the most saved up
   private static final double USAGE_MEMORY = 3; // a tenant's use counts for so many memories of a cache
@@ -206,7 +207,7 @@
     double usual = node.origin ? 0 : Math.log(Math.max(1, fleetTime() * node.load / meanLoad / warmth(node)));
     double time = Math.exp(node.time.value(now, memory(), usual, node.origin ? PRIOR / 8 : PRIOR));
     double depth = node.depth.value(now, memory(), 1, PRIOR);
-    return Math.max(time * Math.max(1, (node.inFlight + 1) / depth), node.oldest(now));
+    return Math.max(time * Math.max(1, (node.inFlight + 1) / depth), node.silence(now));
   }
 
   /**
@@ -249,7 +250,9 @@
     servedAtBest = Math.max(served.sum() * Math.log(2) / LONGEST_FADE, servedAtBest * BEST_KEPT);
     boolean broken = result == Result.CONNECT_FAILED || result == Result.RESET;
     node.errors.add(now, memory(), result == Result.ERROR || broken ? 1 : 0);
-    if (broken || node.errors.value(now, memory(), 0, PRIOR) > ERROR_LIMIT) {
+    // Of a cache that answers others meanwhile only a connection broke.
+    boolean mute = now - node.answeredAt > memory() * MUTE_PART;
+    if (broken && mute || node.errors.value(now, memory(), 0, PRIOR) > ERROR_LIMIT) {
       pause(node);
     }
   }
@@ -458,6 +461,8 @@
     outAtCaches -= attempt.node.origin ? 0 : 1;
     outSince -= attempt.node.origin ? 0 : attempt.sentAt;
     attempt.node.usedAt = now;
+    boolean answered = e.result() == Result.OK || e.result() == Result.MISS;
+    attempt.node.answeredAt = answered ? now : attempt.node.answeredAt;
     idle.remove(attempt.node);
     idle.add(attempt.node);
     holdPart = e.result() == Result.CONNECT_FAILED ? holdPart / 2 : Math.min(1, holdPart * HOLD_GAIN);
--- a/src/main/java/beampoint/State.java
+++ b/src/main/java/beampoint/State.java
@@ -26,6 +26,8 @@
     final List<Request> askers = new ArrayList<>();
     int inFlight;
     double usedAt;
+    /** When it last gave an answer that shows it at work. */
+    double answeredAt;
     /** When a cold cache may be sent more. */
     double freeAt = -1;
     Mean time = new Mean();
@@ -41,6 +43,7 @@
         pausedUntil = 0;
         errors = new Mean();
         time = new Mean();
+        answeredAt = 0;
       }
       entry = endpoint;
       origin = isOrigin;
@@ -52,12 +55,12 @@
       return !origin && entry.state() == Balancer.EndpointState.RUNNING;
     }
 
-    /** How long the oldest attempt has been out. */
-    double oldest(double now) {
+    /** How long it has owed an answer and given none: an attempt that later ones overtook is stuck alone. */
+    double silence(double now) {
       while (!flights.isEmpty() && flights.peekFirst().over) {
         flights.pollFirst();
       }
-      return flights.isEmpty() ? 0 : now - flights.peekFirst().sentAt;
+      return flights.isEmpty() ? 0 : now - Math.max(answeredAt, flights.peekFirst().sentAt);
     }
   }
 
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -154,6 +154,7 @@
   @Test
   void aCacheThatRefusesConnectionsIsSkippedAndTriedAgainLater() {
     Fixture f = busy(6);
+    f.now += 1_000; // no cache has answered since
     long id = f.nextId();
     String primary = Fixture.sentTo(f.read(5));
     String second = Fixture.sentTo(f.end(id, 0, primary, 50, Result.CONNECT_FAILED));
@@ -595,6 +596,7 @@
     Map<Long, String> before = placement(f);
     long own =
         before.keySet().stream().filter(k -> before.get(k).equals("cache-1")).findFirst().orElseThrow();
+    f.now += 3_000; // it has not been heard of since
     long id = f.nextId();
     f.read(own);
     f.end(id, 0, "cache-1", 1, Result.RESET);
@@ -660,4 +662,28 @@
     List<Action> actions = f.list(ListKind.CHANGES, List.of(host.gone()));
     assertTrue(actions.contains(new CloseIdle(endpoint)), actions.toString());
   }
+
+  /** Guards against a cache that is skipped, and its keys missed elsewhere, as one connection broke. */
+  @Test
+  void aCacheThatAnswersOthersIsNotSkippedForABrokenConnection() {
+    Fixture f = busy(4);
+    String own = f.served(1);
+    f.now += 10;
+    long id = f.nextId();
+    f.read(1);
+    f.end(id, 0, own, 1, Result.RESET);
+    f.balancer.handle(f.now, new RequestGone(id));
+    assertEquals(own, f.served(1));
+  }
+
+  /** Guards against a cache that looks jammed as long as one attempt is stuck on a silent connection. */
+  @Test
+  void anAttemptThatIsStuckAloneSaysNothingOfItsCache() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(1);
+    f.read(1); // never answered
+    for (int i = 0; i < 80; i++) {
+      f.now += 10;
+      assertEquals("cache-0", f.served(2));
+    }
+  }
 }
