--- a/src/main/java/beampoint/Balancer.java
+++ b/src/main/java/beampoint/Balancer.java
@@ -61,8 +61,8 @@
   record Limits(int maxAttempts, boolean secondCopies, boolean probes, boolean retryAdvice,
       double maxRetryAfter, double connectTimeout) {}
 
-  /** What is charged, in the same unit: a hundred connections held a cache, a new connection a request. */
-  record Prices(double connection, double handshake) {}
+  /** What is charged, of a request's worth: a hundred connections held a cache, a new connection, a probe. */
+  record Prices(double connection, double handshake, double probe) {}
 
   /** The figures of the rules on drains, cold endpoints and asking for the list. */
   record Rules(double drainGrace, double fallMultiple, double fallWindow, double coldFrom, double warmUp,
--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -37,6 +37,8 @@
   private static final double LONGEST_FADE = 8000; // two sends to one cache, up to this
   private static final double PRIOR = 2; // what is known of all caches counts like so many answers of one
   private static final double PROBE_PART = 0.1; // of the time left that a probe may take
+  private static final double PROBE_GAIN = 0.5; // of a request's worth that a probe saves, where one is bad
+  private static final double BAD_SHARE = 0.1; // of attempts and probes, before any are known
   private static final double ERROR_LIMIT = 0.3; // share of errors at which a cache is skipped
   private static final double MUTE_PART = 0.25; // of what is remembered: a cache that answered later is alive
   private static final double RETRY_SHARE = 0.2; // further attempts after a failure, of requests
@@ -246,6 +248,9 @@
         pool.add(now, FADE, seen);
       }
     }
+    if (!node.origin) {
+      bad.add(now, LONGEST_FADE, result == Result.OK || result == Result.MISS ? 0 : 1);
+    }
     served.add(now, LONGEST_FADE, result == Result.OK ? 1 : 0);
     servedAtBest = Math.max(served.sum() * Math.log(2) / LONGEST_FADE, servedAtBest * BEST_KEPT);
     boolean broken = result == Result.CONNECT_FAILED || result == Result.RESET;
@@ -269,9 +274,16 @@
 
   // ---- Probes ---------------------------------------------------------------------------------------------
 
-  /** Guards against a busy primary of which this balancer has too little evidence: a probe asks first. */
+  private final Mean bad = new Mean(); // the share of attempts and probes at caches that came to nothing
+
+  /**
+   * Guards against a busy primary of which this balancer has too little evidence: a probe asks first, where
+   * that is worth its price. While caches do well, it would cost each request time and spare few a bad one.
+   */
   private boolean ask(Request r, Node node) {
-    if (!settings.limits().probes() || r.attempts > 0 || node.time.count(now, memory()) >= PRIOR) {
+    double gain = PROBE_GAIN * r.type.worth() * bad.value(now, LONGEST_FADE, BAD_SHARE, PRIOR);
+    if (!settings.limits().probes() || r.attempts > 0 || gain <= settings.prices().probe()
+        || node.time.count(now, memory()) >= PRIOR) {
       return false;
     }
     r.asked = node;
@@ -291,6 +303,7 @@
     if (e.result() != Result.OK) {
       pause(node);
     }
+    bad.add(now, LONGEST_FADE, e.result() == Result.OK ? 0 : 1);
     List<Request> askers = List.copyOf(node.askers);
     node.askers.clear();
     for (Request r : askers) {
--- a/src/main/java/beampoint/settings/SettingsReader.java
+++ b/src/main/java/beampoint/settings/SettingsReader.java
@@ -41,7 +41,8 @@
         new Balancer.Rules(m.number("rules.drain-grace-ms", 0), m.number("rules.fall-multiple", 1),
             m.number("rules.tip-after-ms", 1000), m.number("rules.cold-from", 1),
             m.number("rules.cold-ms", 0), m.number("rules.ask-every-ms", 10_000)),
-        new Balancer.Prices(m.number("prices.connection", 0), m.number("prices.handshake", 0)),
+        new Balancer.Prices(m.number("prices.connection", 0), m.number("prices.handshake", 0),
+            m.number("prices.probe", 0)),
         List.copyOf(classes), List.copyOf(tenants));
   }
 
--- a/src/test/java/beampoint/Fixture.java
+++ b/src/test/java/beampoint/Fixture.java
@@ -34,15 +34,19 @@
   }
 
   Fixture(List<Tenant> tenants, RequestClass... classes) {
-    balancer = new Logic(settings(tenants, true, classes));
+    this(settings(tenants, true, classes));
+  }
+
+  Fixture(Settings settings) {
+    balancer = new Logic(settings);
   }
 
   Fixture(boolean probes, RequestClass... classes) {
-    balancer = new Logic(settings(List.of(), true, probes, new Balancer.Prices(0, 0), classes));
+    this(settings(List.of(), true, probes, new Balancer.Prices(0, 0, 0), classes));
   }
 
   static Settings settings(List<Tenant> tenants, boolean listPushed, RequestClass... classes) {
-    return settings(tenants, listPushed, false, new Balancer.Prices(0, 0), classes);
+    return settings(tenants, listPushed, false, new Balancer.Prices(0, 0, 0), classes);
   }
 
   static Settings settings(List<Tenant> tenants, boolean listPushed, boolean probes, Balancer.Prices prices,
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -425,6 +425,28 @@
     assertNull(Fixture.sentTo(f.balancer.handle(f.now, new Balancer.ProbeEnded(primary, Result.OK, 60))));
   }
 
+  @Test
+  void aProbeIsSentOnlyWhereBadOutcomesMakeItWorthItsPrice() {
+    Balancer.Prices prices = new Balancer.Prices(0, 0, 0.08);
+    Fixture f = new Fixture(Fixture.settings(List.of(), true, true, prices, Fixture.READ)).withFleet(40);
+    for (long key = 0; key < 20; key++) {
+      long id = f.nextId();
+      List<Action> actions = f.read(key);
+      assertFalse(Fixture.has(actions, Balancer.Probe.class), "while caches do well, " + key);
+      f.end(id, 0, Fixture.sentTo(actions), 10, key == 12 ? Result.TIMEOUT : Result.OK);
+    }
+    for (long key = 100; key < 112; key++) {
+      long id = f.nextId();
+      List<Action> actions = f.read(key);
+      String endpoint = Fixture.sentTo(actions);
+      if (endpoint != null) {
+        f.end(id, 0, endpoint, 1_000, Result.TIMEOUT);
+      }
+    }
+    assertTrue(IntStream.range(200, 220).anyMatch(key -> Fixture.has(f.read(key), Balancer.Probe.class)),
+        "once many attempts come to nothing");
+  }
+
   @Test
   void aProbeIsNotWaitedForBeyondTheClientsTime() {
     Fixture f = new Fixture(true, Fixture.READ).withFleet(6);
@@ -436,7 +458,7 @@
   @Test
   void idleConnectionsAreClosedOnceHoldingThemCostsMoreThanNewOnes() {
     Balancer b = new Logic(Fixture.settings(List.of(new Balancer.Tenant(100)), true, false,
-        new Balancer.Prices(0.05, 0.05), Fixture.READ));
+        new Balancer.Prices(0.05, 0.05, 0), Fixture.READ));
     b.handle(0, new ListReceived(ListKind.FULL, Fixture.fleet(4)));
     String endpoint = Fixture.sentTo(b.handle(1, new Balancer.RequestReceived(1, 900, 0, 0, 5, false)));
     b.handle(20, new Balancer.AttemptEnded(1, 0, endpoint, 19, Result.OK, true));
