--- a/src/main/java/beampoint/serve/WarmUp.java
+++ b/src/main/java/beampoint/serve/WarmUp.java
@@ -21,10 +21,10 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
 /**
- * Runs the program's paths before it says that it is ready. Guards against first answers that wait for classes
- * to be loaded: an instance of the module that is thrown away decides on made-up events, and the proxy asks
- * itself, as a client would, whether it is ready. It is short on purpose: where most proxies restart at once,
- * nobody serves while they warm up.
+ * Runs the program's paths before it says that it is ready. Guards against first answers that wait for
+ * classes to be loaded: an instance of the module that is thrown away decides on made-up events, and the
+ * proxy asks itself, as a client would, whether it is ready. It is short on purpose: where most proxies
+ * restart at once, nobody serves while they warm up.
  */
 final class WarmUp implements Reports {
 
