Evidence on a cache outlasts three sends to it, so that a slow one is not found anew

Ruled out: pauses (under 8 a proxy), the cold budget (0 to 6 refusals a second), the origin (20 to 60 out, 120 ms). Evidence is now kept for three gaps; the fading of what is believed of all caches keeps its pace.

--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -33,8 +33,9 @@
   private static final double YIELD_PART = 0.8; // of a worthier aim that queues of lesser work may fill
   private static final double OVER_SHARE_PART = 0.4; // of that, for traffic beyond a tenant's share
   private static final double CLASS_GAIN = 0.01; // weight of one answer in what a class takes longer
-  private static final double FADE = 1000; // evidence counts half after this or after the gap between
-  private static final double LONGEST_FADE = 8000; // two sends to one cache, up to this
+  private static final double FADE = 1000; // evidence counts half after this or after some sends to one
+  private static final double SENDS_KEPT = 3; // cache, as many as this,
+  private static final double LONGEST_FADE = 8000; // up to this
   private static final double PRIOR = 2; // what is known of all caches counts like so many answers of one
   private static final double PROBE_PART = 0.1; // of the time left that a probe may take
   private static final double PROBE_GAIN = 0.5; // of a request's worth that a probe saves, where one is bad
@@ -217,17 +218,21 @@
    * the longer none is asked: else refusals, which end the evidence, would uphold what they rest on.
    */
   private double fleetTime() {
-    double silence = outAtCaches > 0 ? 0 : pool.count(now, FADE) * pool.age(now) / memory();
+    double silence = outAtCaches > 0 ? 0 : pool.count(now, FADE) * pool.age(now) / memoryOf(1);
     double answered = pool.value(now, FADE, 0, PRIOR / 8 + silence);
     double age = outAtCaches == 0 ? 0 : Math.log(Math.max(1, now - outSince / outAtCaches));
     double known = (age * outAtCaches + answered * PRIOR) / (outAtCaches + PRIOR);
     return Math.exp(age <= answered ? answered : pool.value(now, FADE, known, outAtCaches + PRIOR));
   }
 
-  /** How long evidence on one cache is kept: it must outlast the gap between two sends to it. */
+  /** How long evidence on one cache is kept: if for one send, each send would find it out anew. */
   private double memory() {
+    return memoryOf(SENDS_KEPT);
+  }
+
+  private double memoryOf(double sends) {
     double gap = caches.size() / Math.max(1e-9, taken.rate(now, LONGEST_FADE));
-    return Math.min(LONGEST_FADE, Math.max(FADE, gap));
+    return Math.min(LONGEST_FADE, Math.max(FADE, sends * gap));
   }
 
   // ---- Readiness ------------------------------------------------------------------------------------------
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -151,6 +151,34 @@
 
   // ---- Readiness ----
 
+  /** Ten requests a second to ten caches, of which one never answers; how many that one is sent. */
+  private static int sentToTheSlow(Fixture f, String slow, int requests) {
+    int sent = 0;
+    for (int i = 0; i < requests; i++) {
+      f.now += 100;
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(50_000 + id));
+      if (slow.equals(endpoint)) {
+        sent++;
+        f.now += 1_000;
+        f.end(id, 0, endpoint, 1_000, Result.TIMEOUT);
+      } else if (endpoint != null) {
+        f.end(id, 0, endpoint, 100, Result.OK);
+      }
+    }
+    return sent;
+  }
+
+  @Test
+  void aCacheThatTimesOutIsRememberedForMoreThanOneSendToIt() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(10);
+    String slow = f.served(7);
+    sentToTheSlow(f, slow, 200);
+    int sent = sentToTheSlow(f, slow, 1_000);
+    assertTrue(sent > 0, "it is tried again");
+    assertTrue(sent < 60, "of about 100 that are its own, sent all the same: " + sent);
+  }
+
   @Test
   void aCacheThatRefusesConnectionsIsSkippedAndTriedAgainLater() {
     Fixture f = busy(6);
