--- /dev/null
+++ b/src/test/java/beampoint/FleetTest.java
@@ -0,0 +1,129 @@
+package beampoint;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.EndpointState;
+import beampoint.Balancer.Limits;
+import beampoint.Balancer.ListKind;
+import beampoint.Balancer.Prices;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Rules;
+import beampoint.Balancer.Settings;
+import beampoint.Balancer.Tenant;
+import beampoint.Balancer.WeightSource;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Many instances of the decision module that share nothing: what they do together. */
+class FleetTest {
+
+  private static final int INSTANCES = 14;
+  private static final int CACHES = 60;
+  private static final double RATE = 0.7; // requests a millisecond, over all instances
+  private static final double WINDOW = 2_000; // of the rule on cold caches
+  private static final double COLD_FROM = 0.25;
+  /** Sends that a cold cache can do in a window: the load above is six tenths of what all can do. */
+  private static final double COLD_CAPACITY = RATE / 0.6 / CACHES * WINDOW * COLD_FROM;
+
+  private final Random random = new Random(5);
+  private final List<Fixture> fleet = new ArrayList<>();
+  private final Map<String, Deque<Double>> sent = new HashMap<>(); // to cold caches, in the last window
+  private final Map<String, Integer> total = new HashMap<>();
+  private double now = 100_000;
+  private int most; // to one cold cache in any window
+
+  private static Fixture fresh(long seed) {
+    return new Fixture(new Settings(seed, INSTANCES, 0, true, WeightSource.NOMINAL, Fixture.ORIGIN, 0.05,
+        new Limits(3, false, false, true, 400, 50), new Rules(500, 3, WINDOW, COLD_FROM, 20_000, 10_000),
+        new Prices(0, 0, 0), List.of(Fixture.READ), List.of(new Tenant(RATE * 1_000))));
+  }
+
+  private static List<Endpoint> caches(int cold, double startedAt) {
+    List<Endpoint> endpoints = new ArrayList<>(IntStream.range(0, CACHES)
+        .mapToObj(i -> Fixture.cache(i, EndpointState.RUNNING, i < cold ? startedAt : 0)).toList());
+    endpoints.add(Fixture.originEndpoint());
+    return endpoints;
+  }
+
+  private void begin(int cold) {
+    for (int i = 0; i < INSTANCES; i++) {
+      fleet.add(fresh(i));
+    }
+    list(cold);
+  }
+
+  private void list(int cold) {
+    List<Endpoint> endpoints = caches(cold, now);
+    for (Fixture f : fleet) {
+      f.now = now;
+      f.list(ListKind.FULL, endpoints);
+    }
+  }
+
+  /** Reads of ever other keys at the stated rate, each answered at once. */
+  private void run(int cold, double time) {
+    for (double end = now + time; now < end; ) {
+      now += -Math.log(1 - random.nextDouble()) / RATE;
+      Fixture f = fleet.get(random.nextInt(INSTANCES));
+      f.now = now;
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(random.nextInt(1 << 20)));
+      if (endpoint == null) {
+        continue;
+      }
+      if (Integer.parseInt(endpoint.substring(6)) < cold) {
+        Deque<Double> window = sent.computeIfAbsent(endpoint, e -> new ArrayDeque<>());
+        window.add(now);
+        while (window.peekFirst() < now - WINDOW) {
+          window.pollFirst();
+        }
+        most = Math.max(most, window.size());
+        total.merge(endpoint, 1, Integer::sum);
+      }
+      f.end(id, 0, endpoint, 150, Result.OK); // not idle
+    }
+  }
+
+  private void assertFair(int cold, double time) {
+    assertTrue(most <= 3 * COLD_CAPACITY, "to one cold cache of " + cold + " in a window: " + most);
+    double all = total.values().stream().mapToInt(i -> i).sum();
+    double due = cold * COLD_CAPACITY * 0.6 * time / WINDOW;
+    assertTrue(all >= due / 2, "to " + cold + " cold caches: " + all + " of " + due + " or more");
+  }
+
+  @Test
+  void oneColdCacheIsNeitherPushedOverNorStarvedByFourteenFreshInstances() {
+    begin(1);
+    run(1, 4_000);
+    assertFair(1, 4_000);
+  }
+
+  @Test
+  void thirtySixColdCachesAreNeitherPushedOverNorStarvedByFourteenFreshInstances() {
+    begin(36);
+    run(36, 4_000);
+    assertFair(36, 4_000);
+  }
+
+  @Test
+  void oneAndThenThirtySixColdCachesAreNeitherPushedOverNorStarvedByInstancesThatKnowTheirRate() {
+    begin(0);
+    run(0, 4_000);
+    list(1);
+    run(1, 4_000);
+    assertFair(1, 4_000);
+    total.clear();
+    sent.clear();
+    list(36);
+    run(36, 4_000);
+    assertFair(36, 4_000);
+  }
+}
