Clients that ask once and stay make room before all that clients may hold is taken

From a quarter of all descriptors on the longest idle one now makes room, and from an eighth on those idle for 2 s are closed.

--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -38,6 +38,7 @@
   private static final long SWEEP_MS = 250;
   private static final double SILENCE_MS = 2000; // before the first command, or in the middle of one
   private static final double IDLE_MS = 15_000; // between commands
+  private static final double CROWDED_IDLE_MS = 2000; // the same, at half of the connections that are many
 
   private final TCPNIOTransport transport;
   private final ScheduledExecutorService loop;
@@ -45,6 +46,7 @@
   private final Intake intake;
   private final Counters counters;
   private final int maxConnections;
+  private final int manyConnections; // from which on idle ones make room
   private final Writer writer;
   private final Map<Connection<?>, Session> open = new LinkedHashMap<>(); // the longest unused first
   private final AtomicInteger accepted = new AtomicInteger();
@@ -55,13 +57,14 @@
   private volatile boolean full;
 
   public Sessions(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
-      Intake intake, Counters counters, int maxConnections) {
+      Intake intake, Counters counters, int maxConnections, int manyConnections) {
     this.transport = transport;
     this.loop = loop;
     this.clock = clock;
     this.intake = intake;
     this.counters = counters;
     this.maxConnections = maxConnections;
+    this.manyConnections = manyConnections;
     this.writer = new Writer(transport.getMemoryManager());
     loop.scheduleWithFixedDelay(this::closeStale, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
@@ -119,8 +122,9 @@
     Session session = new Session(connection, this, clock.getAsDouble());
     open.put(connection, session);
     // Guards against a full house: who has said nothing for longest makes room for others, before who has
-    // been idle for longest. Crowds that only connect must not cost the usual clients their connections.
-    if (open.size() > maxConnections * 9 / 10) {
+    // been idle for longest. Crowds that only connect, or ask once and stay, must not cost the usual clients
+    // their connections, of which all clients together may hold fewer than there is room for here.
+    if (open.size() > manyConnections) {
       Session old = longestUnused(true, session);
       old = old == null ? longestUnused(false, session) : old;
       if (old != null) {
@@ -139,11 +143,15 @@
     return null;
   }
 
-  /** Guards against connections that are held and not used, and so keep others out. */
+  /**
+   * Guards against connections that are held and not used, and so keep others out: clients that ask once and
+   * stay were seen to take all that the clients' side may hold, long before the room here was full.
+   */
   private void closeStale() {
     double now = clock.getAsDouble();
+    double idle = open.size() > manyConnections / 2 ? CROWDED_IDLE_MS : IDLE_MS;
     for (Map.Entry<Connection<?>, Session> entry : List.copyOf(open.entrySet())) {
-      entry.getValue().closeWhenStale(now, codec.hasHalf(entry.getKey()), SILENCE_MS, IDLE_MS);
+      entry.getValue().closeWhenStale(now, codec.hasHalf(entry.getKey()), SILENCE_MS, idle);
     }
   }
 
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -56,6 +56,7 @@
 
   private static final Log LOG = Log.of("serve");
   private static final int RESERVED_DESCRIPTORS = 32; // for the machine, discovery and standard streams
+  private static final int CLIENT_SHARE = 4; // of all descriptors; clients may hold a third
   private static final int READ_BUFFER = 32 * 1024; // at most this is read at once, however much has come
   private static final double LATE_MS = 15; // after which the proxy itself fails what nobody answered
   private static final long FRONT_LEAVES_MS = 450; // after a SIGTERM new clients come for up to 400 ms
@@ -109,7 +110,8 @@
     int descriptors = config.sockets() - RESERVED_DESCRIPTORS;
     this.upstreams = new Upstreams(transport, loop, clock, this, counters,
         settings.limits().connectTimeout(), config.socketSettings().connectionIdle(), descriptors / 2);
-    this.sessions = new Sessions(transport, loop, clock, this, counters, descriptors / 2);
+    this.sessions = new Sessions(transport, loop, clock, this, counters, descriptors / 2,
+        Math.min(descriptors * 9 / 20, config.sockets() / CLIENT_SHARE));
     this.watch = new Watch(transport, loop, counters, new Random(config.seed()), config.discovery(),
         config.known().version(), list -> listed(list, list.whole() ? ListKind.FULL : ListKind.CHANGES),
         this::watchBroken, Watch.SILENCE_MS);
