A joint start and an old remembered list are tested over fourteen instances

Two more cases of a fleet that restarts: nothing goes to hosts of an old remembered list once an instance was told, and fourteen instances with empty caches fetch a hot key once each at a time. Both hold with the module as it is; they guard what it does.

--- a/src/test/java/beampoint/FleetTest.java
+++ b/src/test/java/beampoint/FleetTest.java
@@ -126,4 +126,39 @@
     run(36, 4_000);
     assertFair(36, 4_000);
   }
+
+  /** Guards against a proxy that restarts in a roll and goes on sending to what was there. */
+  @Test
+  void nothingIsSentToWhatAnOldRememberedListNamesOnceTheInstanceWasTold() {
+    for (int i = 0; i < INSTANCES; i++) {
+      Fixture f = fresh(i);
+      f.list(ListKind.REMEMBERED, caches(0, 0));
+      f.served(1);
+      List<Endpoint> left = new ArrayList<>(caches(0, 0).subList(0, 15));
+      left.add(Fixture.originEndpoint());
+      f.list(ListKind.FULL, left);
+      for (long key = 0; key < 500; key++) {
+        f.now += 5;
+        int number = Integer.parseInt(f.served(key).substring(6));
+        assertTrue(number < 15, "sent to cache-" + number + ", which is gone");
+      }
+    }
+  }
+
+  /** Guards against an origin that gets a fetch for each request of a hot key while all caches are empty. */
+  @Test
+  void afterAJointStartEachInstanceFetchesAKeyOnceAtATime() {
+    begin(0);
+    int fetches = 0;
+    for (Fixture f : fleet) {
+      for (int i = 0; i < 20; i++) {
+        long id = f.nextId();
+        String endpoint = Fixture.sentTo(f.read(7));
+        if (endpoint != null) {
+          fetches += "origin".equals(Fixture.sentTo(f.end(id, 0, endpoint, 20, Result.MISS))) ? 1 : 0;
+        }
+      }
+    }
+    assertTrue(fetches > 0 && fetches <= INSTANCES, "fetches of one key at once: " + fetches);
+  }
 }
