--- a/src/test/java/beampoint/FleetTest.java
+++ b/src/test/java/beampoint/FleetTest.java
@@ -19,7 +19,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Many instances of the decision module that share nothing: what they do together. */
@@ -47,9 +46,10 @@
   }
 
   private static List<Endpoint> caches(int cold, double startedAt) {
-    List<Endpoint> endpoints = new ArrayList<>(IntStream.range(0, CACHES)
-        .mapToObj(i -> Fixture.cache(i, EndpointState.RUNNING, i < cold ? startedAt : 0)).toList());
-    endpoints.add(Fixture.originEndpoint());
+    List<Endpoint> endpoints = Fixture.fleet(CACHES);
+    for (int i = 0; i < cold; i++) {
+      endpoints.set(i, Fixture.cache(i, EndpointState.RUNNING, startedAt));
+    }
     return endpoints;
   }
 
@@ -132,11 +132,9 @@
   void nothingIsSentToWhatAnOldRememberedListNamesOnceTheInstanceWasTold() {
     for (int i = 0; i < INSTANCES; i++) {
       Fixture f = fresh(i);
-      f.list(ListKind.REMEMBERED, caches(0, 0));
+      f.list(ListKind.REMEMBERED, Fixture.fleet(CACHES));
       f.served(1);
-      List<Endpoint> left = new ArrayList<>(caches(0, 0).subList(0, 15));
-      left.add(Fixture.originEndpoint());
-      f.list(ListKind.FULL, left);
+      f.list(ListKind.FULL, Fixture.fleet(15));
       for (long key = 0; key < 500; key++) {
         f.now += 5;
         int number = Integer.parseInt(f.served(key).substring(6));
