--- a/src/main/java/beampoint/Balancer.java
+++ b/src/main/java/beampoint/Balancer.java
@@ -91,7 +91,7 @@
 
   /** What a balancer observes. */
   sealed interface Event permits ListReceived, RequestReceived, AttemptStarted, AttemptEnded, RequestGone,
-      TimerFired, ProbeEnded {}
+      TimerFired, ProbeEnded, BanChanged, ShareChanged {}
 
   /** The endpoint list, whole or in part. */
   record ListReceived(ListKind kind, List<Endpoint> endpoints) implements Event {}
@@ -116,6 +116,12 @@
   /** A probe's outcome. */
   record ProbeEnded(String endpoint, Result result, double elapsed) implements Event {}
 
+  /** Operators took an endpoint out at the given time, whatever the list says, or use it again. */
+  record BanChanged(String endpoint, boolean out, double at) implements Event {}
+
+  /** Of what this balancer may send cold endpoints, the part that is its own: others stand in for it. */
+  record ShareChanged(double part) implements Event {}
+
   /** What a balancer may do. */
   sealed interface Action permits Send, Refuse, Fail, Cancel, SetTimer, Probe, CloseIdle, FollowList,
       Log {}
--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -1,6 +1,7 @@
 package beampoint;
 
 import beampoint.State.Attempt;
+import beampoint.State.Ban;
 import beampoint.State.Node;
 import beampoint.State.Request;
 import java.util.ArrayList;
@@ -87,6 +88,10 @@
       onProbeEnded(e);
     } else if (event instanceof TimerFired e) {
       onTimer(e.token());
+    } else if (event instanceof BanChanged e) {
+      onBan(e);
+    } else if (event instanceof ShareChanged e) {
+      share = e.part();
     }
     closeIdle();
     return List.copyOf(out);
@@ -329,6 +334,7 @@
 
   private final Mean served = new Mean();
   private double servedAtBest; // requests a millisecond
+  private double share = 1; // of what one balancer may send: two may stand for one while one replaces the other
 
   private double warmth(Node node) {
     return node.startedAt <= 0 ? 1 : settings.rules().warmth(now - node.startedAt);
@@ -346,7 +352,7 @@
 
   /** Who has just started has served nothing: the even part of all quotas stands for what it will serve. */
   private double coldGap(Node node) {
-    double part = warmth(node) / caches.size() * settings.rules().fallMultiple() / 2;
+    double part = share * warmth(node) / caches.size() * settings.rules().fallMultiple() / 2;
     double even = quotas / settings.siblings() / 1000;
     return 1 / Math.max(1e-9, Math.max(servedAtBest, even) * part);
   }
@@ -503,7 +509,7 @@
     double hold = holdTime();
     // Hosts that are gone leave the list too: those that come in their place have new names.
     idle.removeIf(node -> node.inFlight == 0
-        && (now >= node.usedAt + hold || node.entry.state() == EndpointState.GONE)
+        && (now >= node.usedAt + hold || node.ban.isOut() || node.entry.state() == EndpointState.GONE)
         && out.add(new CloseIdle(node.entry.id())));
   }
 
@@ -586,7 +592,7 @@
     }
     for (Endpoint entry : e.endpoints()) {
       Node node = nodes.computeIfAbsent(entry.id(), id -> new Node());
-      node.take(entry, entry.kind() == settings.originKind());
+      node.take(entry, entry.kind() == settings.originKind(), bans.getOrDefault(entry.id(), Ban.NONE));
       sizes.merge(entry.kind(), Math.max(0, entry.weight()), Math::max);
     }
     summarise();
@@ -599,6 +605,25 @@
     }
   }
 
+  private final Map<String, Ban> bans = new TreeMap<>(); // by endpoint, until one that came back is warm
+
+  /** Whatever the list says meanwhile, an endpoint that operators took out stays out until they call it back. */
+  private void onBan(BanChanged e) {
+    Ban ban = bans.getOrDefault(e.endpoint(), Ban.NONE);
+    bans.values().removeIf(b -> now - b.until() > settings.rules().warmUp());
+    if (ban.isOut() != e.out()) {
+      ban = e.out() ? new Ban(e.at(), Double.POSITIVE_INFINITY) : new Ban(ban.since(), e.at());
+      bans.put(e.endpoint(), ban);
+    }
+    Node node = nodes.get(e.endpoint());
+    if (node != null) {
+      node.take(node.entry, node.origin, ban);
+      out.add(new CloseIdle(e.endpoint()));
+      summarise();
+      updateRing();
+    }
+  }
+
   /** Live weights fall late with load: buckets would wander. The most listed is the size, the rest load. */
   private void summarise() {
     boolean live = settings.weightSource() == WeightSource.LIVE;
--- a/src/main/java/beampoint/State.java
+++ b/src/main/java/beampoint/State.java
@@ -36,23 +36,31 @@
     /** How much more it holds than when idle, as far as the list tells. */
     double load = 1;
     double pausedUntil;
+    Ban ban = Ban.NONE;
 
-    /** Takes what the list says; a fresh start makes a new process of it, with no past. */
-    void take(Endpoint endpoint, boolean isOrigin) {
-      if (entry != null && endpoint.startedAt() > startedAt) {
+    /**
+     * Takes what the list says; a fresh start makes a new process of it, with no past. One that was taken out
+     * was restarted meanwhile: unless the list tells when, it counts as started when it came back.
+     */
+    void take(Endpoint endpoint, boolean isOrigin, Ban called) {
+      boolean told = endpoint.startedAt() > called.since() || called.isOut();
+      double started = told ? endpoint.startedAt() : Math.max(endpoint.startedAt(), called.until());
+      if (entry != null && started > startedAt) {
         pausedUntil = 0;
         errors = new Mean();
         time = new Mean();
         answeredAt = 0;
+        freeAt = -1;
       }
       entry = endpoint;
       origin = isOrigin;
-      startedAt = endpoint.startedAt();
+      ban = called;
+      startedAt = started;
     }
 
-    /** A running cache; one that drains or is gone takes nothing new. */
+    /** A running cache; one that drains, is gone or was taken out takes nothing new. */
     boolean isCache() {
-      return !origin && entry.state() == Balancer.EndpointState.RUNNING;
+      return !origin && entry.state() == Balancer.EndpointState.RUNNING && !ban.isOut();
     }
 
     /** How long it has owed an answer and given none: an attempt that later ones overtook is stuck alone. */
@@ -64,6 +72,15 @@
     }
   }
 
+  /** An endpoint was taken out at one time, and is until another. */
+  record Ban(double since, double until) {
+    static final Ban NONE = new Ban(0, 0);
+
+    boolean isOut() {
+      return until == Double.POSITIVE_INFINITY;
+    }
+  }
+
   /** An attempt that is out, or was. */
   static final class Attempt {
     final Node node;
--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -68,6 +68,11 @@
     return !spoke;
   }
 
+  /** Since when it has been without a whole command. */
+  double restsSince() {
+    return restsSince;
+  }
+
   /** Closes the connection where nobody will use it: it says nothing, or half a command and no more. */
   void closeWhenStale(double now, boolean hasHalf, double silence, double idle) {
     if (closing || !isIdle()) {
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -38,6 +38,8 @@
   private static final long SWEEP_MS = 250;
   private static final double SILENCE_MS = 2000; // before the first command, or in the middle of one
   private static final double IDLE_MS = 15_000; // between commands
+  private static final double LAST_WORDS_MS = 300; // that a client has for its first command before the end
+  private static final long END_STEP_MS = 10;
   private static final double CROWDED_IDLE_MS = 2000; // the same, at half of the connections that are many
 
   private final TCPNIOTransport transport;
@@ -45,8 +47,8 @@
   private final DoubleSupplier clock;
   private final Intake intake;
   private final Counters counters;
-  private final int maxConnections;
-  private final int manyConnections; // from which on idle ones make room
+  private volatile int maxConnections = 1;
+  private int manyConnections = 1; // from which on idle ones make room
   private final Writer writer;
   private final Map<Connection<?>, Session> open = new LinkedHashMap<>(); // the longest unused first
   private final AtomicInteger accepted = new AtomicInteger();
@@ -55,20 +57,29 @@
   private final CommandFilter codec = new CommandFilter();
   private TCPNIOServerConnection listener;
   private volatile boolean full;
+  private double endsSince;
 
   public Sessions(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
-      Intake intake, Counters counters, int maxConnections, int manyConnections) {
+      Intake intake, Counters counters) {
     this.transport = transport;
     this.loop = loop;
     this.clock = clock;
     this.intake = intake;
     this.counters = counters;
-    this.maxConnections = maxConnections;
-    this.manyConnections = manyConnections;
     this.writer = new Writer(transport.getMemoryManager());
     loop.scheduleWithFixedDelay(this::closeStale, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
+  /** Sets how many connections there may be; beyond many, those unused longest are closed now. */
+  public void resize(int most, int many) {
+    maxConnections = most;
+    manyConnections = many;
+    for (int over = open.size() - many; over > 0; over--) {
+      makeRoom(null);
+    }
+    acceptWhileThereIsRoom();
+  }
+
   /** Listens on this address only; returns it with the port that the system picks where it is 0. */
   public InetSocketAddress listen(SocketAddress address) throws IOException {
     FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter())
@@ -121,26 +132,44 @@
   private void opened(Connection<?> connection) {
     Session session = new Session(connection, this, clock.getAsDouble());
     open.put(connection, session);
-    // Guards against a full house: who has said nothing for longest makes room for others, before who has
-    // been idle for longest. Crowds that only connect, or ask once and stay, must not cost the usual clients
-    // their connections, of which all clients together may hold fewer than there is room for here.
     if (open.size() > manyConnections) {
-      Session old = longestUnused(true, session);
-      old = old == null ? longestUnused(false, session) : old;
-      if (old != null) {
-        counters.add(Counter.CLIENT_CONNECTIONS_CLOSED_FULL);
-        old.closeWhenIdle();
-      }
+      makeRoom(session);
     }
   }
 
-  private Session longestUnused(boolean silent, Session except) {
-    for (Session session : open.values()) {
-      if (session != except && session.isSilent() == silent && session.isOpenAndIdle()) {
-        return session;
+  /**
+   * Guards against a full house: who has said nothing, or half a command, for too long makes room first, then
+   * who has been idle for longest. Crowds that only connect, or ask once and stay, must not cost the usual
+   * clients their connections, of which all clients together may hold fewer than there is room for here. Who
+   * has just come may still be writing, and goes only where such take up a third of the room, or there is none.
+   */
+  private void makeRoom(Session except) {
+    double now = clock.getAsDouble();
+    Session idle = null;
+    Session fresh = null;
+    Session old = null;
+    int waiting = 0;
+    for (Map.Entry<Connection<?>, Session> entry : open.entrySet()) {
+      Session session = entry.getValue();
+      if (session != except && session.isOpenAndIdle()) {
+        boolean waits = session.isSilent() || codec.hasHalf(entry.getKey());
+        if (waits && now - session.restsSince() >= SILENCE_MS) {
+          old = session;
+          break;
+        }
+        idle = idle == null && !waits ? session : idle;
+        fresh = fresh == null && waits ? session : fresh;
+        waiting += waits ? 1 : 0;
       }
     }
-    return null;
+    if (old == null) {
+      boolean freshGoes = waiting > manyConnections / 3 || idle == null && open.size() >= maxConnections;
+      old = freshGoes ? fresh : idle;
+    }
+    if (old != null) {
+      counters.add(Counter.CLIENT_CONNECTIONS_CLOSED_FULL);
+      old.closeWhenIdle();
+    }
   }
 
   /**
@@ -160,7 +189,11 @@
     if (session != null) {
       session.closed();
     }
-    if (full && accepted.get() < maxConnections) {
+    acceptWhileThereIsRoom();
+  }
+
+  private void acceptWhileThereIsRoom() {
+    if (full && listener != null && accepted.get() < maxConnections) {
       full = false;
       setAccepting(true);
     }
@@ -200,12 +233,42 @@
     }
   }
 
-  /** Takes no more connections and ends those that there are, each once it has no command open. */
-  public void drain() {
+  /**
+   * Takes no more connections: the last thing before that is to accept all that wait, as whoever connected to
+   * a listener that is closed is reset.
+   */
+  public void stopListening() {
+    try {
+      for (int before = -1; listener != null && listener.isOpen() && accepted.get() > before;) {
+        before = accepted.get();
+        listener.onAccept();
+      }
+    } catch (IOException e) {
+      LOG.error("can't accept those that wait", e);
+    }
     if (listener != null) {
       listener.closeSilently();
     }
-    List.copyOf(open.values()).forEach(Session::closeWhenIdle);
+    endsSince = clock.getAsDouble();
+    endIdle();
+  }
+
+  /**
+   * Ends the connections on which nothing is open. Guards against a request that is on its way: one that has
+   * begun may come to its end, and who has just connected may ask.
+   */
+  private void endIdle() {
+    double now = clock.getAsDouble();
+    for (Map.Entry<Connection<?>, Session> entry : List.copyOf(open.entrySet())) {
+      boolean onItsWay = codec.hasHalf(entry.getKey()) || now < endsSince + LAST_WORDS_MS
+          && entry.getValue().isSilent();
+      if (!onItsWay) {
+        entry.getValue().closeWhenIdle();
+      }
+    }
+    if (!open.isEmpty()) {
+      loop.schedule(this::endIdle, END_STEP_MS, TimeUnit.MILLISECONDS);
+    }
   }
 
   public int count() {
--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -87,7 +87,7 @@
     this.silenceMs = silenceMs;
     this.writer = new HttpWriter(transport.getMemoryManager());
     FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter())
-        .add(new HttpFilter()).add(new Events());
+        .add(new HttpFilter(HttpFilter.Side.ANSWERS)).add(new Events());
     this.connector = TCPNIOConnectorHandler.builder(transport).processor(chain.build()).build();
   }
 
--- a/src/main/java/beampoint/http/HttpFilter.java
+++ b/src/main/java/beampoint/http/HttpFilter.java
@@ -1,6 +1,7 @@
 package beampoint.http;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -11,19 +12,39 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.memory.Buffers;
 
-/** Reads answers of HTTP/1.1 servers: a head, then its body as it comes, of stated length or in chunks. */
+/**
+ * Reads one side of HTTP/1.1, the answers of servers or the requests of callers: a head, then its body as it
+ * comes, of stated length or in chunks.
+ */
 public final class HttpFilter extends BaseFilter {
 
   private static final int MAX_HEAD = 16 * 1024;
 
   private enum Part { HEAD, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER }
 
+  /** Whose messages are read. */
+  public enum Side { ANSWERS, REQUESTS }
+
   /** Where the reading of one connection stands. */
   static final class Progress {
     private Part part = Part.HEAD;
     private long left;
   }
 
+  /** What the headers say of the body, and the few others that count. */
+  private static final class Headers {
+    private long length = -1;
+    private boolean chunked;
+    private boolean closes;
+    private boolean declined;
+  }
+
+  private final Side side;
+
+  public HttpFilter(Side side) {
+    this.side = side;
+  }
+
   private final Attribute<Progress> progress =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("http-progress", Progress::new);
 
@@ -32,7 +53,7 @@
     Connection<?> connection = ctx.getConnection();
     Buffer in = ctx.getMessage();
     try {
-      Object message = parse(progress.get(connection), in);
+      Object message = parse(side, progress.get(connection), in);
       if (message == null) {
         return in.hasRemaining() ? ctx.getStopAction(in) : ctx.getStopAction();
       }
@@ -47,13 +68,19 @@
   }
 
   /** Takes one head or one part of a body off the buffer, or null where more must come first. */
-  static Object parse(Progress p, Buffer in) throws HttpException {
+  static Object parse(Side side, Progress p, Buffer in) throws HttpException {
     while (true) {
       switch (p.part) {
         case HEAD -> {
           int end = headEnd(in);
-          HttpHead head = end < 0 ? null : head(p, in, end);
-          if (head == null || head.status() >= 200) {
+          if (end < 0) {
+            return null;
+          }
+          if (side == Side.REQUESTS) {
+            return request(p, in, end);
+          }
+          HttpHead head = head(p, in, end);
+          if (head.status() >= 200) {
             return head;
           }
           // An interim answer: the one that counts comes behind it.
@@ -135,11 +162,43 @@
       throw new HttpException("no HTTP answer");
     }
     int status = number(in, at + 9, at + 12);
-    boolean declined = false;
-    boolean closes = false;
-    boolean chunked = false;
-    long length = -1;
-    for (int line = nextLine(in, at, end); line < end; line = nextLine(in, line, end)) {
+    Headers headers = headers(in, nextLine(in, at, end), end);
+    in.position(end);
+    boolean noBody = status < 200 || status == 204 || status == 304;
+    if (status < 100 || status == 101 || !noBody && !headers.chunked && headers.length < 0) {
+      throw new HttpException("a body without a stated length can't be told from one cut off");
+    }
+    boolean whole = begin(p, headers, !noBody);
+    return new HttpHead(status, headers.declined, headers.closes, headers.length, whole,
+        whole && in.hasRemaining());
+  }
+
+  /** Takes the head of a request off the buffer; one that states no body has none. */
+  private static HttpRequest request(Progress p, Buffer in, int end) throws HttpException {
+    int at = in.position();
+    int lineEnd = textEnd(in, at, nextLine(in, at, end));
+    String[] words = in.toStringContent(StandardCharsets.ISO_8859_1, at, lineEnd).split(" ", -1);
+    if (words.length != 3 || words[0].isEmpty() || !words[1].startsWith("/")
+        || !words[2].startsWith("HTTP/1.")) {
+      throw new HttpException("no HTTP request");
+    }
+    Headers headers = headers(in, nextLine(in, at, end), end);
+    in.position(end);
+    boolean whole = begin(p, headers, headers.chunked || headers.length >= 0);
+    return new HttpRequest(words[0], words[1], whole);
+  }
+
+  /** Makes ready for the body; true where there is none, as nothing would be read for a body of no length. */
+  private static boolean begin(Progress p, Headers headers, boolean hasBody) {
+    boolean whole = !hasBody || headers.length == 0;
+    p.left = hasBody ? headers.length : 0;
+    p.part = whole ? Part.HEAD : headers.chunked ? Part.CHUNK_SIZE : Part.BODY;
+    return whole;
+  }
+
+  private static Headers headers(Buffer in, int from, int end) throws HttpException {
+    Headers headers = new Headers();
+    for (int line = from; line < end; line = nextLine(in, line, end)) {
       int textEnd = textEnd(in, line, nextLine(in, line, end));
       if (textEnd == line) {
         break;
@@ -147,31 +206,25 @@
       checkName(in, line, textEnd);
       if (matches(in, line, "content-length:")) {
         long stated = number(in, line + 15, textEnd);
-        if (length >= 0 && length != stated) {
+        if (headers.length >= 0 && headers.length != stated) {
           throw new HttpException("lengths that contradict each other");
         }
-        length = stated;
+        headers.length = stated;
       } else if (matches(in, line, "transfer-encoding:")) {
-        if (chunked || !isWord(in, line + 18, textEnd, "chunked")) {
+        if (headers.chunked || !isWord(in, line + 18, textEnd, "chunked")) {
           throw new HttpException("an unknown transfer encoding");
         }
-        chunked = true;
+        headers.chunked = true;
       } else if (matches(in, line, "connection:")) {
-        closes = contains(in, line, end, "close");
+        headers.closes = contains(in, line, end, "close");
       } else if (matches(in, line, "srv-declined:")) {
-        declined = isWord(in, line + 13, textEnd, "1");
+        headers.declined = isWord(in, line + 13, textEnd, "1");
       }
     }
-    in.position(end);
-    boolean noBody = status < 200 || status == 204 || status == 304;
-    if (status < 100 || status == 101 || chunked && length >= 0 || !noBody && !chunked && length < 0) {
-      throw new HttpException("a body without a stated length can't be told from one cut off");
+    if (headers.chunked && headers.length >= 0) {
+      throw new HttpException("lengths that contradict each other");
     }
-    // Guards against an answer that is never noticed: nothing is read for a body of no length.
-    boolean whole = noBody || length == 0;
-    p.left = noBody ? 0 : length;
-    p.part = whole ? Part.HEAD : chunked ? Part.CHUNK_SIZE : Part.BODY;
-    return new HttpHead(status, declined, closes, whole, whole && in.hasRemaining());
+    return headers;
   }
 
   /** A header begins with a name of visible characters and a colon. */
@@ -190,7 +243,7 @@
     for (int i = in.position(); i < in.limit(); i++) {
       if (in.get(i) == '\n') {
         boolean empty = i == lineStart || i == lineStart + 1 && in.get(lineStart) == '\r';
-        if (empty && lineStart > in.position()) {
+        if (empty && lineStart > in.position() && i - in.position() < MAX_HEAD) {
           return i + 1;
         }
         lineStart = i + 1;
--- a/src/main/java/beampoint/http/HttpWriter.java
+++ b/src/main/java/beampoint/http/HttpWriter.java
@@ -4,7 +4,7 @@
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.memory.MemoryManager;
 
-/** Writes requests: a head of texts and slices, and the body handed on as it lies. */
+/** Writes requests, a head of texts and slices and the body handed on as it lies, and short answers. */
 public final class HttpWriter {
 
   private final MemoryManager<?> memory;
@@ -29,4 +29,11 @@
     }
     return out.text("\r\nContent-Length: " + body.remaining() + "\r\n\r\n").bytes(body).message();
   }
+
+  /** An answer of one line, after which the connection ends. */
+  public Buffer answer(int status, String reason, String text) {
+    return new Gather(memory).text("HTTP/1.1 " + status + " " + reason
+        + "\r\nContent-Type: text/plain\r\nContent-Length: " + (text.length() + 1)
+        + "\r\nConnection: close\r\n\r\n" + text + "\n").message();
+  }
 }
--- a/src/main/java/beampoint/serve/Config.java
+++ b/src/main/java/beampoint/serve/Config.java
@@ -14,9 +14,11 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Objects;
 
-/** What a proxy is told at its start. */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+/** What a proxy is told at its start; {@code ops} is null where there is no address for operators. */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress ops,
+    InetSocketAddress discovery, long seed,
     int sockets, HostList known, Settings settings, SocketSettings socketSettings) {
 
   private static final int MIN_SOCKETS = 40;
@@ -50,7 +52,12 @@
     if (sockets < MIN_SOCKETS) {
       throw top.malformed("limits.sockets", "too few: " + sockets + ", at least " + MIN_SOCKETS);
     }
-    return new Config(top.text("name"), address(top, "listen"), address(top, "discovery"), seed,
+    String ops = System.getenv("PROXY_OPS");
+    if (ops != null && !ops.isBlank()) {
+      top.put("ops", ops);
+    }
+    return new Config(top.text("name"), address(top, "listen"),
+        top.text("ops", null) == null ? null : address(top, "ops"), address(top, "discovery"), seed,
         sockets, HostList.read(json.getAsJsonObject("known")),
         SettingsReader.read(settings), SocketSettings.read(settings));
   }
@@ -58,6 +65,7 @@
   /** True where the next configuration differs in what holds from a start on. */
   boolean needsRestart(Config next) {
     return !name.equals(next.name) || !listen.equals(next.listen) || sockets != next.sockets
+        || !Objects.equals(ops, next.ops)
         || !socketSettings.equals(next.socketSettings) || !settings.limits().equals(next.settings.limits())
         || !settings.rules().equals(next.settings.rules())
         || !settings.classes().equals(next.settings.classes())
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -26,18 +26,22 @@
 import beampoint.exchange.Intake;
 import beampoint.log.Log;
 import beampoint.memcache.Command;
+import beampoint.ops.Calls;
 import beampoint.upstream.Reports;
 import beampoint.upstream.Upstreams;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -56,8 +60,12 @@
 
   private static final Log LOG = Log.of("serve");
   private static final int RESERVED_DESCRIPTORS = 32; // for the machine, discovery and standard streams
+  private static final int OPS_DESCRIPTORS = Calls.MOST + 4; // for operators, and the files that are shared
+  private static final long POLL_MS = 100; // for what the other process of this proxy has stored
+  private static final double HEARD_MS = 1500; // that a new process waits for discovery before it listens
   private static final int CLIENT_SHARE = 4; // of all descriptors; clients may hold a third
   private static final int READ_BUFFER = 32 * 1024; // at most this is read at once, however much has come
+  private static final int MIN_DESCRIPTORS = 8; // however little is left beside what is set aside
   private static final double LATE_MS = 15; // after which the proxy itself fails what nobody answered
   private static final long FRONT_LEAVES_MS = 450; // after a SIGTERM new clients come for up to 400 ms
   private static final double LONGEST_DEADLINE_MS = 3000; // that the platform waits for after a SIGTERM
@@ -81,13 +89,24 @@
   private final Map<Long, Exchange> exchanges = new HashMap<>(); // open, or with an attempt out
   private final Set<String> idsInUse = new HashSet<>(); // of these, as the clients word them
   private final CountDownLatch drained = new CountDownLatch(1);
-  private InetSocketAddress address;
   private long lastId;
+  private final Operations operations; // null without an address for operators, as is the next
+  private final Calls calls;
+  private final Set<String> nodes = new HashSet<>(); // the cache nodes in the list
+  private final CompletableFuture<InetSocketAddress> listens = new CompletableFuture<>();
   private boolean listed; // any host at all
+  private boolean heard; // discovery, or waited for it long enough
   private volatile boolean warm = true; // code is compiled
+  private boolean ending;
   private double endsBy = Double.POSITIVE_INFINITY;
 
   public Proxy(Config config, Function<Settings, Balancer> factory) {
+    this(config, factory,
+        Path.of(System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"))));
+  }
+
+  /** The directory is shared with the other process of this proxy, where there is an address for operators. */
+  Proxy(Config config, Function<Settings, Balancer> factory, Path directory) {
     this.config = config;
     this.name = config.name();
     this.settings = config.settings();
@@ -107,36 +126,106 @@
         .setReuseAddress(true)
         .setServerConnectionBackLog(1024)
         .build();
-    int descriptors = config.sockets() - RESERVED_DESCRIPTORS;
+    transport.setChannelConfigurator(new SharedListener());
     this.upstreams = new Upstreams(transport, loop, clock, this, counters,
-        settings.limits().connectTimeout(), config.socketSettings().connectionIdle(), descriptors / 2);
-    this.sessions = new Sessions(transport, loop, clock, this, counters, descriptors / 2,
-        Math.min(descriptors * 9 / 20, config.sockets() / CLIENT_SHARE));
+        settings.limits().connectTimeout(), config.socketSettings().connectionIdle());
+    this.sessions = new Sessions(transport, loop, clock, this, counters);
+    share(1);
     this.watch = new Watch(transport, loop, counters, new Random(config.seed()), config.discovery(),
         config.known().version(), list -> listed(list, list.whole() ? ListKind.FULL : ListKind.CHANGES),
         this::watchBroken, Watch.SILENCE_MS);
+    if (config.ops() == null) {
+      this.operations = null;
+      this.calls = null;
+    } else {
+      this.operations = new Operations(directory, name, config.listen().getPort(),
+          new Operations.Parts(nodes::contains, this::takesClients, this::give, this::share, clock, counters));
+      this.calls = new Calls(transport, loop, operations, counters);
+    }
   }
 
-  /** As {@link #start()}, but says that it is ready only once its code has been run a while. */
+  /**
+   * Shares out the descriptors among so many processes of this proxy. Clients hold a third of all at most, of
+   * both together, so that each may have as many; the rest is for connections to cache nodes and origin.
+   */
+  private void share(int processes) {
+    int reserved = RESERVED_DESCRIPTORS + (config.ops() == null ? 0 : OPS_DESCRIPTORS);
+    int own = Math.max(MIN_DESCRIPTORS, (config.sockets() - processes * reserved) / processes);
+    int clients = processes == 1 ? own / 2 : own * 2 / 3;
+    upstreams.resize(own - clients);
+    sessions.resize(clients, Math.min(clients * 9 / 10, config.sockets() / CLIENT_SHARE));
+  }
+
+  /**
+   * As {@link #start()}, but says that it is ready only once its code has been run a while. Where another
+   * process of this proxy may serve, clients are listened to only then, and not before discovery was heard.
+   */
   public void startWarm() throws IOException {
     warm = false;
-    start();
+    open();
+    InetSocketAddress self = calls == null ? listen() : calls.listen(config.ops());
     loop.execute(() -> new WarmUp(transport, loop, clock, this::warmedUp)
-        .start(factory.apply(settings), settings, received(config.known(), ListKind.FULL), address));
+        .start(factory.apply(settings), settings, received(config.known(), ListKind.FULL), self, calls != null));
+    try {
+      listens.get();
+    } catch (ExecutionException e) {
+      throw new IOException(e.getCause().getMessage(), e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   /** Begins to serve; returns once clients are listened to. */
   public void start() throws IOException {
+    open();
+    if (calls != null) {
+      calls.listen(config.ops());
+    }
+    listen();
+  }
+
+  private void open() throws IOException {
     transport.start();
     Config start = config;
     loop.execute(() -> {
+      if (operations != null) {
+        operations.start();
+        loop.scheduleWithFixedDelay(operations::poll, POLL_MS, POLL_MS, TimeUnit.MILLISECONDS);
+        after(HEARD_MS, this::heard);
+      }
       listed(start.known(), ListKind.REMEMBERED);
       if (settings.listPushed()) {
         watch.follow();
       }
     });
-    address = sessions.listen(start.listen());
-    LOG.info(name + " listens on " + start.listen());
+  }
+
+  private InetSocketAddress listen() throws IOException {
+    InetSocketAddress address = sessions.listen(config.listen());
+    LOG.info(name + " listens on " + config.listen());
+    listens.complete(address);
+    return address;
+  }
+
+  private void heard() {
+    heard = true;
+    listenWhenWarm();
+  }
+
+  /** Guards against clients that reach this process before it is of use, while another serves them. */
+  private void listenWhenWarm() {
+    if (!warm || !heard || ending || listens.isDone()) {
+      return;
+    }
+    try {
+      listen();
+    } catch (IOException e) {
+      listens.completeExceptionally(e);
+    }
+  }
+
+  private boolean takesClients() {
+    return listens.isDone() && isReady();
   }
 
   /** Takes a new configuration while it serves: discovery moves, all else holds from the next start on. */
@@ -157,11 +246,19 @@
 
   /** The port that clients connect to. */
   public int port() {
-    return address.getPort();
+    return listens.join().getPort();
+  }
+
+  /** The port that operators call; 0 where there is none, or not yet. */
+  int opsPort() {
+    return calls == null ? 0 : calls.port();
   }
 
   /** Stops at once, whatever is open. */
   public void stop() throws IOException {
+    if (operations != null) {
+      operations.close();
+    }
     transport.shutdownNow();
     loop.shutdownNow();
   }
@@ -175,7 +272,7 @@
 
   @Override
   public boolean isReady() {
-    return listed && warm;
+    return listed && warm && !ending;
   }
 
   /** Guards against an id that stands for two requests at once: an answer names its request by it. */
@@ -251,6 +348,9 @@
   private void warmedUp() {
     warm = true;
     LOG.info(name + " is warm");
+    if (calls != null) {
+      listenWhenWarm();
+    }
   }
 
   private ListReceived received(HostList list, ListKind kind) {
@@ -259,10 +359,16 @@
 
   private void listed(HostList list, ListKind kind) {
     if (kind == ListKind.FULL) {
+      nodes.clear();
       upstreams.retain(list.hosts().stream().map(Host::host).collect(Collectors.toSet()));
     }
     for (Host host : list.hosts()) {
       Endpoint endpoint = directory.endpoint(host);
+      if (endpoint.state() == EndpointState.GONE || endpoint.kind() == settings.originKind()) {
+        nodes.remove(endpoint.id());
+      } else {
+        nodes.add(endpoint.id());
+      }
       if (endpoint.state() == EndpointState.GONE) {
         upstreams.remove(endpoint.id());
       } else {
@@ -272,6 +378,9 @@
     }
     give(received(list, kind));
     listed |= !list.hosts().isEmpty();
+    if (calls != null && kind != ListKind.REMEMBERED) {
+      heard();
+    }
   }
 
   private void watchBroken() {
@@ -374,6 +483,7 @@
     double longest = settings.classes().stream().mapToDouble(RequestClass::deadline).max().orElse(0);
     double killed = Math.min(longest, LONGEST_DEADLINE_MS) + KILL_MS;
     loop.execute(() -> {
+      ending = true;
       endsBy = now() + killed - END_MS;
       after(FRONT_LEAVES_MS, this::endSessions);
       after(endsBy - now(), this::endAll);
@@ -383,7 +493,7 @@
   }
 
   private void endSessions() {
-    sessions.drain();
+    sessions.stopListening();
     pollDrained();
   }
 
--- a/src/main/java/beampoint/serve/WarmUp.java
+++ b/src/main/java/beampoint/serve/WarmUp.java
@@ -23,8 +23,9 @@
 /**
  * Runs the program's paths before it says that it is ready. Guards against first answers that wait for
  * classes to be loaded: an instance of the module that is thrown away decides on made-up events, and the
- * proxy asks itself, as a client would, whether it is ready. It is short on purpose: where most proxies
- * restart at once, nobody serves while they warm up.
+ * proxy asks itself over a socket, at the clients' address or, where another process may listen there too, at
+ * that of the operators. It is short on purpose: where most proxies restart at once, nobody serves while they
+ * warm up.
  */
 final class WarmUp implements Reports {
 
@@ -44,14 +45,14 @@
     this.loop = loop;
     this.clock = clock;
     this.done = done;
-    this.upstreams = new Upstreams(transport, loop, clock, this, new Counters(), LONGEST_MS, LONGEST_MS, 2);
+    this.upstreams = new Upstreams(transport, loop, clock, this, new Counters(), LONGEST_MS, LONGEST_MS);
   }
 
   /** Begins; the module's part is done at once, the questions to itself come and go on their own. */
-  void start(Balancer module, Settings settings, ListReceived known, InetSocketAddress self) {
+  void start(Balancer module, Settings settings, ListReceived known, InetSocketAddress self, boolean http) {
     endsAt = clock.getAsDouble() + LONGEST_MS;
     rehearse(module, settings, known);
-    upstreams.place(SELF, self, false, 0);
+    upstreams.place(SELF, self, http, 0);
     upstreams.probe(SELF);
   }
 
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -66,8 +66,8 @@
   private final Counters counters;
   private final double connectTimeout;
   private final double idleTime;
-  private final int maxConnections;
-  private final int maxToCaches;
+  private int maxConnections = 2;
+  private int maxToCaches = 1;
   private final Writer writer;
   private final HttpWriter httpWriter;
   private final TCPNIOConnectorHandler toCaches;
@@ -79,7 +79,7 @@
   private int connections;
 
   public Upstreams(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
-      Reports reports, Counters counters, double connectTimeout, double idleTime, int maxConnections) {
+      Reports reports, Counters counters, double connectTimeout, double idleTime) {
     this.transport = transport;
     this.loop = loop;
     this.clock = clock;
@@ -88,13 +88,10 @@
     this.connectTimeout = connectTimeout;
     // Guards against a request that crosses the cache node's own closing of an idle connection.
     this.idleTime = idleTime - Math.max(idleTime / 10, 2 * connectTimeout);
-    this.maxConnections = maxConnections;
-    // Guards against caches whose silence holds all connections: misses and writes need the origin.
-    this.maxToCaches = maxConnections - Math.max(1, maxConnections / 8);
     this.writer = new Writer(transport.getMemoryManager());
     this.httpWriter = new HttpWriter(transport.getMemoryManager());
     this.toCaches = connector(new ReplyFilter());
-    this.toOrigin = connector(new HttpFilter());
+    this.toOrigin = connector(new HttpFilter(HttpFilter.Side.ANSWERS));
     this.closing = loop.scheduleWithFixedDelay(this::closeOld, 1, 1, TimeUnit.SECONDS);
   }
 
@@ -125,6 +122,16 @@
     }
   }
 
+  /** Sets how many connections there may be; idle ones beyond that are closed. */
+  public void resize(int most) {
+    maxConnections = most;
+    // Guards against caches whose silence holds all connections: misses and writes need the origin.
+    maxToCaches = most - Math.max(1, most / 8);
+    while (connections > maxConnections && closeLongestIdle()) {
+      // one less
+    }
+  }
+
   // ---- What it is told to do ------------------------------------------------------------------------------
 
   /** Takes an endpoint's address; a new address or a new start makes its old connections worthless. */
--- /dev/null
+++ b/src/test/java/beampoint/BanTest.java
@@ -0,0 +1,173 @@
+package beampoint;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.Action;
+import beampoint.Balancer.BanChanged;
+import beampoint.Balancer.CloseIdle;
+import beampoint.Balancer.EndpointState;
+import beampoint.Balancer.ListKind;
+import beampoint.Balancer.Refuse;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.ShareChanged;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Caches that operators take out and use again, as the decision module has it. */
+class BanTest {
+
+  private static final int KEYS = 400;
+
+  private static Map<Long, String> placement(Fixture f) {
+    Map<Long, String> placed = new HashMap<>();
+    for (long key = 0; key < KEYS; key++) {
+      placed.put(key, f.served(key));
+    }
+    return placed;
+  }
+
+  private static List<Action> call(Fixture f, String endpoint, boolean out) {
+    return f.balancer.handle(f.now, new BanChanged(endpoint, out, f.now));
+  }
+
+  private static long share(Map<Long, String> placed, String endpoint) {
+    return placed.values().stream().filter(endpoint::equals).count();
+  }
+
+  @Test
+  void onlyTheBucketsOfACacheThatIsTakenOutMoveAndItsIdleConnectionsAreClosed() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(6);
+    Map<Long, String> before = placement(f);
+    assertTrue(call(f, "cache-3", true).contains(new CloseIdle("cache-3")));
+    placement(f).forEach((key, cache) -> {
+      assertNotEquals("cache-3", cache);
+      assertTrue(before.get(key).equals("cache-3") || before.get(key).equals(cache));
+    });
+  }
+
+  /** Guards against a ban that ends with what the list says: ready, again, started anew, gone, or whole. */
+  @Test
+  void noListEndsABan() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    call(f, "cache-1", true);
+    for (int i = 0; i < 5; i++) {
+      f.now += 1000;
+      switch (i) {
+        case 0 -> f.list(ListKind.CHANGES, List.of(Fixture.cache(1)));
+        case 1 -> f.list(ListKind.FULL, Fixture.fleet(4));
+        case 2 -> f.list(ListKind.CHANGES, List.of(Fixture.cache(1, EndpointState.RUNNING, f.now)));
+        case 3 -> f.list(ListKind.CHANGES, List.of(Fixture.cache(1, EndpointState.GONE, 0)));
+        default -> f.list(ListKind.CHANGES, List.of(Fixture.cache(1)));
+      }
+      assertFalse(placement(f).containsValue("cache-1"), "after list " + i);
+    }
+    call(f, "cache-1", false);
+    f.now += 20_000;
+    f.list(ListKind.CHANGES, List.of());
+    assertTrue(placement(f).containsValue("cache-1"));
+  }
+
+  @Test
+  void aBanThatIsToldBeforeTheFirstListHolds() {
+    Fixture f = new Fixture(Fixture.READ);
+    call(f, "cache-1", true);
+    f.withFleet(4);
+    assertFalse(placement(f).containsValue("cache-1"));
+  }
+
+  @Test
+  void outTwiceAndBackOnceIsInUse() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    call(f, "cache-1", true);
+    f.now += 100;
+    call(f, "cache-1", true);
+    call(f, "cache-1", false);
+    assertTrue(placement(f).containsValue("cache-1"));
+    Map<Long, String> before = placement(f);
+    call(f, "cache-2", false);
+    assertEquals(before, placement(f), "a call back of what was never out changes nothing");
+  }
+
+  /** Guards against a cache that was restarted while out and is sent its full share, as the list is late. */
+  @Test
+  void aCacheThatComesBackIsColdBeforeTheListSaysSo() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    f.now = 100_000;
+    long full = share(placement(f), "cache-1");
+    call(f, "cache-1", true);
+    f.now += 4_000;
+    call(f, "cache-1", false);
+    long cold = share(placement(f), "cache-1");
+    assertTrue(cold > 0 && cold < full / 2, cold + " of " + full);
+    f.list(ListKind.FULL, Fixture.fleet(4)); // names the start of old
+    assertTrue(share(placement(f), "cache-1") < full / 2, "an old start in a list does not make it warm");
+    f.now += 9_000;
+    placement(f);
+    assertEquals(full, share(placement(f), "cache-1"));
+  }
+
+  /** The list's own word on its start counts, once that is later than the call out. */
+  @Test
+  void aStartThatTheListNamesAfterTheCallOutHolds() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    f.now = 100_000;
+    long full = share(placement(f), "cache-1");
+    call(f, "cache-1", true);
+    double started = f.now + 1_000;
+    f.now += 10_000;
+    call(f, "cache-1", false);
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(1, EndpointState.RUNNING, started)));
+    assertEquals(full, share(placement(f), "cache-1"), "it has had its time to warm up");
+  }
+
+  /** Guards against what was held against a cache before its restart: it would get nothing after it. */
+  @Test
+  void evidenceDoesNotOutlastABan() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    f.now = 100_000;
+    long own = placement(f).entrySet().stream().filter(e -> e.getValue().equals("cache-1")).findFirst()
+        .orElseThrow().getKey();
+    f.now += 3_000;
+    long id = f.nextId();
+    assertEquals("cache-1", Fixture.sentTo(f.read(own)));
+    f.end(id, 0, "cache-1", 1, Result.RESET); // it is skipped for a while now
+    call(f, "cache-1", true);
+    call(f, "cache-1", false);
+    assertTrue(share(placement(f), "cache-1") > 0);
+  }
+
+  @Test
+  void whereAllCachesAreOutReadsAreRefusedAtOnceAndWritesGoOn() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(2);
+    call(f, "cache-0", true);
+    call(f, "cache-1", true);
+    assertTrue(Fixture.has(f.read(1), Refuse.class));
+    assertEquals("origin", Fixture.sentTo(f.request(0, 0, 1, true)));
+  }
+
+  /** Guards against two processes of one proxy that each send a cold cache what one may. */
+  @Test
+  void whatAColdCacheIsSentIsSharedByTwoThatStandForOne() {
+    int whole = sentToCold(1);
+    int half = sentToCold(0.5);
+    assertTrue(half < whole * 0.75, half + " and " + whole);
+  }
+
+  private static int sentToCold(double part) {
+    Fixture f = new Fixture(List.of(new Balancer.Tenant(400)), Fixture.READ).withFleet(4);
+    f.now = 100_000;
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(4, EndpointState.RUNNING, f.now)));
+    f.balancer.handle(f.now, new ShareChanged(part));
+    int cold = 0;
+    for (int i = 0; i < 4_000; i++) {
+      f.now += 0.2;
+      cold += "cache-4".equals(f.served(i)) ? 1 : 0;
+    }
+    return cold;
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/handover/BanFileTest.java
@@ -0,0 +1,126 @@
+package beampoint.handover;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Bans of two processes of one proxy, by the file that they share. */
+class BanFileTest {
+
+  @TempDir
+  private Path directory;
+  private Path path;
+
+  @BeforeEach
+  void name() {
+    path = directory.resolve("bans.json");
+  }
+
+  private BanFile open() {
+    return new BanFile(path, "n0");
+  }
+
+  private static BanFile with(BanFile file, String node, boolean out, double at) throws IOException {
+    assertTrue(file.change(node, out, at));
+    file.store();
+    return file;
+  }
+
+  @Test
+  void aBanOutlivesItsProcess() throws IOException {
+    with(open(), "a", true, 10);
+    BanFile next = open();
+    assertEquals(List.of(new Ban("a", 10, Double.POSITIVE_INFINITY)), next.refresh());
+    assertTrue(next.of("a").isOut());
+  }
+
+  @Test
+  void theCallOutMayComeTwiceAndOneCallBackUndoesBoth() throws IOException {
+    BanFile file = with(with(open(), "a", true, 10), "a", true, 20);
+    with(file, "a", false, 30);
+    assertEquals(List.of(new Ban("a", 10, 30)), open().refresh());
+    with(file, "b", false, 40);
+    assertNull(file.of("b"), "a call back of what was never out leaves nothing");
+  }
+
+  @Test
+  void eachProcessTakesOverWhatTheOtherHasStoredAndOnce() throws IOException {
+    BanFile old = open();
+    BanFile next = open();
+    with(old, "a", true, 10);
+    assertEquals(1, next.refresh().size());
+    assertEquals(List.of(), next.refresh());
+    with(next, "a", false, 20);
+    with(next, "b", true, 21);
+    assertEquals(2, old.refresh().size());
+    assertFalse(old.of("a").isOut());
+    assertTrue(old.of("b").isOut());
+  }
+
+  /** Guards against a process that overwrites what the other has stored since it last looked. */
+  @Test
+  void whatTheOtherHasStoredMeanwhileIsKeptWhenStoring() throws IOException {
+    BanFile old = open();
+    BanFile next = open();
+    with(old, "a", true, 10);
+    with(next, "b", true, 11);
+    assertEquals(2, open().refresh().size());
+    assertTrue(next.of("a").isOut(), "storing takes over what it finds");
+  }
+
+  @Test
+  void aFileThatIsSpoiltForeignOrOfAnotherVersionCostsNoBanAndIsReplaced() throws IOException {
+    for (String text : List.of("", "{", "null", "[]", "{\"version\":1}", "{\"version\":1,\"proxy\":\"n1\",\"bans\":[]}",
+        "{\"version\":2,\"proxy\":\"n0\",\"bans\":[]}", "{\"version\":1,\"proxy\":\"n0\",\"bans\":[{}]}")) {
+      BanFile file = open();
+      file.change("a", true, 10);
+      Files.writeString(path, text);
+      assertEquals(List.of(), file.refresh(), text);
+      assertTrue(file.of("a").isOut(), text);
+      file.store();
+      assertEquals(1, open().refresh().size(), text);
+    }
+  }
+
+  /** Every way in which a file can be cut off: nothing of it is taken, nothing fails. */
+  @Test
+  void aTruncatedFileIsLeftOut() throws IOException {
+    with(open(), "a", true, 10);
+    String whole = Files.readString(path);
+    for (int length = 0; length < whole.length(); length++) {
+      Files.writeString(path, whole.substring(0, length));
+      assertEquals(List.of(), open().refresh(), whole.substring(0, length));
+    }
+  }
+
+  @Test
+  void aFileThatCanNotBeWrittenIsToldAndTheBanHoldsHere() {
+    BanFile file = new BanFile(directory.resolve("none/bans.json"), "n0");
+    file.change("a", true, 10);
+    assertThrows(IOException.class, file::store);
+    assertEquals(List.of(), file.refresh());
+    assertTrue(file.of("a").isOut());
+  }
+
+  @Test
+  void bansAreBoundedAndThoseLongOverAreForgotten() {
+    BanFile file = open();
+    for (int i = 0; i < BanFile.MOST; i++) {
+      assertTrue(file.change("n" + i, true, i));
+    }
+    assertFalse(file.change("one more", true, 5000));
+    assertTrue(file.change("n0", true, 5000), "one that is out already takes no room");
+    assertTrue(file.change("n0", false, 5000));
+    assertTrue(file.change("one more", true, 5000 + 3_600_000));
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/handover/PresenceTest.java
@@ -0,0 +1,41 @@
+package beampoint.handover;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Processes see one another by locks that end with them. */
+class PresenceTest {
+
+  /** A process of its own that sits down, says so, and waits to be killed. */
+  static final class Sitter {
+    public static void main(String[] args) throws Exception {
+      try (Presence presence = new Presence(Path.of(args[0]))) {
+        System.out.println(presence.count());
+        Thread.sleep(60_000);
+      }
+    }
+  }
+
+  private static Process sitter(Path file) throws IOException {
+    return new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-cp",
+        System.getProperty("java.class.path"), Sitter.class.getName(), file.toString())
+        .redirectError(ProcessBuilder.Redirect.INHERIT).start();
+  }
+
+  @Test
+  void aProcessIsSeenUntilItEndsHoweverItEnds(@TempDir Path directory) throws Exception {
+    Path file = directory.resolve("processes");
+    try (Presence own = new Presence(file)) {
+      assertEquals(1, own.count());
+      Process other = sitter(file);
+      assertEquals("2", other.inputReader().readLine(), "each sees the other");
+      assertEquals(2, own.count());
+      other.destroyForcibly().waitFor();
+      assertEquals(1, own.count(), "a process that was killed leaves nothing behind");
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/serve/OperationsTest.java
@@ -0,0 +1,175 @@
+package beampoint.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.BanChanged;
+import beampoint.Balancer.ShareChanged;
+import beampoint.Stub;
+import beampoint.count.Counter;
+import beampoint.ops.Calls;
+import beampoint.serve.ProxyFixture.Client;
+import beampoint.serve.ProxyFixture.Module;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The operators' address of a proxy on sockets, and what two processes of one proxy share. */
+@Timeout(30)
+class OperationsTest {
+
+  @TempDir
+  private Path directory;
+  private final Module module = new Module();
+
+  private Config config(int sockets, String discovery) throws Exception {
+    List<String> hosts = List.of(ProxyFixture.host("cache", Stub.nobody(), "m2"),
+        ProxyFixture.host("origin", Stub.nobody(), "origin"));
+    return ProxyFixture.config(hosts, sockets, discovery, ProxyFixture.SETTINGS, "127.0.0.1:0");
+  }
+
+  private Proxy proxy(Module own, int sockets) throws Exception {
+    Proxy proxy = new Proxy(config(sockets, Stub.nobody()), settings -> own, directory);
+    proxy.start();
+    return proxy;
+  }
+
+  private static String status(Proxy proxy, String call) throws Exception {
+    try (Client caller = new Client(proxy.opsPort())) {
+      return caller.ask(call + " HTTP/1.1\r\nHost: ops\r\n\r\n").split(" ")[1];
+    }
+  }
+
+  @Test
+  void aNodeIsTakenOutAndUsedAgainAndTheModuleIsToldFirst() throws Exception {
+    Proxy proxy = proxy(module, 384);
+    try {
+      assertEquals("200", status(proxy, "GET /_ready"));
+      assertEquals("200", status(proxy, "POST /_cache-nodes/detach/cache"));
+      assertEquals(new BanChanged("cache", true, module.next(BanChanged.class).at()), new BanChanged("cache", true,
+          Double.parseDouble(Files.readString(stored()).replaceAll(".*\"since\":([0-9.E+]+).*", "$1"))));
+      assertEquals("200", status(proxy, "POST /_cache-nodes/detach/cac%68e"));
+      assertEquals("200", status(proxy, "POST /_cache-nodes/attach/cache"));
+      assertTrue(module.next(BanChanged.class).out(), "told again, of the same time");
+      assertTrue(module.next(BanChanged.class).out());
+      assertEquals(false, module.next(BanChanged.class).out());
+      assertEquals(2, proxy.counters().get(Counter.NODES_OUT));
+    } finally {
+      proxy.stop();
+    }
+  }
+
+  private Path stored() throws Exception {
+    try (var files = Files.list(directory)) {
+      return files.filter(f -> f.toString().endsWith(".bans.json")).findFirst().orElseThrow();
+    }
+  }
+
+  @Test
+  void whatCanNotBeDoneIsOwedANoAtOnce() throws Exception {
+    Proxy proxy = proxy(module, 384);
+    try {
+      String[][] calls = {{"POST /_cache-nodes/detach/none", "404"}, {"POST /_cache-nodes/attach/none", "404"},
+          {"POST /_cache-nodes/detach/origin", "404"}, {"POST /_cache-nodes/detach/", "404"},
+          {"GET /_cache-nodes/detach/cache", "405"}, {"POST /_ready", "405"}, {"GET /", "404"},
+          {"POST /_cache-nodes/detach/%", "400"}, {"hello", "400"}, {"GET /" + "x".repeat(20_000), "400"}};
+      for (String[] call : calls) {
+        assertEquals(call[1], status(proxy, call[0]), call[0].substring(0, Math.min(40, call[0].length())));
+      }
+    } finally {
+      proxy.stop();
+    }
+  }
+
+  /** Guards against callers that never finish, and clients that hold all they may: a good call gets through. */
+  @Test
+  void aGoodCallIsAnsweredAmongStuckOnesWhileClientsHoldAllTheyMay() throws Exception {
+    Proxy proxy = proxy(module, 100);
+    List<Client> open = new ArrayList<>();
+    try {
+      for (int i = 0; i < 60; i++) {
+        open.add(new Client(proxy.port()));
+        open.get(i).say("mg 1 v O" + i + " Pc=read,d=20000\r\n");
+      }
+      for (int i = 0; i < 2 * Calls.MOST; i++) {
+        open.add(new Client(proxy.opsPort()));
+        open.get(60 + i).say("POST /_cache-nodes/det");
+        assertEquals("200", status(proxy, "GET /_ready"));
+      }
+      assertNull(open.get(60).line(), "the longest unfinished call made room");
+      assertTrue(proxy.counters().get(Counter.OPS_CALLS_UNFINISHED) > 0);
+    } finally {
+      for (Client client : open) {
+        client.close();
+      }
+      proxy.stop();
+    }
+  }
+
+  @Test
+  void aProcessThatFollowsAnotherKnowsItsBansBeforeItsFirstList() throws Exception {
+    Proxy old = proxy(module, 384);
+    Module next = new Module();
+    Proxy successor = null;
+    try {
+      assertEquals("200", status(old, "POST /_cache-nodes/detach/cache"));
+      successor = proxy(next, 384);
+      assertTrue(next.events.take() instanceof BanChanged ban && ban.out(), "before any list");
+      assertEquals(0.5, next.next(ShareChanged.class).part());
+      assertEquals(0.5, module.next(ShareChanged.class).part());
+      assertEquals("200", status(successor, "POST /_cache-nodes/attach/cache"));
+      BanChanged told = module.next(BanChanged.class);
+      while (told.out()) {
+        told = module.next(BanChanged.class); // until the old process has looked
+      }
+      assertEquals("cache", told.endpoint());
+      old.stop();
+      assertEquals(1, next.next(ShareChanged.class).part(), "the whole, once the other is gone");
+    } finally {
+      old.stop();
+      if (successor != null) {
+        successor.stop();
+      }
+    }
+  }
+
+  /** A proxy that replaces another must not take clients before it is of use to them. */
+  @Test
+  void clientsAreListenedToOnlyOnceDiscoveryWasHeard() throws Exception {
+    Stub discovery = new Stub(peer -> {
+      peer.head();
+      peer.stub().ends.take();
+      String list = "{\"seq\":2,\"whole\":true,\"hosts\":["
+          + ProxyFixture.host("next", Stub.nobody(), "m2") + "]}\n";
+      peer.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+      peer.beSilent();
+    });
+    Proxy proxy = new Proxy(config(384, discovery.address()), settings -> module, directory);
+    Thread start = new Thread(() -> {
+      try {
+        proxy.startWarm();
+      } catch (java.io.IOException e) {
+        throw new java.io.UncheckedIOException(e);
+      }
+    });
+    try (discovery) {
+      start.start();
+      assertEquals("GET /discovery/hosts?watch=1&from=1 HTTP/1.1", discovery.nextLine());
+      assertEquals("503", status(proxy, "GET /_ready"));
+      discovery.ends.add(true);
+      start.join(10_000);
+      assertEquals("200", status(proxy, "GET /_ready"));
+      try (Client client = new Client(proxy.port())) {
+        assertEquals("MN", client.ask("mn\r\n"));
+      }
+    } finally {
+      proxy.stop();
+    }
+  }
+}
