--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -334,7 +334,7 @@
 
   private final Mean served = new Mean();
   private double servedAtBest; // requests a millisecond
-  private double share = 1; // of what one balancer may send: two may stand for one while one replaces the other
+  private double share = 1; // of what one balancer may send: two may stand for one
 
   private double warmth(Node node) {
     return node.startedAt <= 0 ? 1 : settings.rules().warmth(now - node.startedAt);
@@ -607,7 +607,7 @@
 
   private final Map<String, Ban> bans = new TreeMap<>(); // by endpoint, until one that came back is warm
 
-  /** Whatever the list says meanwhile, an endpoint that operators took out stays out until they call it back. */
+  /** Whatever the list says meanwhile, what operators took out stays out until they call it back. */
   private void onBan(BanChanged e) {
     Ban ban = bans.getOrDefault(e.endpoint(), Ban.NONE);
     bans.values().removeIf(b -> now - b.until() > settings.rules().warmUp());
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -141,7 +141,7 @@
    * Guards against a full house: who has said nothing, or half a command, for too long makes room first, then
    * who has been idle for longest. Crowds that only connect, or ask once and stay, must not cost the usual
    * clients their connections, of which all clients together may hold fewer than there is room for here. Who
-   * has just come may still be writing, and goes only where such take up a third of the room, or there is none.
+   * has just come may still be writing, and goes only where such take up a third of the room, or all of it.
    */
   private void makeRoom(Session except) {
     double now = clock.getAsDouble();
--- a/src/main/java/beampoint/handover/BanFile.java
+++ b/src/main/java/beampoint/handover/BanFile.java
@@ -31,7 +31,7 @@
  */
 public final class BanFile implements Closeable {
 
-  /** Nodes that may be known to have been out at once: calls name nodes of the list only, which may change. */
+  /** Nodes that may be known to have been out: calls name nodes of the list only, but that changes. */
   public static final int MOST = 1000;
   private static final Log LOG = Log.of("handover");
   private static final int VERSION = 1;
--- a/src/main/java/beampoint/handover/Presence.java
+++ b/src/main/java/beampoint/handover/Presence.java
@@ -9,8 +9,8 @@
 import java.nio.file.StandardOpenOption;
 
 /**
- * How many processes of one proxy there are: each holds a lock on a byte of one file, its seat. The system drops
- * locks with their process, however that ends: nothing is left behind that could pass for a process.
+ * How many processes of one proxy there are: each holds a lock on a byte of one file, its seat. The system
+ * drops locks with their process, however that ends: nothing is left behind that could pass for a process.
  */
 public final class Presence implements Closeable {
 
@@ -21,7 +21,8 @@
   private final FileLock sits;
 
   public Presence(Path path) throws IOException {
-    file = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
+    file = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ,
+        StandardOpenOption.WRITE);
     int free = 0;
     FileLock lock = lock(free, false);
     while (lock == null && ++free < SEATS) {
--- a/src/main/java/beampoint/ops/Calls.java
+++ b/src/main/java/beampoint/ops/Calls.java
@@ -166,7 +166,8 @@
     String target = request.target();
     if (target.equals("/_ready")) {
       return !request.method().equals("GET") ? notAllowed()
-          : desk.isReady() ? new Reply(200, "OK", "ready") : new Reply(503, "Service Unavailable", "not ready");
+          : desk.isReady() ? new Reply(200, "OK", "ready")
+          : new Reply(503, "Service Unavailable", "not ready");
     }
     boolean detach = target.startsWith(DETACH);
     if (!detach && !target.startsWith(ATTACH)) {
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -105,7 +105,7 @@
         Path.of(System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"))));
   }
 
-  /** The directory is shared with the other process of this proxy, where there is an address for operators. */
+  /** The directory is shared with the other process of this proxy, if there is an address for operators. */
   Proxy(Config config, Function<Settings, Balancer> factory, Path directory) {
     this.config = config;
     this.name = config.name();
@@ -139,7 +139,8 @@
       this.calls = null;
     } else {
       this.operations = new Operations(directory, name, config.listen().getPort(),
-          new Operations.Parts(nodes::contains, this::takesClients, this::give, this::share, clock, counters));
+          new Operations.Parts(nodes::contains, this::takesClients, this::give, this::share, clock,
+              counters));
       this.calls = new Calls(transport, loop, operations, counters);
     }
   }
@@ -165,7 +166,8 @@
     open();
     InetSocketAddress self = calls == null ? listen() : calls.listen(config.ops());
     loop.execute(() -> new WarmUp(transport, loop, clock, this::warmedUp)
-        .start(factory.apply(settings), settings, received(config.known(), ListKind.FULL), self, calls != null));
+        .start(factory.apply(settings), settings, received(config.known(), ListKind.FULL), self,
+            calls != null));
     try {
       listens.get();
     } catch (ExecutionException e) {
--- a/src/test/java/beampoint/handover/BanFileTest.java
+++ b/src/test/java/beampoint/handover/BanFileTest.java
@@ -80,7 +80,8 @@
 
   @Test
   void aFileThatIsSpoiltForeignOrOfAnotherVersionCostsNoBanAndIsReplaced() throws IOException {
-    for (String text : List.of("", "{", "null", "[]", "{\"version\":1}", "{\"version\":1,\"proxy\":\"n1\",\"bans\":[]}",
+    for (String text : List.of("", "{", "null", "[]", "{\"version\":1}",
+        "{\"version\":1,\"proxy\":\"n1\",\"bans\":[]}",
         "{\"version\":2,\"proxy\":\"n0\",\"bans\":[]}", "{\"version\":1,\"proxy\":\"n0\",\"bans\":[{}]}")) {
       BanFile file = open();
       file.change("a", true, 10);
--- a/src/test/java/beampoint/http/HttpFilterTest.java
+++ b/src/test/java/beampoint/http/HttpFilterTest.java
@@ -22,6 +22,10 @@
     return Buffers.wrap(MEMORY, text.getBytes(StandardCharsets.ISO_8859_1));
   }
 
+  private static Object parse(HttpFilter.Progress progress, Buffer in) throws HttpException {
+    return HttpFilter.parse(Side.ANSWERS, progress, in);
+  }
+
   /** What is read of a text that comes in pieces of this size: heads, bodies joined, a bar at each end. */
   private static String read(String text, int piece) throws HttpException {
     HttpFilter.Progress progress = new HttpFilter.Progress();
@@ -31,7 +35,7 @@
       Buffer next = buffer(text.substring(i, Math.min(text.length(), i + piece)));
       in = in.hasRemaining() ? Buffers.appendBuffers(MEMORY, in, next) : next;
       List<Object> parts = new ArrayList<>();
-      for (Object o = HttpFilter.parse(Side.ANSWERS, progress, in); o != null; o = HttpFilter.parse(Side.ANSWERS, progress, in)) {
+      for (Object o = parse(progress, in); o != null; o = parse(progress, in)) {
         parts.add(o);
       }
       for (Object part : parts) {
--- a/src/test/java/beampoint/serve/OperationsTest.java
+++ b/src/test/java/beampoint/serve/OperationsTest.java
@@ -51,8 +51,8 @@
     try {
       assertEquals("200", status(proxy, "GET /_ready"));
       assertEquals("200", status(proxy, "POST /_cache-nodes/detach/cache"));
-      assertEquals(new BanChanged("cache", true, module.next(BanChanged.class).at()), new BanChanged("cache", true,
-          Double.parseDouble(Files.readString(stored()).replaceAll(".*\"since\":([0-9.E+]+).*", "$1"))));
+      String since = Files.readString(stored()).replaceAll(".*\"since\":([0-9.E+]+).*", "$1");
+      assertEquals(new BanChanged("cache", true, Double.parseDouble(since)), module.next(BanChanged.class));
       assertEquals("200", status(proxy, "POST /_cache-nodes/detach/cac%68e"));
       assertEquals("200", status(proxy, "POST /_cache-nodes/attach/cache"));
       assertTrue(module.next(BanChanged.class).out(), "told again, of the same time");
@@ -74,7 +74,8 @@
   void whatCanNotBeDoneIsOwedANoAtOnce() throws Exception {
     Proxy proxy = proxy(module, 384);
     try {
-      String[][] calls = {{"POST /_cache-nodes/detach/none", "404"}, {"POST /_cache-nodes/attach/none", "404"},
+      String[][] calls = {{"POST /_cache-nodes/detach/none", "404"},
+          {"POST /_cache-nodes/attach/none", "404"},
           {"POST /_cache-nodes/detach/origin", "404"}, {"POST /_cache-nodes/detach/", "404"},
           {"GET /_cache-nodes/detach/cache", "405"}, {"POST /_ready", "405"}, {"GET /", "404"},
           {"POST /_cache-nodes/detach/%", "400"}, {"hello", "400"}, {"GET /" + "x".repeat(20_000), "400"}};
@@ -86,7 +87,7 @@
     }
   }
 
-  /** Guards against callers that never finish, and clients that hold all they may: a good call gets through. */
+  /** Guards against callers that never finish, and clients that hold all they may. */
   @Test
   void aGoodCallIsAnsweredAmongStuckOnesWhileClientsHoldAllTheyMay() throws Exception {
     Proxy proxy = proxy(module, 100);
--- a/src/test/java/beampoint/serve/ProxyFixture.java
+++ b/src/test/java/beampoint/serve/ProxyFixture.java
@@ -137,7 +137,8 @@
 
   static Config config(List<String> hosts, int sockets, String discovery, String settings, String ops)
       throws Exception {
-    String json = "{" + (ops == null ? "" : "\"ops\":\"" + ops + "\",") + "\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery
+    String json = "{" + (ops == null ? "" : "\"ops\":\"" + ops + "\",") + "\"name\":\"n0\","
+        + "\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery
         + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets
         + "},\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[" + String.join(",", hosts)
         + "]},\"settings\":" + settings + "}";
