--- a/src/main/java/beampoint/Balancer.java
+++ b/src/main/java/beampoint/Balancer.java
@@ -91,7 +91,7 @@
 
   /** What a balancer observes. */
   sealed interface Event permits ListReceived, RequestReceived, AttemptStarted, AttemptEnded, RequestGone,
-      TimerFired, ProbeEnded, BanChanged, ShareChanged {}
+      TimerFired, ProbeEnded, BanChanged, ShareChanged, SettingsChanged {}
 
   /** The endpoint list, whole or in part. */
   record ListReceived(ListKind kind, List<Endpoint> endpoints) implements Event {}
@@ -122,6 +122,13 @@
   /** Of what this balancer may send cold endpoints, the part that is its own: others stand in for it. */
   record ShareChanged(double part) implements Event {}
 
+  /**
+   * New settings, and for each class and tenant its place in those before, or -1. Requests that are open
+   * keep the rules with which they were taken.
+   */
+  record SettingsChanged(Settings settings, List<Integer> formerClasses, List<Integer> formerTenants)
+      implements Event {}
+
   /** What a balancer may do. */
   sealed interface Action permits Send, Refuse, Fail, Cancel, SetTimer, Probe, CloseIdle, FollowList,
       Log {}
--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -2,10 +2,12 @@
 
 import beampoint.State.Attempt;
 import beampoint.State.Ban;
+import beampoint.State.Kind;
 import beampoint.State.Node;
 import beampoint.State.Request;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -51,24 +53,24 @@
   private static final double HOLD_GAIN = 1.02; // by which the time to hold connections recovers
   private static final long LIST_TIMER = 1L << 60; // tokens of calls for the list; other timers carry ids
 
-  private final Settings settings;
+  private Settings settings;
   private final Random random;
   private final List<Action> out = new ArrayList<>();
   private final Map<String, Node> nodes = new TreeMap<>();
   private final Map<Long, Request> requests = new HashMap<>();
   private final Map<Long, List<Request>> fetches = new HashMap<>(); // by key: who waits for its fetch
   private final Map<Long, Attempt> orphans = new HashMap<>(); // still out though their request has ended
-  private final List<State.Usage> usages = new ArrayList<>();
-  private final double quotas; // of all tenants together
+  private List<Kind> kinds = List.of(); // of requests, as the settings number them
+  private List<State.Usage> usages = List.of();
+  private double quotas; // of all tenants together
   private double now;
   private double startedAt = Double.POSITIVE_INFINITY;
 
   public Logic(Settings settings) {
     this.settings = settings;
     this.random = new Random(settings.seed());
-    this.extraTime = new double[settings.classes().size()];
-    this.quotas = settings.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
-    settings.tenants().forEach(t -> usages.add(new State.Usage()));
+    onSettings(new SettingsChanged(settings, Collections.nCopies(settings.classes().size(), -1),
+        Collections.nCopies(settings.tenants().size(), -1)));
   }
 
   @Override
@@ -92,11 +94,30 @@
       onBan(e);
     } else if (event instanceof ShareChanged e) {
       share = e.part();
+    } else if (event instanceof SettingsChanged e) {
+      onSettings(e);
     }
     closeIdle();
     return List.copyOf(out);
   }
 
+  /** What was learnt goes with its class or tenant; open requests keep the rules they were taken with. */
+  private void onSettings(SettingsChanged e) {
+    List<Kind> nextKinds = new ArrayList<>();
+    for (int i = 0; i < e.formerClasses().size(); i++) {
+      int former = e.formerClasses().get(i);
+      double extraTime = former < 0 ? 0 : kinds.get(former).extraTime;
+      nextKinds.add(new Kind(e.settings().classes().get(i), extraTime));
+    }
+    List<State.Usage> nextUsages = new ArrayList<>();
+    e.formerTenants().forEach(former -> nextUsages.add(former < 0 ? new State.Usage() : usages.get(former)));
+    kinds = nextKinds;
+    usages = nextUsages;
+    settings = e.settings();
+    quotas = settings.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
+    updateRing();
+  }
+
   // ---- Ring -----------------------------------------------------------------------------------------------
 
   final RingPoints ring = new RingPoints();
@@ -157,7 +178,7 @@
     double shortest = settings.classes().stream().mapToDouble(RequestClass::aim).min().orElse(0);
     double usual = caches.stream().mapToDouble(n -> Math.log(expectedTime(n))).average().orElse(0);
     boolean mayWait = !r.overShare && Math.exp(usual) <= shortest;
-    return mayWait && fits(sooner, r.typeIndex, r.aimAt - now) ? sooner : null;
+    return mayWait && fits(sooner, r.kind, r.aimAt - now) ? sooner : null;
   }
 
   /** The next distinct ready cache clockwise from the bucket after so many, without those already tried. */
@@ -188,22 +209,21 @@
 
   private final Mean pool = new Mean(); // logarithms of times at all caches
   private final Mean taken = new Mean(); // requests
-  private final double[] extraTime; // by how much a class takes longer than others, or less
 
   /** Guards against queues whose answers come too late, and lesser work that makes worthier work late. */
   private boolean hasRoom(Node node, Request r) {
     double left = (r.type.lateWorth() > 0 && now > r.aimAt ? r.deadline : r.aimAt) - now;
     double part = r.overShare ? OVER_SHARE_PART : 1;
-    boolean room = fits(node, r.typeIndex, left * part * (node.origin ? 1 : CACHE_PART));
-    for (int i = 0; i < extraTime.length; i++) {
-      RequestClass other = settings.classes().get(i);
-      room &= other.worth() <= r.type.worth() || fits(node, i, other.aim() * part * YIELD_PART);
+    boolean room = fits(node, r.kind, left * part * (node.origin ? 1 : CACHE_PART));
+    for (Kind other : kinds) {
+      double aim = other.rules.aim() * part * YIELD_PART;
+      room &= other.rules.worth() <= r.type.worth() || fits(node, other, aim);
     }
     return room;
   }
 
-  private boolean fits(Node node, int typeIndex, double time) {
-    return expectedTime(node) + (node.origin ? 0 : extraTime[typeIndex]) <= time;
+  private boolean fits(Node node, Kind kind, double time) {
+    return expectedTime(node) + (node.origin ? 0 : kind.extraTime) <= time;
   }
 
   /**
@@ -246,11 +266,11 @@
     Node node = attempt.node;
     if (result == Result.OK && !node.origin) {
       double extra = elapsed - fleetTime();
-      extraTime[attempt.typeIndex] += CLASS_GAIN * (extra - extraTime[attempt.typeIndex]);
+      attempt.kind.extraTime += CLASS_GAIN * (extra - attempt.kind.extraTime);
     }
     if (result == Result.OK || result == Result.TIMEOUT || result == Result.FULL) {
       // A full queue answers at once and would look quick: it counts as the deadline, more than any wait.
-      double least = result == Result.FULL ? settings.classes().get(attempt.typeIndex).deadline() : elapsed;
+      double least = result == Result.FULL ? attempt.kind.rules.deadline() : elapsed;
       double seen = Math.log(Math.max(least, result == Result.OK ? 1 : expectedTime(node)));
       node.time.add(now, memory(), seen);
       node.depth.add(now, memory(), attempt.depth);
@@ -366,7 +386,7 @@
   /** A miss is fetched, once a key at a time; if the origin has no room, the second cache may hold it. */
   private void onMiss(Request r) {
     List<Request> waiting = r.key < 0 ? null : fetches.get(r.key);
-    int attemptsLeft = settings.limits().maxAttempts() - r.attempts;
+    int attemptsLeft = r.maxAttempts - r.attempts;
     Node open = attemptsLeft >= 1 ? openOrigin(r) : null;
     if (waiting != null && attemptsLeft >= 2) {
       waiting.add(r);
@@ -401,7 +421,8 @@
   private double retryBudget = 1;
 
   private void onRequest(RequestReceived e) {
-    Request r = new Request(e, settings.classes().get(e.requestClass()), now, random.nextDouble());
+    Request r = new Request(e, kinds.get(e.requestClass()), settings.limits().maxAttempts(), now,
+        random.nextDouble());
     r.bucket = (int) Long.remainderUnsigned(Hash.of(e.key() >= 0 ? e.key() : ~e.id()), BUCKETS);
     r.overShare = e.tenant() < usages.size() && countUsage(e.tenant());
     requests.put(r.id, r);
@@ -447,7 +468,7 @@
     }
     r.asked = null;
     r.attempts++;
-    r.current = new Attempt(node, now, ++node.inFlight, r.typeIndex);
+    r.current = new Attempt(node, now, ++node.inFlight, r.kind);
     outAtCaches += node.origin ? 0 : 1;
     outSince += node.origin ? 0 : now;
     node.flights.add(r.current);
@@ -519,7 +540,7 @@
     endFetch(r, false);
     boolean useful = result != Result.NOT_SENT && now < (r.type.lateWorth() > 0 ? r.deadline : r.aimAt);
     double price = result == Result.CONNECT_FAILED ? 0 : 1;
-    if (!useful || retryBudget < price || r.attempts >= settings.limits().maxAttempts()) {
+    if (!useful || retryBudget < price || r.attempts >= r.maxAttempts) {
       giveUp(r);
       return;
     }
--- a/src/main/java/beampoint/State.java
+++ b/src/main/java/beampoint/State.java
@@ -86,23 +86,24 @@
     final Node node;
     final double sentAt;
     final int depth;
-    final int typeIndex;
+    final Kind kind;
     /** The outcome is known. */
     boolean over;
 
-    Attempt(Node node, double sentAt, int depth, int typeIndex) {
+    Attempt(Node node, double sentAt, int depth, Kind kind) {
       this.node = node;
       this.sentAt = sentAt;
       this.depth = depth;
-      this.typeIndex = typeIndex;
+      this.kind = kind;
     }
   }
 
   /** A request that owes its final answer. */
   static final class Request {
     final long id;
-    final int typeIndex;
+    final Kind kind;
     final RequestClass type;
+    final int maxAttempts;
     final double aimAt;
     final double deadline;
     final long key;
@@ -120,10 +121,11 @@
     double mayHaveRunSince;
     final List<Node> tried = new ArrayList<>();
 
-    Request(RequestReceived event, RequestClass type, double now, double luck) {
+    Request(RequestReceived event, Kind kind, int maxAttempts, double now, double luck) {
       this.id = event.id();
-      this.typeIndex = event.requestClass();
-      this.type = type;
+      this.kind = kind;
+      this.type = kind.rules;
+      this.maxAttempts = maxAttempts;
       this.aimAt = now + type.aim();
       this.deadline = event.notAfter();
       this.key = event.key();
@@ -132,6 +134,18 @@
     }
   }
 
+  /** A class of requests as the settings have it, and what was learnt of it. */
+  static final class Kind {
+    final RequestClass rules;
+    /** By how much it takes longer than others, or less. */
+    double extraTime;
+
+    Kind(RequestClass rules, double extraTime) {
+      this.rules = rules;
+      this.extraTime = extraTime;
+    }
+  }
+
   /** A tenant's recent requests, and what is left of its share. */
   static final class Usage {
     final Mean requests = new Mean();
--- a/src/main/java/beampoint/cli/Main.java
+++ b/src/main/java/beampoint/cli/Main.java
@@ -92,7 +92,7 @@
       try {
         proxy.reload(Config.read(config));
       } catch (InputException | RuntimeException e) {
-        LOG.error("the new configuration can't be used, the old one stays: " + e.getMessage());
+        proxy.reloadFailed(e.getMessage());
       }
     }
 
--- a/src/main/java/beampoint/exchange/Exchange.java
+++ b/src/main/java/beampoint/exchange/Exchange.java
@@ -14,16 +14,19 @@
   private final long id;
   private final Command command;
   private final double notAfter;
+  private final int maxAttempts;
   private final Consumer<Answer> client;
   private final Counters counters;
   private boolean over;
   private int attempts;
   private int attemptsOut;
 
-  public Exchange(long id, Command command, double notAfter, Consumer<Answer> client, Counters counters) {
+  public Exchange(long id, Command command, double notAfter, int maxAttempts, Consumer<Answer> client,
+      Counters counters) {
     this.id = id;
     this.command = command;
     this.notAfter = notAfter;
+    this.maxAttempts = maxAttempts;
     this.client = client;
     this.counters = counters;
   }
@@ -42,6 +45,11 @@
     return notAfter;
   }
 
+  /** How many attempts may be made for it, by the rules with which it was taken. */
+  public int maxAttempts() {
+    return maxAttempts;
+  }
+
   /** True once it has had its final answer or its client has left. */
   public boolean isOver() {
     return over;
--- a/src/main/java/beampoint/serve/Config.java
+++ b/src/main/java/beampoint/serve/Config.java
@@ -6,6 +6,7 @@
 import beampoint.settings.InputException;
 import beampoint.settings.JsonFields;
 import beampoint.settings.SettingsReader;
+import beampoint.settings.Shape;
 import beampoint.settings.SocketSettings;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
@@ -15,11 +16,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Objects;
+import java.util.Set;
 
 /** What a proxy is told at its start; {@code ops} is null where there is no address for operators. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress ops,
     InetSocketAddress discovery, long seed,
-    int sockets, HostList known, Settings settings, SocketSettings socketSettings) {
+    int sockets, HostList known, Settings settings, SocketSettings socketSettings, Set<String> keys) {
 
   private static final int MIN_SOCKETS = 40;
 
@@ -59,17 +61,33 @@
     return new Config(top.text("name"), address(top, "listen"),
         top.text("ops", null) == null ? null : address(top, "ops"), address(top, "discovery"), seed,
         sockets, HostList.read(json.getAsJsonObject("known")),
-        SettingsReader.read(settings), SocketSettings.read(settings));
+        SettingsReader.read(settings), SocketSettings.read(settings), keys(json));
+  }
+
+  /** The list of hosts has a form of its own, and is no part of what can be told from the keys. */
+  private static Set<String> keys(JsonObject json) {
+    JsonObject own = json.deepCopy();
+    own.addProperty("known", true);
+    return Shape.of(own);
+  }
+
+  /**
+   * The first key that the next configuration lacks though this one has it, or null. Guards against one that
+   * was written in part: what is missing would be taken for what it is by default.
+   */
+  String missingIn(Config next) {
+    return keys.stream().filter(key -> !next.keys.contains(key)).findFirst().orElse(null);
   }
 
   /** True where the next configuration differs in what holds from a start on. */
   boolean needsRestart(Config next) {
     return !name.equals(next.name) || !listen.equals(next.listen) || sockets != next.sockets
         || !Objects.equals(ops, next.ops)
-        || !socketSettings.equals(next.socketSettings) || !settings.limits().equals(next.settings.limits())
-        || !settings.rules().equals(next.settings.rules())
-        || !settings.classes().equals(next.settings.classes())
-        || !settings.tenants().equals(next.settings.tenants());
+        || !socketSettings.zones().equals(next.socketSettings.zones())
+        || !socketSettings.kinds().equals(next.socketSettings.kinds())
+        || settings.zone() != next.settings.zone() || settings.originKind() != next.settings.originKind()
+        || settings.listPushed() != next.settings.listPushed()
+        || settings.weightSource() != next.settings.weightSource();
   }
 
   private static InetSocketAddress address(JsonFields fields, String field) throws InputException {
--- a/src/main/java/beampoint/serve/Directory.java
+++ b/src/main/java/beampoint/serve/Directory.java
@@ -12,12 +12,20 @@
 /** Turns the names on the sockets into the module's numbers. */
 final class Directory {
 
-  private final SocketSettings settings;
+  private SocketSettings settings;
 
   Directory(SocketSettings settings) {
     this.settings = settings;
   }
 
+  SocketSettings names() {
+    return settings;
+  }
+
+  void take(SocketSettings next) {
+    settings = next;
+  }
+
   Endpoint endpoint(Host host) {
     EndpointState state = switch (host.health()) {
       case READY -> EndpointState.RUNNING;
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -27,6 +27,8 @@
 import beampoint.log.Log;
 import beampoint.memcache.Command;
 import beampoint.ops.Calls;
+import beampoint.settings.Transition;
+import beampoint.settings.Transition.Terms;
 import beampoint.upstream.Reports;
 import beampoint.upstream.Upstreams;
 import java.io.IOException;
@@ -66,6 +68,7 @@
   private static final int CLIENT_SHARE = 4; // of all descriptors; clients may hold a third
   private static final int READ_BUFFER = 32 * 1024; // at most this is read at once, however much has come
   private static final int MIN_DESCRIPTORS = 8; // however little is left beside what is set aside
+  private static final double OLD_KIND_MS = 2000; // after new settings, beside a deadline, old requests come
   private static final double LATE_MS = 15; // after which the proxy itself fails what nobody answered
   private static final long FRONT_LEAVES_MS = 450; // after a SIGTERM new clients come for up to 400 ms
   private static final double LONGEST_DEADLINE_MS = 3000; // that the platform waits for after a SIGTERM
@@ -75,7 +78,7 @@
 
   private Config config; // belongs to the decision thread
   private final String name;
-  private final Settings settings;
+  private Settings settings; // in force; open requests may have been taken under others
   private final Function<Settings, Balancer> factory;
   private final Balancer balancer;
   private final Counters counters = new Counters();
@@ -98,6 +101,7 @@
   private boolean heard; // discovery, or waited for it long enough
   private volatile boolean warm = true; // code is compiled
   private boolean ending;
+  private int reloads;
   private double endsBy = Double.POSITIVE_INFINITY;
 
   public Proxy(Config config, Function<Settings, Balancer> factory) {
@@ -230,22 +234,66 @@
     return listens.isDone() && isReady();
   }
 
-  /** Takes a new configuration while it serves: discovery moves, all else holds from the next start on. */
+  /** Takes a new configuration while it serves, or nothing of one that lacks what the present one has. */
   public void reload(Config next) {
     loop.execute(() -> {
+      String missing = config.missingIn(next);
+      if (missing != null) {
+        reloadFailed("field '" + missing + "': missing");
+        return;
+      }
+      counters.add(Counter.CONFIG_APPLIED);
       boolean moves = !next.discovery().equals(config.discovery());
       LOG.info("configuration read again: discovery " + (moves ? "moves to " : "stays at ")
           + next.discovery());
       if (config.needsRestart(next)) {
-        LOG.warn("name, listen, limits and settings that changed hold from the next start on");
+        LOG.warn("what changed of name, addresses, limits, zones, kinds or the list's ways holds from the "
+            + "next start on");
       }
       config = next;
       if (moves && !watch.move(next.discovery()) && settings.listPushed()) {
         watch.follow(); // it waited to ask again
       }
+      retune(next);
+    });
+  }
+
+  /** Tells of a configuration that can't be used. */
+  public void reloadFailed(String why) {
+    counters.add(Counter.CONFIG_REJECTED);
+    LOG.error("the new configuration can't be used, the old one stays: " + why);
+  }
+
+  /** The new settings hold at once, beside the old for requests of the old kind that are on their way. */
+  private void retune(Config next) {
+    Terms present = new Terms(settings, directory.names());
+    Terms taken = Transition.taken(present, new Terms(next.settings(), next.socketSettings()));
+    double longest = Math.max(longestDeadline(settings), longestDeadline(taken.settings()));
+    int reload = ++reloads;
+    change(Transition.meanwhile(present, taken));
+    after(longest + OLD_KIND_MS, () -> {
+      if (reload == reloads) {
+        change(taken);
+      }
     });
   }
 
+  private void change(Terms next) {
+    Terms present = new Terms(settings, directory.names());
+    if (!next.equals(present)) {
+      LOG.info("classes: " + next.names().classes() + ", attempts: "
+          + next.settings().limits().maxAttempts());
+      settings = next.settings();
+      directory.take(next.names());
+      upstreams.retime(settings.limits().connectTimeout(), next.names().connectionIdle());
+      give(Transition.change(present, next));
+    }
+  }
+
+  private static double longestDeadline(Settings settings) {
+    return settings.classes().stream().mapToDouble(RequestClass::deadline).max().orElse(0);
+  }
+
   /** The port that clients connect to. */
   public int port() {
     return listens.join().getPort();
@@ -293,7 +341,8 @@
   public Exchange take(Command command, double readAt, Consumer<Answer> client) {
     int requestClass = directory.requestClass(command);
     double notAfter = readAt + command.waitMs();
-    Exchange exchange = new Exchange(++lastId, command, notAfter, client, counters);
+    Exchange exchange = new Exchange(++lastId, command, notAfter, settings.limits().maxAttempts(), client,
+        counters);
     counters.add(Counter.REQUESTS_TAKEN);
     exchanges.put(exchange.id(), exchange);
     idsInUse.add(id(command));
@@ -450,7 +499,7 @@
     counters.check(settings.limits().secondCopies() || exchange.attemptsOut() == 0,
         "one attempt is out at a time");
     int attempt = exchange.beginAttempt();
-    if (exchange.isOver() || now >= last || attempt >= settings.limits().maxAttempts()) {
+    if (exchange.isOver() || now >= last || attempt >= exchange.maxAttempts()) {
       loop.execute(() -> ended(exchange, attempt, a.endpoint(), 0, Result.NOT_SENT, null));
     } else {
       upstreams.send(exchange, attempt, a.endpoint(), a.limit() > 0 ? Math.min(last, now + a.limit()) : last);
@@ -482,8 +531,7 @@
 
   /** Ends in order: serves on while clients may still come, then answers all that was taken. */
   public void drain() throws InterruptedException {
-    double longest = settings.classes().stream().mapToDouble(RequestClass::deadline).max().orElse(0);
-    double killed = Math.min(longest, LONGEST_DEADLINE_MS) + KILL_MS;
+    double killed = Math.min(longestDeadline(settings), LONGEST_DEADLINE_MS) + KILL_MS;
     loop.execute(() -> {
       ending = true;
       endsBy = now() + killed - END_MS;
--- a/src/main/java/beampoint/settings/Fields.java
+++ b/src/main/java/beampoint/settings/Fields.java
@@ -32,6 +32,15 @@
     return value == null ? absent : number(field, value);
   }
 
+  /** A number above 0. */
+  public final double positive(String field) throws InputException {
+    double value = number(field);
+    if (value <= 0) {
+      throw malformed(field, "not above 0: " + text(field));
+    }
+    return value;
+  }
+
   private double number(String field, String value) throws InputException {
     try {
       double number = Double.parseDouble(value);
--- a/src/main/java/beampoint/settings/SettingsReader.java
+++ b/src/main/java/beampoint/settings/SettingsReader.java
@@ -22,7 +22,7 @@
     for (int i = 0; i < classCount; i++) {
       String p = "lanes." + i + ".";
       classes.add(new RequestClass(idempotency(m, p + "idempotency"), group(m, p + "group"),
-          m.number(p + "dedup-window-ms", 0), m.number(p + "target-ms"), m.number(p + "hard-limit-ms"),
+          m.number(p + "dedup-window-ms", 0), m.positive(p + "target-ms"), m.positive(p + "hard-limit-ms"),
           m.number(p + "points", 1), m.number(p + "late-worth", 0)));
     }
     List<Tenant> tenants = new ArrayList<>();
@@ -30,11 +30,15 @@
     for (int i = 0; i < tenantCount; i++) {
       tenants.add(new Tenant(m.number("accounts." + i + ".quota-per-s", 0)));
     }
+    int maxAttempts = m.index("policy-limits.max-attempts", 1);
+    if (maxAttempts <= 0) {
+      throw m.malformed("policy-limits.max-attempts", "not above 0: " + maxAttempts);
+    }
     boolean aside = m.text("family-info.mode", "").equals("aside");
     return new Settings(m.whole("nonce64"), m.index("siblings", 1), m.index("zone", 0),
         !m.text("discovery", "automatic").equals("subscribe"), weightSource(m),
         aside ? m.index("family-info.origin-kind", -1) : -1, m.number("over-share-worth", 1),
-        new Balancer.Limits(m.index("policy-limits.max-attempts", 1),
+        new Balancer.Limits(maxAttempts,
             m.flag("policy-limits.second-copies", false), m.flag("policy-limits.probes", false),
             m.flag("policy-limits.retry-after", false), m.number("policy-limits.max-retry-after-ms", 0),
             m.number("policy-limits.connect-timeout-ms", 0)),
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -64,8 +64,8 @@
   private final DoubleSupplier clock;
   private final Reports reports;
   private final Counters counters;
-  private final double connectTimeout;
-  private final double idleTime;
+  private double connectTimeout;
+  private double idleTime;
   private int maxConnections = 2;
   private int maxToCaches = 1;
   private final Writer writer;
@@ -85,9 +85,7 @@
     this.clock = clock;
     this.reports = reports;
     this.counters = counters;
-    this.connectTimeout = connectTimeout;
-    // Guards against a request that crosses the cache node's own closing of an idle connection.
-    this.idleTime = idleTime - Math.max(idleTime / 10, 2 * connectTimeout);
+    retime(connectTimeout, idleTime);
     this.writer = new Writer(transport.getMemoryManager());
     this.httpWriter = new HttpWriter(transport.getMemoryManager());
     this.toCaches = connector(new ReplyFilter());
@@ -122,6 +120,13 @@
     }
   }
 
+  /** Sets how long a connection may take to be made, and after how long peers close an idle one. */
+  public void retime(double connect, double idle) {
+    connectTimeout = connect;
+    // Guards against a request that crosses the cache node's own closing of an idle connection.
+    idleTime = idle - Math.max(idle / 10, 2 * connect);
+  }
+
   /** Sets how many connections there may be; idle ones beyond that are closed. */
   public void resize(int most) {
     maxConnections = most;
--- /dev/null
+++ b/src/test/java/beampoint/RetuneTest.java
@@ -0,0 +1,82 @@
+package beampoint;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.DedupGroup;
+import beampoint.Balancer.Fail;
+import beampoint.Balancer.Idempotency;
+import beampoint.Balancer.Refuse;
+import beampoint.Balancer.RequestClass;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Settings;
+import beampoint.Balancer.SettingsChanged;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Settings that change while requests are open, as the decision module has it. */
+class RetuneTest {
+
+  private static final RequestClass UNSAFE = Fixture.type(Idempotency.UNSAFE, DedupGroup.ALL);
+
+  private static Settings settings(int attempts, RequestClass... classes) {
+    Settings s = Fixture.settings(List.of(), true, classes);
+    return new Settings(s.seed(), s.siblings(), s.zone(), s.listPushed(), s.weightSource(), s.originKind(),
+        s.overShareWorth(), new Balancer.Limits(attempts, false, false, true, 400, 50), s.rules(), s.prices(),
+        s.classes(), s.tenants());
+  }
+
+  private static void change(Fixture f, Settings settings, Integer... former) {
+    f.balancer.handle(f.now, new SettingsChanged(settings, List.of(former), List.of()));
+  }
+
+  @Test
+  void anOpenRequestKeepsTheEffectItWasTakenWith() {
+    Fixture f = new Fixture(Fixture.READ, UNSAFE).withFleet(4);
+    long safe = f.nextId();
+    String first = Fixture.sentTo(f.request(0, 0, 5, false));
+    long unsafe = f.nextId();
+    String other = Fixture.sentTo(f.request(1, 0, 6, false));
+    change(f, settings(3, UNSAFE, Fixture.READ), 0, 1);
+    assertTrue(Fixture.sentTo(f.end(safe, 0, first, 10, Result.RESET)) != null, "it may be sent again");
+    assertTrue(Fixture.has(f.end(unsafe, 0, other, 10, Result.RESET), Fail.class), "it may not");
+    long now = f.nextId();
+    String third = Fixture.sentTo(f.request(0, 0, 7, false));
+    assertTrue(Fixture.has(f.end(now, 0, third, 10, Result.RESET), Fail.class), "by the new rules");
+  }
+
+  @Test
+  void anOpenRequestKeepsItsAttemptsAndANewOneHasFewer() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    long old = f.nextId();
+    String first = Fixture.sentTo(f.read(5));
+    change(f, settings(1, Fixture.READ), 0);
+    long next = f.nextId();
+    String other = Fixture.sentTo(f.read(900));
+    assertTrue(Fixture.sentTo(f.end(old, 0, first, 10, Result.ERROR)) != null);
+    assertTrue(Fixture.has(f.end(next, 0, other, 10, Result.ERROR), Refuse.class));
+  }
+
+  /** What was learnt of a class goes by its name: its new place must not give it another's. */
+  @Test
+  void whatWasLearntOfAClassGoesWithIt() {
+    Fixture f = new Fixture(Fixture.READ, Fixture.READ).withFleet(4);
+    for (int i = 0; i < 600; i++) { // the second class takes far longer than the first
+      int type = i % 2;
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.request(type, 0, i, false));
+      f.now += 5;
+      if (endpoint != null) {
+        f.end(id, 0, endpoint, type == 0 ? 20 : 280, Result.OK);
+      }
+    }
+    boolean slowWas = Fixture.has(f.request(1, 0, 1, false), Balancer.Send.class);
+    change(f, settings(3, Fixture.READ, Fixture.READ, Fixture.READ), -1, 1, 0);
+    assertEquals(slowWas, Fixture.has(f.request(1, 0, 1, false), Balancer.Send.class));
+    assertTrue(Fixture.has(f.request(2, 0, 2, false), Balancer.Send.class));
+    assertTrue(Fixture.has(f.request(0, 0, 3, false), Balancer.Send.class));
+    change(f, settings(3, Fixture.READ), 2);
+    assertFalse(Fixture.has(f.request(0, 0, 2, false), Refuse.class));
+  }
+}
--- a/src/test/java/beampoint/serve/OperationsTest.java
+++ b/src/test/java/beampoint/serve/OperationsTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beampoint.Balancer;
 import beampoint.Balancer.BanChanged;
+import beampoint.Balancer.SettingsChanged;
 import beampoint.Balancer.ShareChanged;
 import beampoint.Stub;
 import beampoint.count.Counter;
@@ -173,4 +175,40 @@
       proxy.stop();
     }
   }
+
+  private Config with(Config config, String settings) throws Exception {
+    List<String> hosts = List.of(ProxyFixture.host("cache", Stub.nobody(), "m2"),
+        ProxyFixture.host("origin", Stub.nobody(), "origin"));
+    return ProxyFixture.config(hosts, 384, "127.0.0.1:" + config.discovery().getPort(), settings,
+        "127.0.0.1:0");
+  }
+
+  /** New classes are known at once, those dropped for a while; what is incomplete changes nothing. */
+  @Test
+  void newSettingsHoldAtOnceAndAnIncompleteFileChangesNothing() throws Exception {
+    Config config = config(384, Stub.nobody());
+    Proxy proxy = new Proxy(config, settings -> module, directory);
+    proxy.start();
+    module.script = event -> event instanceof Balancer.RequestReceived e
+        ? List.of(new Balancer.Refuse(e.id(), 0)) : List.of();
+    try (Client client = new Client(proxy.port())) {
+      assertEquals("CLIENT_ERROR unknown class", client.ask("mg 1 v O1 Pc=new,d=400\r\n"));
+      proxy.reload(with(config, ProxyFixture.SETTINGS.replace("\"retry-after\":true,", "")
+          .replace("\"name\":\"put\"", "\"name\":\"new\"")));
+      proxy.reload(with(config, ProxyFixture.SETTINGS.replace("\"max-attempts\":3,", "")));
+      assertEquals("CLIENT_ERROR unknown class", client.ask("mg 1 v O2 Pc=new,d=400\r\n"));
+      assertEquals(2, proxy.counters().get(Counter.CONFIG_REJECTED));
+      proxy.reload(with(config, ProxyFixture.SETTINGS.replace("\"name\":\"put\"", "\"name\":\"new\"")
+          .replace("\"max-attempts\":3", "\"max-attempts\":1")));
+      SettingsChanged changed = module.next(SettingsChanged.class);
+      assertEquals(List.of(0, -1, 1), changed.formerClasses());
+      assertEquals(1, changed.settings().limits().maxAttempts());
+      assertEquals("SERVER_ERROR busy", client.ask("mg 1 v O3 Pc=new,d=400\r\n"));
+      assertEquals("SERVER_ERROR busy", client.ask("mg 1 v O4 Pc=put,d=400\r\n"), "still on its way");
+      assertEquals(List.of(0, 1), module.next(SettingsChanged.class).formerClasses(), "dropped in the end");
+      assertEquals("CLIENT_ERROR unknown class", client.ask("mg 1 v O5 Pc=put,d=400\r\n"));
+    } finally {
+      proxy.stop();
+    }
+  }
 }
--- /dev/null
+++ b/src/test/java/beampoint/settings/TransitionTest.java
@@ -0,0 +1,96 @@
+package beampoint.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import beampoint.Balancer.DedupGroup;
+import beampoint.Balancer.Idempotency;
+import beampoint.Balancer.RequestClass;
+import beampoint.settings.Transition.Terms;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** What holds between one set of settings and the next. */
+class TransitionTest {
+
+  private static String lane(String name, String effect, String more) {
+    return "{\"name\":\"" + name + "\",\"idempotency\":\"" + effect
+        + "\",\"target-ms\":100,\"hard-limit-ms\":500" + more + "}";
+  }
+
+  private static Terms terms(int attempts, String... lanes) throws InputException {
+    return inZones("[\"a\"]", attempts, lanes);
+  }
+
+  private static Terms inZones(String zones, int attempts, String... lanes) throws InputException {
+    JsonFields m = fields("{\"nonce64\":1,\"localities\":" + zones + ",\"skus\":[\"m\"],\"policy-limits\":"
+        + "{\"max-attempts\":" + attempts + "},\"lanes\":[" + String.join(",", lanes) + "],"
+        + "\"accounts\":[{\"name\":\"t" + attempts + "\"},{\"name\":\"both\"}]}");
+    return new Terms(SettingsReader.read(m), SocketSettings.read(m));
+  }
+
+  private static JsonFields fields(String json) {
+    return new JsonFields("test", JsonParser.parseString(json).getAsJsonObject());
+  }
+
+  private static RequestClass during(String before, String next) throws InputException {
+    return Transition.meanwhile(terms(2, before), terms(2, next)).settings().classes().get(0);
+  }
+
+  @Test
+  void aDroppedClassIsKnownForAWhileAndOneThatStaysKeepsWhatWasLearntByItsName() throws InputException {
+    Terms before = terms(4, lane("a", "safe", ""), lane("b", "safe", ""));
+    Terms next = terms(2, lane("new", "unsafe", ""), lane("b", "safe", ""));
+    Terms meanwhile = Transition.meanwhile(before, next);
+    assertEquals(List.of("new", "b", "a"), meanwhile.names().classes());
+    assertEquals(2, meanwhile.settings().limits().maxAttempts());
+    assertEquals(List.of(-1, 1, 0), Transition.change(before, meanwhile).formerClasses());
+    assertEquals(List.of(-1, 1), Transition.change(before, meanwhile).formerTenants());
+    assertEquals(List.of(0, 1), Transition.change(meanwhile, next).formerClasses());
+  }
+
+  @Test
+  void anEffectThatChangesIsTheStricterOfBothMeanwhile() throws InputException {
+    String keyed = ",\"group\":\"zone\",\"dedup-window-ms\":900";
+    assertEquals(Idempotency.UNSAFE, during(lane("a", "safe", ""), lane("a", "unsafe", "")).idempotency());
+    assertEquals(Idempotency.UNSAFE, during(lane("a", "unsafe", ""), lane("a", "safe", "")).idempotency());
+    RequestClass fromUnsafe = during(lane("a", "unsafe", ""), lane("a", "keyed", keyed));
+    assertEquals(Idempotency.UNSAFE, fromUnsafe.idempotency());
+    RequestClass fromKeyed = during(lane("a", "keyed", keyed), lane("a", "safe", ""));
+    assertEquals(Idempotency.KEYED, fromKeyed.idempotency());
+    assertEquals(DedupGroup.ZONE, fromKeyed.group());
+    assertEquals(900, fromKeyed.dedupWindow());
+    RequestClass both = during(lane("a", "keyed", keyed),
+        lane("a", "keyed", ",\"group\":\"all\",\"dedup-window-ms\":400"));
+    assertEquals(DedupGroup.ZONE, both.group());
+    assertEquals(400, both.dedupWindow());
+  }
+
+  @Test
+  void howHostsAreNumberedStaysUntilTheNextStart() throws InputException {
+    Terms taken = Transition.taken(inZones("[\"a\",\"b\"]", 4), inZones("[\"b\",\"a\"]", 2));
+    assertEquals(List.of("a", "b"), taken.names().zones());
+    assertEquals(2, taken.settings().limits().maxAttempts());
+  }
+
+  @Test
+  void deadlinesAimsAndAttemptsMustBeAboveZero() {
+    for (String number : List.of("0", "-5", "\"soon\"", "null", "\"NaN\"")) {
+      String lane = lane("a", "safe", "");
+      assertThrows(InputException.class, () -> terms(2, lane.replace("100", number)), number);
+      assertThrows(InputException.class, () -> terms(2, lane.replace("500", number)), number);
+    }
+    assertThrows(InputException.class, () -> terms(0, lane("a", "safe", "")));
+    assertThrows(InputException.class, () -> terms(-1, lane("a", "safe", "")));
+  }
+
+  @Test
+  void theShapeOfAListIsWhatAllItsEntriesHave() {
+    JsonObject object = JsonParser.parseString(
+        "{\"a\":{\"b\":1,\"none\":null},\"l\":[{\"x\":1,\"y\":2},{\"x\":3}],\"e\":[]}").getAsJsonObject();
+    assertEquals(Set.of("a", "a.b", "l", "l.*.x", "e"), Shape.of(object));
+  }
+}
