Values up to 4 MiB: long answers stream, long writes are held, one byte budget bounds both

Need: values over 64 KiB from clients were refused with the connection, those over 1 MiB from caches taken for spoilt, and all were passed on only when whole (Upstreams.content, ReplyFilter, CommandFilter MAX_VALUE), though first bytes count.

Change: buffer/Stream (window, pause and resume), buffer/Budget (claims of held values; the first begun is never held up), buffer/Collector (a peer that writes a byte at a time costs no buffer a byte), readers of commands and replies with state, a bound of 10 s for peers that stand still, streams go on after SIGTERM as long as they can.

--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -1,5 +1,6 @@
 package beampoint.client;
 
+import beampoint.buffer.Stream;
 import beampoint.count.Counter;
 import beampoint.count.Counters;
 import beampoint.exchange.Answer;
@@ -25,7 +26,10 @@
   /** The place of one command's answer. */
   private static final class Slot {
     private Exchange exchange;
+    private Command command;
     private Buffer answer;
+    private Stream stream; // in place of an answer, or of its rest
+    private boolean streams;
     private boolean ends; // the connection, once this answer is written
   }
 
@@ -42,7 +46,10 @@
   private double restsSince; // without a whole command, a half one once it has been seen
   private boolean spoke;
   private boolean half;
-  private int unwritten;
+  private int unwritten; // answers
+  private int unfinished; // writes
+  private double movedAt; // when the last of them ended
+  private int valueBytes; // of a value on its way from the client
   private boolean ended; // no command that comes after can be read
   private boolean closing;
   private boolean closed;
@@ -74,9 +81,12 @@
   }
 
   /** Closes the connection where nobody will use it: it says nothing, or half a command and no more. */
-  void closeWhenStale(double now, boolean hasHalf, double silence, double idle) {
-    if (closing || !isIdle()) {
+  void closeWhenStale(double now, boolean hasHalf, int bytes, double silence, double idle) {
+    boolean moves = bytes != valueBytes;
+    valueBytes = bytes;
+    if (closing || !isIdle() || moves) {
       restsSince = now;
+      half = hasHalf;
       return;
     }
     if (hasHalf && !half && spoke) {
@@ -91,6 +101,7 @@
 
   void command(Command command, double readAt) {
     if (closed || ended) {
+      command.release();
       return;
     }
     spoke |= command.problem() == null;
@@ -123,12 +134,18 @@
   private void request(Slot slot, Command command, double readAt) {
     String problem = sessions.intake().problem(command);
     if (problem != null) {
+      command.release();
       sessions.counters().add(Counter.BAD_COMMANDS);
       slot.answer = sessions.writer().line("CLIENT_ERROR " + problem);
       return;
     }
+    slot.command = command;
     slot.exchange = sessions.intake().take(command, readAt, answer -> {
-      slot.answer = encode(command, answer);
+      slot.stream = answer.stream();
+      slot.answer = slot.stream == null ? encode(command, answer) : null;
+      if (closed && slot.stream != null) {
+        slot.stream.cancel();
+      }
       flush();
     });
   }
@@ -157,9 +174,15 @@
   private void flush() {
     while (!slots.isEmpty() && slots.peek().answer != null) {
       Slot slot = slots.poll();
-      unwritten++;
       closing |= slot.ends;
-      connection.write(slot.answer, written);
+      unwritten++;
+      write(slot.answer, written);
+    }
+    Slot next = slots.peek();
+    if (next != null && next.stream != null && !next.streams) {
+      next.streams = true;
+      write(sessions.writer().valueHead(next.command.id(), next.stream.length()), null);
+      next.stream.attach(new Rest(next));
     }
     // Guards against closing on a command that was read and is about to come: it would be lost or, as the
     // client sends it again elsewhere, carried out twice. What comes after the close is not begun.
@@ -169,6 +192,71 @@
     }
   }
 
+  private void write(Buffer message, CompletionHandler<WriteResult<Buffer, SocketAddress>> handler) {
+    if (unfinished++ == 0) {
+      movedAt = sessions.now();
+    }
+    connection.write(message, new EmptyCompletionHandler<>() {
+      @Override
+      public void completed(WriteResult<Buffer, SocketAddress> result) {
+        unfinished--;
+        movedAt = sessions.now();
+        if (handler != null) {
+          handler.completed(result);
+        }
+      }
+    });
+  }
+
+  /** The bytes of a long value, which go on as they come. */
+  private final class Rest implements Stream.Sink {
+    private final Slot slot;
+
+    Rest(Slot slot) {
+      this.slot = slot;
+    }
+
+    @Override
+    public void bytes(Buffer bytes) {
+      int count = bytes.remaining();
+      write(bytes, new EmptyCompletionHandler<>() {
+        @Override
+        public void completed(WriteResult<Buffer, SocketAddress> result) {
+          sessions.loop().execute(() -> slot.stream.written(count));
+        }
+      });
+    }
+
+    @Override
+    public void whole() {
+      slot.stream = null;
+      slot.answer = sessions.writer().line("");
+      flush();
+    }
+
+    /** Guards against a value that was cut off and looks whole: the connection ends before its end. */
+    @Override
+    public void broken() {
+      closed = true;
+      connection.terminateSilently();
+    }
+  }
+
+  /** True where what was written has not moved for so long: the client does not read. */
+  boolean standsStill(double now, double longest) {
+    return unfinished > 0 && now - movedAt > longest;
+  }
+
+  /** Ends a connection that can't be of use any more. */
+  void terminate() {
+    connection.terminateSilently();
+  }
+
+  /** True while a long value is on its way to the client. */
+  boolean isStreaming() {
+    return slots.stream().anyMatch(slot -> slot.stream != null);
+  }
+
   private void answerWritten() {
     unwritten--;
     sessions.answered(connection);
@@ -187,6 +275,9 @@
       if (slot.exchange != null) {
         sessions.intake().gone(slot.exchange);
       }
+      if (slot.stream != null) {
+        slot.stream.cancel();
+      }
     }
     slots.clear();
   }
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -1,5 +1,6 @@
 package beampoint.client;
 
+import beampoint.buffer.Budget;
 import beampoint.count.Counter;
 import beampoint.count.Counters;
 import beampoint.exchange.Intake;
@@ -36,7 +37,8 @@
   private static final Log LOG = Log.of("client");
   private static final int MAX_PENDING = 32; // commands read and not answered, on one connection
   private static final long SWEEP_MS = 250;
-  private static final double SILENCE_MS = 2000; // before the first command, or in the middle of one
+  private static final double SILENCE_MS = 2500; // before the first command, or in the middle of one
+  private static final double STANDSTILL_MS = 10_000; // of a client that does not read its answers
   private static final double IDLE_MS = 15_000; // between commands
   private static final double LAST_WORDS_MS = 300; // that a client has for its first command before the end
   private static final long END_STEP_MS = 10;
@@ -54,19 +56,20 @@
   private final AtomicInteger accepted = new AtomicInteger();
   private final Attribute<AtomicInteger> pending =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("pending-commands", AtomicInteger::new);
-  private final CommandFilter codec = new CommandFilter();
+  private final CommandFilter codec;
   private TCPNIOServerConnection listener;
   private volatile boolean full;
   private double endsSince;
 
   public Sessions(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
-      Intake intake, Counters counters) {
+      Intake intake, Counters counters, Budget budget) {
     this.transport = transport;
     this.loop = loop;
     this.clock = clock;
     this.intake = intake;
     this.counters = counters;
     this.writer = new Writer(transport.getMemoryManager());
+    this.codec = new CommandFilter(transport.getMemoryManager(), budget);
     loop.scheduleWithFixedDelay(this::closeStale, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -115,6 +118,8 @@
         if (session != null) {
           open.put(connection, session);
           session.command(command, readAt);
+        } else {
+          command.release();
         }
       });
       return ctx.getStopAction();
@@ -180,7 +185,16 @@
     double now = clock.getAsDouble();
     double idle = open.size() > manyConnections / 2 ? CROWDED_IDLE_MS : IDLE_MS;
     for (Map.Entry<Connection<?>, Session> entry : List.copyOf(open.entrySet())) {
-      entry.getValue().closeWhenStale(now, codec.hasHalf(entry.getKey()), SILENCE_MS, idle);
+      Connection<?> connection = entry.getKey();
+      Session session = entry.getValue();
+      // A value that is held up is none of the client's slowness.
+      int bytes = codec.isHeldUp(connection) ? -1 : codec.valueBytes(connection);
+      if (session.standsStill(now, STANDSTILL_MS)) {
+        counters.add(Counter.CLIENT_CONNECTIONS_CLOSED_STALE);
+        session.terminate();
+      } else if (bytes >= 0) {
+        session.closeWhenStale(now, codec.hasHalf(connection), bytes, SILENCE_MS, idle);
+      }
     }
   }
 
@@ -271,6 +285,15 @@
     }
   }
 
+  double now() {
+    return clock.getAsDouble();
+  }
+
+  /** True while long values are on their way to clients. */
+  public boolean isStreaming() {
+    return open.values().stream().anyMatch(Session::isStreaming);
+  }
+
   public int count() {
     return open.size();
   }
--- a/src/main/java/beampoint/exchange/Exchange.java
+++ b/src/main/java/beampoint/exchange/Exchange.java
@@ -62,6 +62,9 @@
   /** Gives the client its final answer; false, and nothing done, where the request is over. */
   public boolean answer(Answer answer) {
     if (over) {
+      if (answer.stream() != null) {
+        answer.stream().cancel(); // guards against a long value that waits for a client that has left
+      }
       return false;
     }
     over = true;
--- a/src/main/java/beampoint/memcache/Command.java
+++ b/src/main/java/beampoint/memcache/Command.java
@@ -1,19 +1,43 @@
 package beampoint.memcache;
 
+import beampoint.buffer.Budget;
+import beampoint.buffer.Collector;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.memory.MemoryManager;
 
 /**
  * One command of a client. The buffers are slices of what was read; {@code list} is the list of names and
  * values without its letter, {@code waitFrom} and {@code waitTo} the bounds of d's figure in it.
  */
 public record Command(Kind kind, Buffer key, Buffer id, Buffer list, int waitFrom, int waitTo, Buffer value,
-    String requestClass, String tenant, int waitMs, String problem) {
+    String requestClass, String tenant, int waitMs, String problem, Budget.Claim claim) {
 
   /** What a client asks; BAD is answered with the problem, FATAL also ends the connection. */
   public enum Kind { READ, WRITE, READY, STATS, VERSION, QUIT, BAD, FATAL }
 
   static Command of(Kind kind, String problem) {
-    return new Command(kind, null, null, null, 0, 0, null, null, null, 0, problem);
+    return new Command(kind, null, null, null, 0, 0, null, null, null, 0, problem, null);
+  }
+
+  /** The same command with its value, which came after it. */
+  Command with(Buffer whole, Budget.Claim held) {
+    return new Command(kind, key, id, list, waitFrom, waitTo, whole, requestClass, tenant, waitMs, problem,
+        held);
+  }
+
+  /** The same command in buffers of its own, so that it does not keep those in which it came. */
+  Command apart(MemoryManager<?> memory) {
+    int from = list == null ? 0 : list.position();
+    return key == null ? this : new Command(kind, Collector.copy(memory, key), Collector.copy(memory, id),
+        Collector.copy(memory, list), waitFrom - from, waitTo - from, value, requestClass, tenant, waitMs,
+        problem, claim);
+  }
+
+  /** Its value is needed no more. */
+  public void release() {
+    if (claim != null) {
+      claim.release();
+    }
   }
 
   public boolean isRequest() {
--- a/src/main/java/beampoint/memcache/Reply.java
+++ b/src/main/java/beampoint/memcache/Reply.java
@@ -4,10 +4,20 @@
 
 /**
  * One answer of a cache node; the body is the value or the receipt, a slice of what was read. There is a
- * surplus where more stands behind it than belongs to it.
+ * surplus where more stands behind it than belongs to it. A long value has a length and no body: its bytes
+ * follow as {@link ReplyPart}.
  */
-public record Reply(Kind kind, Buffer id, Buffer body, boolean surplus) {
+public record Reply(Kind kind, Buffer id, Buffer body, boolean surplus, int length) {
 
   /** What the answer says; BAD is not of this protocol, and what follows it can't be read. */
   public enum Kind { VALUE, RECEIPT, MISS, FAILED, BUSY, ALIVE, BAD }
+
+  Reply(Kind kind, Buffer id, Buffer body, boolean surplus) {
+    this(kind, id, body, surplus, 0);
+  }
+
+  /** True where the value's bytes follow on their own. */
+  public boolean isStreamed() {
+    return kind == Kind.VALUE && body == null;
+  }
 }
--- a/src/main/java/beampoint/memcache/Writer.java
+++ b/src/main/java/beampoint/memcache/Writer.java
@@ -34,6 +34,11 @@
         .bytes(value).text("\r\n").message();
   }
 
+  /** The head of a value of so many bytes, which follow on their own. */
+  public Buffer valueHead(Buffer id, long length) {
+    return new Gather(memory).text("VA " + length + " O").bytes(id).text("\r\n").message();
+  }
+
   /** The receipt that was given for this write. */
   public Buffer receipt(Buffer id, Buffer receipt) {
     return new Gather(memory).text("HD O").bytes(id).text(" c").bytes(receipt).text("\r\n").message();
--- a/src/main/java/beampoint/serve/Config.java
+++ b/src/main/java/beampoint/serve/Config.java
@@ -21,7 +21,8 @@
 /** What a proxy is told at its start; {@code ops} is null where there is no address for operators. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress ops,
     InetSocketAddress discovery, long seed,
-    int sockets, HostList known, Settings settings, SocketSettings socketSettings, Set<String> keys) {
+    int sockets, int memoryMb, HostList known, Settings settings, SocketSettings socketSettings,
+    Set<String> keys) {
 
   private static final int MIN_SOCKETS = 40;
 
@@ -60,7 +61,7 @@
     }
     return new Config(top.text("name"), address(top, "listen"),
         top.text("ops", null) == null ? null : address(top, "ops"), address(top, "discovery"), seed,
-        sockets, HostList.read(json.getAsJsonObject("known")),
+        sockets, top.index("limits.memory_mb", 192), HostList.read(json.getAsJsonObject("known")),
         SettingsReader.read(settings), SocketSettings.read(settings), keys(json));
   }
 
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -15,6 +15,7 @@
 import beampoint.Balancer.Result;
 import beampoint.Balancer.Settings;
 import beampoint.Balancer.TimerFired;
+import beampoint.buffer.Budget;
 import beampoint.client.Sessions;
 import beampoint.count.Counter;
 import beampoint.count.Counters;
@@ -67,6 +68,7 @@
   private static final double HEARD_MS = 1500; // that a new process waits for discovery before it listens
   private static final int CLIENT_SHARE = 4; // of all descriptors; clients may hold a third
   private static final int READ_BUFFER = 32 * 1024; // at most this is read at once, however much has come
+  private static final int BUDGET_SHARE = 8; // of the memory that values may take
   private static final int MIN_DESCRIPTORS = 8; // however little is left beside what is set aside
   private static final double OLD_KIND_MS = 2000; // after new settings, beside a deadline, old requests come
   private static final double LATE_MS = 15; // after which the proxy itself fails what nobody answered
@@ -86,6 +88,7 @@
   private final Loop loop = new Loop();
   private final Directory directory;
   private final TCPNIOTransport transport;
+  private final Budget budget;
   private final Upstreams upstreams;
   private final Sessions sessions;
   private final Watch watch;
@@ -131,9 +134,10 @@
         .setServerConnectionBackLog(1024)
         .build();
     transport.setChannelConfigurator(new SharedListener());
-    this.upstreams = new Upstreams(transport, loop, clock, this, counters,
+    this.budget = new Budget(0);
+    this.upstreams = new Upstreams(transport, loop, clock, this, counters, budget,
         settings.limits().connectTimeout(), config.socketSettings().connectionIdle());
-    this.sessions = new Sessions(transport, loop, clock, this, counters);
+    this.sessions = new Sessions(transport, loop, clock, this, counters, budget);
     share(1);
     this.watch = new Watch(transport, loop, counters, new Random(config.seed()), config.discovery(),
         config.known().version(), list -> listed(list, list.whole() ? ListKind.FULL : ListKind.CHANGES),
@@ -156,6 +160,7 @@
   private void share(int processes) {
     int reserved = RESERVED_DESCRIPTORS + (config.ops() == null ? 0 : OPS_DESCRIPTORS);
     int own = Math.max(MIN_DESCRIPTORS, (config.sockets() - processes * reserved) / processes);
+    budget.limit(config.memoryMb() * 1024L * 1024 / BUDGET_SHARE / processes);
     int clients = processes == 1 ? own / 2 : own * 2 / 3;
     upstreams.resize(own - clients);
     sessions.resize(clients, Math.min(clients * 9 / 10, config.sockets() / CLIENT_SHARE));
@@ -299,6 +304,11 @@
     return listens.join().getPort();
   }
 
+  /** The bytes of values that are held, and streams, each as one: 0 when nothing is left of either. */
+  long held() {
+    return budget.held() + budget.streams();
+  }
+
   /** The port that operators call; 0 where there is none, or not yet. */
   int opsPort() {
     return calls == null ? 0 : calls.port();
@@ -514,6 +524,7 @@
 
   private void forget(Exchange exchange) {
     if (exchange.isOver() && exchange.attemptsOut() == 0) {
+      exchange.command().release();
       exchanges.remove(exchange.id());
       idsInUse.remove(id(exchange.command()));
     }
@@ -564,6 +575,15 @@
         after(LATE_MS, () -> failLate(exchange.id()));
       }
     }
-    after(LAST_WRITES_MS, drained::countDown);
+    after(LAST_WRITES_MS, this::endStreams);
+  }
+
+  /** What streams goes on as long as it can. */
+  private void endStreams() {
+    if (sessions.isStreaming() && now() < endsBy + END_MS - LAST_WRITES_MS) {
+      after(10, this::endStreams);
+    } else {
+      drained.countDown();
+    }
   }
 }
--- a/src/main/java/beampoint/serve/WarmUp.java
+++ b/src/main/java/beampoint/serve/WarmUp.java
@@ -10,6 +10,7 @@
 import beampoint.Balancer.Result;
 import beampoint.Balancer.Send;
 import beampoint.Balancer.Settings;
+import beampoint.buffer.Budget;
 import beampoint.count.Counters;
 import beampoint.exchange.Answer;
 import beampoint.exchange.Exchange;
@@ -45,7 +46,8 @@
     this.loop = loop;
     this.clock = clock;
     this.done = done;
-    this.upstreams = new Upstreams(transport, loop, clock, this, new Counters(), LONGEST_MS, LONGEST_MS);
+    this.upstreams = new Upstreams(transport, loop, clock, this, new Counters(), new Budget(0), LONGEST_MS,
+        LONGEST_MS);
   }
 
   /** Begins; the module's part is done at once, the questions to itself come and go on their own. */
--- a/src/main/java/beampoint/upstream/Link.java
+++ b/src/main/java/beampoint/upstream/Link.java
@@ -1,9 +1,11 @@
 package beampoint.upstream;
 
+import beampoint.buffer.Budget;
+import beampoint.buffer.Collector;
+import beampoint.buffer.Stream;
 import beampoint.http.HttpHead;
 import java.net.SocketAddress;
 import java.util.concurrent.Future;
-import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 
 /**
@@ -18,7 +20,11 @@
   Future<?> connectTimer;
   double idleSince;
   HttpHead head;
-  Buffer body;
+  Collector body; // of an answer that is held until it is whole
+  Budget.Claim claim; // for that
+  Stream stream; // a long value on its way to the client
+  double movedAt; // when bytes of it last came, or it was let go on
+  boolean paused; // until the client has taken more
   boolean closed;
   /** True once the last byte of the request was written: from then on it may have run. */
   boolean written;
@@ -30,6 +36,9 @@
 
   void close() {
     closed = true;
+    if (claim != null) {
+      claim.release();
+    }
     if (connection != null) {
       connection.terminateSilently();
     }
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -1,6 +1,9 @@
 package beampoint.upstream;
 
 import beampoint.Balancer.Result;
+import beampoint.buffer.Budget;
+import beampoint.buffer.Collector;
+import beampoint.buffer.Stream;
 import beampoint.count.Counter;
 import beampoint.count.Counters;
 import beampoint.exchange.Answer;
@@ -14,11 +17,14 @@
 import beampoint.memcache.Command;
 import beampoint.memcache.Reply;
 import beampoint.memcache.ReplyFilter;
+import beampoint.memcache.ReplyPart;
 import beampoint.memcache.Writer;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -31,6 +37,7 @@
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -51,6 +58,7 @@
 
   private static final Log LOG = Log.of("upstream");
   private static final int MAX_BODY = ReplyFilter.MAX_VALUE;
+  private static final double STANDSTILL_MS = 10_000; // after which a value that has begun is given up
   private static final Map<Result, Counter> COUNTERS = new EnumMap<>(Result.class);
 
   static {
@@ -64,6 +72,7 @@
   private final DoubleSupplier clock;
   private final Reports reports;
   private final Counters counters;
+  private final Budget budget;
   private double connectTimeout;
   private double idleTime;
   private int maxConnections = 2;
@@ -76,19 +85,21 @@
   private final Map<Long, Map<Integer, Flight>> flights = new HashMap<>(); // by request, then by attempt
   private final Attribute<Link> linkOf = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("link");
   private final Future<?> closing; // of connections that have stood idle
+  private final Set<Link> streaming = new LinkedHashSet<>();
   private int connections;
 
   public Upstreams(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
-      Reports reports, Counters counters, double connectTimeout, double idleTime) {
+      Reports reports, Counters counters, Budget budget, double connectTimeout, double idleTime) {
     this.transport = transport;
     this.loop = loop;
     this.clock = clock;
     this.reports = reports;
     this.counters = counters;
+    this.budget = budget;
     retime(connectTimeout, idleTime);
     this.writer = new Writer(transport.getMemoryManager());
     this.httpWriter = new HttpWriter(transport.getMemoryManager());
-    this.toCaches = connector(new ReplyFilter());
+    this.toCaches = connector(new ReplyFilter(transport.getMemoryManager()));
     this.toOrigin = connector(new HttpFilter(HttpFilter.Side.ANSWERS));
     this.closing = loop.scheduleWithFixedDelay(this::closeOld, 1, 1, TimeUnit.SECONDS);
   }
@@ -295,7 +306,10 @@
     if (link.closed) {
       return;
     }
-    if (flight == null || !link.written) {
+    link.movedAt = clock.getAsDouble();
+    if (link.stream != null) {
+      goOn(link, message);
+    } else if (flight == null || !link.written) {
       bad(link, "an answer that nothing was asked for");
     } else if (message instanceof Reply reply) {
       answered(link, flight, reply);
@@ -311,6 +325,75 @@
     }
   }
 
+  /** The next bytes of a long value. */
+  private void goOn(Link link, Object message) {
+    if (message instanceof ReplyPart part && part.last()) {
+      streamed(link, part.surplus());
+    } else if (message instanceof ReplyPart part) {
+      pass(link, part.bytes());
+    } else if (message instanceof HttpContent content) {
+      pass(link, content.bytes());
+      if (content.last()) {
+        streamed(link, link.head.closes() || content.surplus());
+      }
+    } else {
+      bad(link, "a long value that does not end as it should");
+    }
+  }
+
+  private void pass(Link link, Buffer bytes) {
+    if (bytes.hasRemaining() && !link.stream.offer(bytes)) {
+      setReading(link, false);
+    }
+  }
+
+  /** A long value has come to its end. */
+  private void streamed(Link link, boolean spent) {
+    Stream stream = link.stream;
+    link.stream = null;
+    streaming.remove(link);
+    setReading(link, true);
+    stream.finish();
+    release(link, spent);
+  }
+
+  /** The value is the client's from its first bytes on: the attempt has ended well, and is not repeated. */
+  private void stream(Link link, Flight flight, long length) {
+    counters.add(Counter.VALUES_STREAMED);
+    link.flight = null;
+    streaming.add(link);
+    link.stream = new Stream(length, budget, new Stream.Source() {
+      @Override
+      public void resume() {
+        setReading(link, true);
+      }
+
+      @Override
+      public void cancel() {
+        link.stream = null;
+        close(link);
+      }
+    });
+    land(flight, Result.OK, Answer.streamed(link.stream));
+  }
+
+  private void setReading(Link link, boolean on) {
+    link.movedAt = clock.getAsDouble();
+    link.paused = !on;
+    if (link.closed) {
+      return;
+    }
+    try {
+      if (on) {
+        link.connection.enableIOEvent(IOEvent.READ);
+      } else {
+        link.connection.disableIOEvent(IOEvent.READ);
+      }
+    } catch (IOException e) {
+      lost(link);
+    }
+  }
+
   private void answered(Link link, Flight flight, Reply reply) {
     Command command = flight.isProbe() ? null : flight.exchange.command();
     boolean own = command != null && reply.id() != null && reply.id().equals(command.id());
@@ -328,16 +411,36 @@
       bad(link, "an answer that does not fit: " + reply.kind());
       return;
     }
+    if (reply.isStreamed()) {
+      stream(link, flight, reply.length());
+      return;
+    }
     release(link, reply.surplus());
     boolean served = result == Result.OK && !flight.isProbe();
     Answer.Kind kind = reply.kind() == Reply.Kind.VALUE ? Answer.Kind.VALUE : Answer.Kind.RECEIPT;
-    land(flight, result, served ? new Answer(kind, reply.body(), 0) : null);
+    land(flight, result, served ? Answer.whole(kind, reply.body()) : null);
   }
 
   private void content(Link link, Flight flight, HttpContent content) {
-    link.body = link.body == null ? content.bytes()
-        : Buffers.appendBuffers(transport.getMemoryManager(), link.body, content.bytes());
-    if (link.body.remaining() > MAX_BODY) {
+    boolean read = !flight.isProbe() && flight.exchange.command().kind() == Command.Kind.READ;
+    boolean isLong = read && link.head.status() == 200 && link.head.length() > ReplyFilter.WHOLE_VALUE;
+    if (isLong && link.body == null) {
+      if (link.head.length() > MAX_BODY) {
+        bad(link, "a body that is longer than any value");
+        return;
+      }
+      stream(link, flight, link.head.length());
+      goOn(link, content);
+      return;
+    }
+    if (link.body == null) {
+      link.claim = budget.claim(() -> setReading(link, true));
+      link.body = new Collector(transport.getMemoryManager(), MAX_BODY, link.claim);
+    }
+    if (!link.body.add(content.bytes())) {
+      setReading(link, false);
+    }
+    if (content.bytes().hasRemaining()) {
       bad(link, "a body that is longer than any value");
       return;
     }
@@ -345,12 +448,13 @@
       return;
     }
     HttpHead head = link.head;
-    Buffer body = link.body;
+    Buffer body = link.body.message();
+    link.claim.release();
     release(link, head.closes() || content.surplus());
     if (head.status() == 200) {
       boolean write = !flight.isProbe() && flight.exchange.command().kind() == Command.Kind.WRITE;
       Answer.Kind kind = write ? Answer.Kind.RECEIPT : Answer.Kind.VALUE;
-      land(flight, Result.OK, flight.isProbe() ? null : new Answer(kind, body, 0));
+      land(flight, Result.OK, flight.isProbe() ? null : Answer.whole(kind, body));
     } else {
       boolean neverRan = head.declined() && (head.status() == 503 || head.status() == 504);
       land(flight, neverRan ? Result.FULL : Result.ERROR, null);
@@ -374,8 +478,14 @@
 
   private void end(Link link, Result afterWriting) {
     Flight flight = link.flight;
+    Stream stream = link.stream;
+    link.stream = null;
     boolean written = link.written;
     close(link);
+    if (stream != null) {
+      counters.add(Counter.VALUES_CUT_OFF);
+      stream.fail();
+    }
     if (flight != null) {
       // Before the request's last byte was written it can't have run: a cache node begins it only then.
       land(flight, written ? afterWriting : Result.CONNECT_FAILED, null);
@@ -442,6 +552,7 @@
 
   private void close(Link link) {
     if (!link.closed) {
+      streaming.remove(link);
       link.close();
       connections--;
       counters.check(connections >= 0, "no more connections end than were begun");
@@ -452,6 +563,8 @@
 
   private void closeOld() {
     double before = clock.getAsDouble() - idleTime;
+    List.copyOf(streaming).stream().filter(l -> !l.paused && l.movedAt < clock.getAsDouble() - STANDSTILL_MS)
+        .forEach(l -> bad(l, "a long value that stands still"));
     for (Pool pool : pools.values()) {
       while (!pool.idle.isEmpty() && pool.idle.peekLast().idleSince < before) {
         close(pool.idle.peekLast());
--- /dev/null
+++ b/src/test/java/beampoint/serve/LongValuesTest.java
@@ -0,0 +1,230 @@
+package beampoint.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer;
+import beampoint.Balancer.Result;
+import beampoint.Stub;
+import beampoint.count.Counter;
+import beampoint.serve.ProxyFixture.Client;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Values over 64 KiB between scripted peers: as they come, whole or told to be cut off, at any pace. */
+@Timeout(60)
+class LongValuesTest {
+
+  private static final int LONGEST = 4 * 1024 * 1024;
+  private static final String READ = "mg 7f3a v O9b Pc=read,t=acme,d=4000\r\n";
+
+  private static String value(int length) {
+    StringBuilder value = new StringBuilder(length + 8);
+    for (int i = 0; value.length() < length; i++) {
+      value.append(i % 7 == 0 ? "\r\n" : "x").append(i);
+    }
+    return value.substring(0, length);
+  }
+
+  /** A cache node that gives a part of a value, and the rest once the test adds to the stub's ends. */
+  private static Stub heldHalfWay(String value, int first, String end) throws Exception {
+    return new Stub(peer -> {
+      peer.line();
+      peer.say("VA " + value.length() + " O9b h1\r\n" + value.substring(0, first));
+      peer.stub().ends.take();
+      peer.say(value.substring(first) + end);
+      peer.line();
+    });
+  }
+
+  @Test
+  void theFirstBytesGoOnBeforeTheRestHasCome() throws Exception {
+    String value = value(LONGEST);
+    try (Stub cache = heldHalfWay(value, 1000, "\r\n");
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      assertEquals("VA " + LONGEST + " O9b", client.ask(READ));
+      assertEquals(value.substring(0, 1000), client.bytes(1000));
+      Balancer.AttemptEnded ended = proxy.ended();
+      assertEquals(Result.OK, ended.result());
+      assertTrue(ended.done());
+      cache.ends.add(true);
+      assertEquals(value.substring(1000) + "\r\n", client.bytes(LONGEST - 1000 + 2));
+      assertEquals("MN", client.ask("mn\r\n"));
+    }
+  }
+
+  /** Guards against half a value that looks whole, and against one that is begun twice. */
+  @Test
+  void aLongValueThatIsCutOffOrSpoiltEndsTheClientsConnectionAndIsNotAskedForAgain() throws Exception {
+    String value = value(100_000);
+    for (String end : new String[] {"cut", "xx"}) {
+      try (Stub cache = new Stub(peer -> {
+        peer.line();
+        peer.say("VA 100000 O9b\r\n" + value.substring(0, end.equals("cut") ? 90_000 : 100_000));
+        if (end.equals("cut")) {
+          peer.stub().ends.take();
+          peer.reset();
+        } else {
+          peer.say(end);
+          peer.beSilent();
+        }
+      }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+          Client client = new Client(proxy)) {
+        proxy.sendTo("cache");
+        assertEquals("VA 100000 O9b", client.ask(READ));
+        cache.ends.add(true);
+        int whole = 0;
+        try {
+          whole = client.bytes(100_002).length();
+        } catch (java.net.SocketException e) {
+          // a reset tells as much
+        }
+        assertTrue(whole < 100_002, "the client can tell");
+        proxy.ended();
+        assertEquals(1, cache.connections());
+        assertEquals(1, proxy.proxy.counters().get(Counter.VALUES_CUT_OFF));
+      }
+    }
+  }
+
+  @Test
+  void theOriginsLongValuesGoOnWithStatedLengthOrInChunks() throws Exception {
+    String value = value(700_000);
+    for (boolean chunked : new boolean[] {false, true}) {
+      try (Stub origin = new Stub(peer -> {
+        peer.head();
+        peer.say("HTTP/1.1 200 OK\r\n");
+        if (!chunked) {
+          peer.say("Content-Length: 700000\r\n\r\n" + value);
+        } else {
+          peer.say("Transfer-Encoding: chunked\r\n\r\n");
+          for (int i = 0; i < 700_000; i += 100_000) {
+            peer.say("186a0\r\n" + value.substring(i, i + 100_000) + "\r\n");
+          }
+          peer.say("0\r\n\r\n");
+        }
+        peer.beSilent();
+      }); ProxyFixture proxy = new ProxyFixture(Stub.nobody(), origin.address());
+          Client client = new Client(proxy)) {
+        proxy.sendTo("origin");
+        assertEquals("VA 700000 O9b", client.ask(READ));
+        assertEquals(value + "\r\n", client.bytes(700_002));
+        assertEquals("MN", client.ask("mn\r\n"));
+      }
+    }
+  }
+
+  @Test
+  void aLongWriteInPiecesIsHeldAndSentOnWholeAndWhatIsTooLongIsRefusedAtOnce() throws Exception {
+    String value = value(1_500_000);
+    try (Stub origin = new Stub(peer -> {
+      String head = peer.head();
+      for (int left = 1_500_000; left > 0; left -= 100_000) {
+        peer.stub().lines.add(peer.bytes(Math.min(left, 100_000)));
+      }
+      peer.say("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nreceipt");
+      peer.beSilent();
+    }); ProxyFixture proxy = new ProxyFixture(Stub.nobody(), origin.address());
+        Client client = new Client(proxy); Client other = new Client(proxy)) {
+      proxy.sendTo("origin");
+      client.say("ms 7f 1500000 O9b Pc=put,t=acme,d=4000,k=5c\r\n");
+      for (int i = 0; i < 1_500_000; i += 50_000) {
+        client.say(value.substring(i, i + 50_000));
+        assertEquals("MN", other.ask("mn\r\n"));
+      }
+      assertEquals("HD O9b creceipt", client.ask("\r\n"));
+      StringBuilder got = new StringBuilder();
+      for (String part = origin.nextLine(); part != null; part = origin.lines.poll()) {
+        got.append(part.length() == 100_000 ? part : "");
+      }
+      assertEquals(value, got.toString());
+      assertTrue(other.ask("ms 7f 4194305 Oother Pc=put,d=4000\r\n").startsWith("SERVER_ERROR object"));
+      assertNull(other.line());
+    }
+  }
+
+  /** Guards against values that take all memory as clients read slowly, and requests that wait for them. */
+  @Test
+  void manySlowReadersHoldLittleAndSmallRequestsAreServedBesideThem() throws Exception {
+    String value = value(LONGEST);
+    List<Client> slow = new ArrayList<>();
+    try (Stub cache = new Stub(peer -> {
+      for (String line = peer.line(); line != null; line = peer.line()) {
+        String id = line.split(" ")[3];
+        peer.say(line.startsWith("mg 5") ? "VA 5 " + id + "\r\nshort\r\n"
+            : "VA " + LONGEST + " " + id + "\r\n" + value + "\r\n");
+      }
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client quick = new Client(proxy)) {
+      proxy.sendTo("cache");
+      for (int i = 0; i < 20; i++) {
+        slow.add(new Client(proxy.port, 16 * 1024));
+        assertEquals("VA " + LONGEST + " Os" + i, slow.get(i).ask("mg 7 v Os" + i + " Pc=read,d=4000\r\n"));
+        assertEquals("VA 5 Oq" + i, quick.ask("mg 5 v Oq" + i + " Pc=read,d=4000\r\n"));
+        assertEquals("short", quick.line());
+      }
+      // Asked on one connection behind a long one: it waits for its turn, and comes.
+      slow.get(0).say("mg 5 v Olast Pc=read,d=4000\r\n");
+      for (int i = 0; i < 20; i++) {
+        assertEquals(value.hashCode(), slow.get(i).bytes(LONGEST).hashCode());
+        assertEquals("", slow.get(i).line());
+      }
+      assertEquals("VA 5 Olast", slow.get(0).line());
+      assertEquals(0, proxy.proxy.counters().get(Counter.VALUES_CUT_OFF));
+      assertEquals(20, proxy.proxy.counters().get(Counter.VALUES_STREAMED));
+    } finally {
+      for (Client client : slow) {
+        client.close();
+      }
+    }
+  }
+
+  @Test
+  void aClientThatLeavesHalfWayEndsTheReadingAndNothingIsKept() throws Exception {
+    String value = value(LONGEST);
+    try (Stub cache = heldHalfWay(value, 200_000, "\r\n");
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody())) {
+      proxy.sendTo("cache");
+      try (Client client = new Client(proxy)) {
+        assertEquals("VA " + LONGEST + " O9b", client.ask(READ));
+      }
+      proxy.ended();
+      cache.ends.add(true);
+      try (Client client = new Client(proxy)) {
+        client.say("ms 7f 4000000 Oc Pc=put,d=4000\r\n" + value.substring(0, 100_000));
+      }
+      try (Client client = new Client(proxy)) {
+        while (proxy.proxy.held() != 0) {
+          assertEquals("MN", client.ask("mn\r\n")); // until the leaving was seen
+        }
+      }
+    }
+  }
+
+  /** A byte at a time in both directions. */
+  @Test
+  void peersMayWriteAByteAtATime() throws Exception {
+    String value = value(70_000);
+    try (Stub cache = new Stub(peer -> {
+      peer.line();
+      String answer = "VA 70000 O9b h1\r\n" + value + "\r\n";
+      for (int i = 0; i < answer.length(); i++) {
+        peer.socket.getOutputStream().write(answer.charAt(i));
+      }
+      peer.beSilent();
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      for (int i = 0; i < READ.length(); i++) {
+        client.say(READ.substring(i, i + 1));
+      }
+      assertEquals("VA 70000 O9b", client.line());
+      assertEquals(value + "\r\n", client.bytes(70_002));
+    }
+  }
+}
