--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -66,6 +66,10 @@
     return sessions.pending(connection) == 0;
   }
 
+  boolean isClosing() {
+    return closing;
+  }
+
   boolean isOpenAndIdle() {
     return !closing && isIdle();
   }
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -11,6 +11,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -77,9 +79,7 @@
   public void resize(int most, int many) {
     maxConnections = most;
     manyConnections = many;
-    for (int over = open.size() - many; over > 0; over--) {
-      makeRoom(null);
-    }
+    makeRoom(null);
     acceptWhileThereIsRoom();
   }
 
@@ -150,28 +150,27 @@
    */
   private void makeRoom(Session except) {
     double now = clock.getAsDouble();
-    Session idle = null;
-    Session fresh = null;
-    Session old = null;
-    int waiting = 0;
+    Deque<Session> past = new ArrayDeque<>(); // their time for a command
+    Deque<Session> idle = new ArrayDeque<>();
+    Deque<Session> fresh = new ArrayDeque<>();
+    int count = 0;
     for (Map.Entry<Connection<?>, Session> entry : open.entrySet()) {
       Session session = entry.getValue();
+      count += session.isClosing() ? 0 : 1;
       if (session != except && session.isOpenAndIdle()) {
         boolean waits = session.isSilent() || codec.hasHalf(entry.getKey());
-        if (waits && now - session.restsSince() >= SILENCE_MS) {
-          old = session;
-          break;
-        }
-        idle = idle == null && !waits ? session : idle;
-        fresh = fresh == null && waits ? session : fresh;
-        waiting += waits ? 1 : 0;
+        (!waits ? idle : now - session.restsSince() >= SILENCE_MS ? past : fresh).add(session);
       }
     }
-    if (old == null) {
-      boolean freshGoes = waiting > manyConnections / 3 || idle == null && open.size() >= maxConnections;
-      old = freshGoes ? fresh : idle;
-    }
-    if (old != null) {
+    int waiting = fresh.size();
+    while (count > manyConnections) {
+      boolean freshGoes = waiting > manyConnections / 3 || idle.isEmpty() && count >= maxConnections;
+      Session old = !past.isEmpty() ? past.poll() : freshGoes && waiting > 0 ? fresh.poll() : idle.poll();
+      if (old == null) {
+        return;
+      }
+      waiting = fresh.size();
+      count--;
       counters.add(Counter.CLIENT_CONNECTIONS_CLOSED_FULL);
       old.closeWhenIdle();
     }
