--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -42,7 +42,6 @@
   private static final double SILENCE_MS = 2500; // before the first command, or in the middle of one
   private static final double STANDSTILL_MS = 10_000; // of a client that does not read its answers
   private static final double IDLE_MS = 15_000; // between commands
-  private static final double LAST_WORDS_MS = 300; // that a client has for its first command before the end
   private static final long END_STEP_MS = 10;
   private static final double CROWDED_IDLE_MS = 2000; // the same, at half of the connections that are many
 
@@ -61,7 +60,7 @@
   private final CommandFilter codec;
   private TCPNIOServerConnection listener;
   private volatile boolean full;
-  private double endsSince;
+  private double lastWordsBy;
 
   public Sessions(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
       Intake intake, Counters counters, Budget budget) {
@@ -248,9 +247,10 @@
 
   /**
    * Takes no more connections: the last thing before that is to accept all that wait, as whoever connected to
-   * a listener that is closed is reset.
+   * a listener that is closed is reset. Who is in the middle of a command, or has said nothing yet, has so much
+   * time to come to its end.
    */
-  public void stopListening() {
+  public void stopListening(double patience) {
     try {
       for (int before = -1; listener != null && listener.isOpen() && accepted.get() > before;) {
         before = accepted.get();
@@ -262,7 +262,7 @@
     if (listener != null) {
       listener.closeSilently();
     }
-    endsSince = clock.getAsDouble();
+    lastWordsBy = clock.getAsDouble() + patience;
     endIdle();
   }
 
@@ -273,9 +273,8 @@
   private void endIdle() {
     double now = clock.getAsDouble();
     for (Map.Entry<Connection<?>, Session> entry : List.copyOf(open.entrySet())) {
-      boolean onItsWay = codec.hasHalf(entry.getKey()) || now < endsSince + LAST_WORDS_MS
-          && entry.getValue().isSilent();
-      if (!onItsWay) {
+      boolean onItsWay = codec.hasHalf(entry.getKey()) || entry.getValue().isSilent();
+      if (!onItsWay || now >= lastWordsBy) {
         entry.getValue().closeWhenIdle();
       }
     }
--- a/src/main/java/beampoint/serve/Operations.java
+++ b/src/main/java/beampoint/serve/Operations.java
@@ -68,6 +68,10 @@
     }
   }
 
+  int processes() {
+    return processes;
+  }
+
   private void tell(Ban ban) {
     proxy.module().accept(new BanChanged(ban.node(), true, ban.since()));
     if (!ban.isOut()) {
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -73,6 +73,10 @@
   private static final double OLD_KIND_MS = 2000; // after new settings, beside a deadline, old requests come
   private static final double LATE_MS = 15; // after which the proxy itself fails what nobody answered
   private static final long FRONT_LEAVES_MS = 450; // after a SIGTERM new clients come for up to 400 ms
+  // After that a command that has begun may come to its end: for long where another process serves, shortly
+  // where nobody does, or clients that stop half way would hold up the restart.
+  private static final double LAST_WORDS_MS = 2000;
+  private static final double LAST_WORDS_ALONE_MS = 200;
   private static final double LONGEST_DEADLINE_MS = 3000; // that the platform waits for after a SIGTERM
   private static final double KILL_MS = 700; // after that deadline a SIGKILL may come
   private static final double END_MS = 300; // before it all is answered
@@ -554,7 +558,8 @@
   }
 
   private void endSessions() {
-    sessions.stopListening();
+    boolean replaced = operations != null && operations.processes() > 1;
+    sessions.stopListening(replaced ? LAST_WORDS_MS : LAST_WORDS_ALONE_MS);
     pollDrained();
   }
 
