--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -247,8 +247,8 @@
 
   /**
    * Takes no more connections: the last thing before that is to accept all that wait, as whoever connected to
-   * a listener that is closed is reset. Who is in the middle of a command, or has said nothing yet, has so much
-   * time to come to its end.
+   * a listener that is closed is reset. Who is in the middle of a command, or has said nothing yet, has so
+   * much time to come to its end.
    */
   public void stopListening(double patience) {
     try {
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -178,7 +178,7 @@
     warm = false;
     open();
     InetSocketAddress self = calls == null ? listen() : calls.listen(config.ops());
-    loop.execute(() -> new WarmUp(transport, loop, clock, this::warmedUp)
+    loop.execute(() -> new WarmUp(transport, loop, clock, isReplacing(), this::warmedUp)
         .start(factory.apply(settings), settings, received(config.known(), ListKind.FULL), self,
             calls != null));
     try {
@@ -222,6 +222,11 @@
     return address;
   }
 
+  /** True while another process of this proxy is there, to be replaced by this one or in its place. */
+  private boolean isReplacing() {
+    return operations != null && operations.processes() > 1;
+  }
+
   private void heard() {
     heard = true;
     listenWhenWarm();
@@ -558,8 +563,7 @@
   }
 
   private void endSessions() {
-    boolean replaced = operations != null && operations.processes() > 1;
-    sessions.stopListening(replaced ? LAST_WORDS_MS : LAST_WORDS_ALONE_MS);
+    sessions.stopListening(isReplacing() ? LAST_WORDS_MS : LAST_WORDS_ALONE_MS);
     pollDrained();
   }
 
