--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -178,7 +178,7 @@
     warm = false;
     open();
     InetSocketAddress self = calls == null ? listen() : calls.listen(config.ops());
-    loop.execute(() -> new WarmUp(transport, loop, clock, isReplacing(), this::warmedUp)
+    loop.execute(() -> new WarmUp(transport, loop, clock, this::warmedUp)
         .start(factory.apply(settings), settings, received(config.known(), ListKind.FULL), self,
             calls != null));
     try {
--- a/src/main/java/beampoint/serve/WarmUp.java
+++ b/src/main/java/beampoint/serve/WarmUp.java
@@ -33,7 +33,6 @@
   private static final String SELF = "self";
   private static final int EVENTS = 50;
   private static final int QUESTIONS = 20;
-  private static final int BESIDE = 20; // times as much beside another process, which serves meanwhile
   private static final double LONGEST_MS = 1500;
 
   private final ScheduledExecutorService loop;
@@ -42,11 +41,8 @@
   private final Runnable done;
   private double endsAt;
   private int asked;
-  private final int rounds;
 
-  WarmUp(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock, boolean beside,
-      Runnable done) {
-    this.rounds = beside ? BESIDE : 1;
+  WarmUp(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock, Runnable done) {
     this.loop = loop;
     this.clock = clock;
     this.done = done;
@@ -66,7 +62,7 @@
     double now = clock.getAsDouble();
     module.handle(now, new ListReceived(ListKind.FULL, known.endpoints()));
     int classes = settings.classes().size();
-    for (int id = 1; id <= rounds * EVENTS && classes > 0 && clock.getAsDouble() < endsAt; id++) {
+    for (int id = 1; id <= EVENTS && classes > 0 && clock.getAsDouble() < endsAt; id++) {
       RequestClass type = settings.classes().get(id % classes);
       Event event = new RequestReceived(id, ++now + type.deadline(), 0, id % classes, id, id % 50 == 0);
       for (int attempt = 0; event != null; attempt++) {
@@ -84,7 +80,7 @@
 
   @Override
   public void probed(String endpoint, double elapsed, Result result) {
-    if (++asked < rounds * QUESTIONS && clock.getAsDouble() < endsAt) {
+    if (++asked < QUESTIONS && clock.getAsDouble() < endsAt) {
       upstreams.probe(SELF);
     } else {
       upstreams.close();
