The last bytes of a long value are counted though its slot has let the stream go

Cause: Session.Rest asked the slot for its stream when a piece was written; at the stream's end the slot has none, so each piece written after it cost a null pointer, caught and logged by the loop ('a task failed', 46 lines in the tests of long values, none now). Rest holds its stream. No answer was wrong; the log and the time were.

--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -215,9 +215,11 @@
   /** The bytes of a long value, which go on as they come. */
   private final class Rest implements Stream.Sink {
     private final Slot slot;
+    private final Stream stream; // the slot lets it go at its end, before its last bytes are written
 
     Rest(Slot slot) {
       this.slot = slot;
+      this.stream = slot.stream;
     }
 
     @Override
@@ -226,7 +228,7 @@
       write(bytes, new EmptyCompletionHandler<>() {
         @Override
         public void completed(WriteResult<Buffer, SocketAddress> result) {
-          sessions.loop().execute(() -> slot.stream.written(count));
+          sessions.loop().execute(() -> stream.written(count));
         }
       });
     }
--- a/src/test/java/beampoint/serve/LongValuesTest.java
+++ b/src/test/java/beampoint/serve/LongValuesTest.java
@@ -1,6 +1,7 @@
 package beampoint.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,6 +10,8 @@
 import beampoint.Stub;
 import beampoint.count.Counter;
 import beampoint.serve.ProxyFixture.Client;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -153,6 +156,9 @@
   void manySlowReadersHoldLittleAndSmallRequestsAreServedBesideThem() throws Exception {
     String value = value(LONGEST);
     List<Client> slow = new ArrayList<>();
+    PrintStream usual = System.err;
+    ByteArrayOutputStream log = new ByteArrayOutputStream();
+    System.setErr(new PrintStream(log, true));
     try (Stub cache = new Stub(peer -> {
       for (String line = peer.line(); line != null; line = peer.line()) {
         String id = line.split(" ")[3];
@@ -177,7 +183,10 @@
       assertEquals("VA 5 Olast", slow.get(0).line());
       assertEquals(0, proxy.proxy.counters().get(Counter.VALUES_CUT_OFF));
       assertEquals(20, proxy.proxy.counters().get(Counter.VALUES_STREAMED));
+      assertEquals("MN", quick.ask("mn\r\n"));
+      assertFalse(log.toString().contains("a task failed"), "last bytes are written after a stream's end");
     } finally {
+      System.setErr(usual);
       for (Client client : slow) {
         client.close();
       }
