Operators are listened to before discovery is asked: a call at the start is not refused

Proxy.open queued the watch before startWarm called Calls.listen, so that discovery could be asked, and answer, while the operators' address was not there yet: in service a call in that moment is refused. Ruled out: a fault of the stand-in, which only waits for the watch's line.

Change: open() has the bans and the remembered list stand first, then listens to operators, then asks discovery. The listener field is volatile, as it is set by the starting thread.

--- a/src/main/java/beampoint/ops/Calls.java
+++ b/src/main/java/beampoint/ops/Calls.java
@@ -47,7 +47,7 @@
   private final Counters counters;
   private final HttpWriter writer;
   private final Map<Connection<SocketAddress>, Call> open = new LinkedHashMap<>(); // the longest open first
-  private TCPNIOServerConnection listener;
+  private volatile TCPNIOServerConnection listener; // null before it listens
 
   /** One connection. */
   private static final class Call {
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -176,8 +176,8 @@
    */
   public void startWarm() throws IOException {
     warm = false;
-    open();
-    InetSocketAddress self = calls == null ? listen() : calls.listen(config.ops());
+    InetSocketAddress ops = open();
+    InetSocketAddress self = calls == null ? listen() : ops;
     loop.execute(() -> new WarmUp(transport, loop, clock, this::warmedUp)
         .start(factory.apply(settings), settings, received(config.known(), ListKind.FULL), self,
             calls != null));
@@ -193,13 +193,14 @@
   /** Begins to serve; returns once clients are listened to. */
   public void start() throws IOException {
     open();
-    if (calls != null) {
-      calls.listen(config.ops());
-    }
     listen();
   }
 
-  private void open() throws IOException {
+  /**
+   * Returns where operators call, or null. They are listened to once the bans and the known nodes stand, and
+   * before anything is asked of discovery. Guards against a call that is refused while the proxy starts.
+   */
+  private InetSocketAddress open() throws IOException {
     transport.start();
     Config start = config;
     loop.execute(() -> {
@@ -209,10 +210,14 @@
         after(HEARD_MS, this::heard);
       }
       listed(start.known(), ListKind.REMEMBERED);
+    });
+    InetSocketAddress ops = calls == null ? null : calls.listen(config.ops());
+    loop.execute(() -> {
       if (settings.listPushed()) {
         watch.follow();
       }
     });
+    return ops;
   }
 
   private InetSocketAddress listen() throws IOException {
