Test: an event is answered by the script that stood when it came

The scripted module told the test of an event before it read its script, so a test that then changed the script could have it applied to the event before: on two cores ProxyTest.anExceptionOfTheModuleFailsItsRequestAndTheProxyLives counted two exceptions in one run of three.

--- a/src/test/java/beampoint/serve/ProxyFixture.java
+++ b/src/test/java/beampoint/serve/ProxyFixture.java
@@ -35,8 +35,9 @@
 
     @Override
     public List<Action> handle(double now, Event event) {
+      var present = script; // who has seen the event may change the script: that is for those after it
       events.add(event);
-      return script.apply(event);
+      return present.apply(event);
     }
 
     /** The next event of a type; fails after five seconds without one. */
