--- a/src/main/java/beampoint/cli/Main.java
+++ b/src/main/java/beampoint/cli/Main.java
@@ -30,8 +30,13 @@
     throw new ParameterException(spec.commandLine(), "Missing command");
   }
 
+  /**
+   * Guards against a start that is spent on the command line's model, which is a third of it, where the one
+   * word leaves nothing to read.
+   */
   public static void main(String[] args) {
-    int code = new CommandLine(new Main()).execute(args);
+    int code = args.length == 1 && args[0].equals("serve") ? new ServeCommand().call()
+        : new CommandLine(new Main()).execute(args);
     if (code != ServeCommand.SERVING) {
       System.exit(code);
     }
@@ -66,12 +71,16 @@
     static final int SERVING = -1;
     private static final Log LOG = Log.of("serve");
 
-    @Option(names = "--config", paramLabel = "FILE", defaultValue = "${env:PROXY_CONFIG}",
+    @Option(names = "--config", paramLabel = "FILE",
         description = "The configuration; $PROXY_CONFIG if not given.")
     private Path config;
 
     @Override
     public Integer call() {
+      String told = System.getenv("PROXY_CONFIG");
+      if (config == null && told != null) {
+        config = Path.of(told);
+      }
       if (config == null) {
         LOG.error("no configuration: give --config FILE or set PROXY_CONFIG");
         return 2;
--- a/src/main/java/beampoint/log/Log.java
+++ b/src/main/java/beampoint/log/Log.java
@@ -69,9 +69,16 @@
     }
   }
 
+  /**
+   * Made by the platform in place of its own configuration of logs. Guards against a start that reads one and
+   * drops it again.
+   */
+  public static final class NoConfiguration {}
+
   /** Writes the warnings of libraries, which log by java.util.logging, as lines of this log. */
   public static void takeOverLibraries() {
     Log log = of("library");
+    System.setProperty("java.util.logging.config.class", NoConfiguration.class.getName());
     LogManager.getLogManager().reset();
     java.util.logging.Logger root = LogManager.getLogManager().getLogger("");
     root.setLevel(Level.WARNING);
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -129,8 +129,8 @@
         .setIOStrategy(SameThreadIOStrategy.getInstance())
         .setSelectorRunnersCount(1)
         .setSelectorHandler(loop.selectorHandler())
-        .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setPoolName("decisions")
-            .setCorePoolSize(1).setMaxPoolSize(1).setDaemon(false))
+        .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setCorePoolSize(1).setMaxPoolSize(1)
+            .setThreadFactory(task -> new Thread(task, "decisions"))) // the pool's own costs a start 30 ms
         .setMemoryManager(new HeapMemoryManager())
         .setReadBufferSize(READ_BUFFER)
         .setTcpNoDelay(true)
--- a/src/test/java/beampoint/cli/MainTest.java
+++ b/src/test/java/beampoint/cli/MainTest.java
@@ -1,6 +1,7 @@
 package beampoint.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Stub;
@@ -9,6 +10,8 @@
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -18,6 +21,9 @@
 @Timeout(30)
 class MainTest {
 
+  private static final String CLASSES =
+      System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+
   private final StringWriter errors = new StringWriter();
 
   private int run(String... args) {
@@ -62,6 +68,25 @@
     }
   }
 
+  /** Guards against a start that is spent on reading one word, or on code that is made to join texts. */
+  @Test
+  void theOneWordServeStartsWithoutTheCommandLinesModel(@TempDir Path dir) throws Exception {
+    ProcessBuilder builder = java("-Xlog:class+load", "-cp", CLASSES, Main.class.getName(), "serve");
+    builder.environment().put("PROXY_CONFIG", writeConfig(dir, Stub.nobody()).toString());
+    Process process = builder.start();
+    try (BufferedReader log = process.inputReader()) {
+      int classes = 0;
+      for (String line = log.readLine(); !line.contains("n0 listens on"); line = log.readLine()) {
+        classes += line.contains("[class,load]") ? 1 : 0;
+        assertFalse(line.contains("picocli.CommandLine$Model"), line);
+        assertFalse(line.contains("BoundMethodHandle$Species_LLLL"), "joins texts by made code: " + line);
+      }
+      assertTrue(classes > 500, "the classes are told: " + classes);
+    } finally {
+      process.destroyForcibly();
+    }
+  }
+
   /** Guards against a SIGHUP that ends the program, and a spoilt file that takes its settings away. */
   @Test
   void aSighupReadsTheConfigurationAgainAndASpoiltOneChangesNothing(@TempDir Path dir) throws Exception {
@@ -107,9 +132,12 @@
   }
 
   private static Process serve(Path config) throws Exception {
-    String classes = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
-    return new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-        "-cp", classes, Main.class.getName(), "serve", "--config", config.toString())
-        .redirectErrorStream(true).start();
+    return java("-cp", CLASSES, Main.class.getName(), "serve", "--config", config.toString()).start();
+  }
+
+  private static ProcessBuilder java(String... arguments) {
+    List<String> command = new ArrayList<>(List.of(arguments));
+    command.add(0, Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    return new ProcessBuilder(command).redirectErrorStream(true);
   }
 }
