--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -8,6 +8,7 @@
 import beampoint.memcache.Command;
 import beampoint.memcache.CommandFilter;
 import beampoint.memcache.Writer;
+import beampoint.transport.PeerFilter;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -28,7 +29,6 @@
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
@@ -84,7 +84,7 @@
 
   /** Listens on this address only; returns it with the port that the system picks where it is 0. */
   public InetSocketAddress listen(SocketAddress address) throws IOException {
-    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter())
+    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new PeerFilter())
         .add(codec).add(new Events());
     listener = TCPNIOBindingHandler.builder(transport).processor(chain.build()).build().bind(address);
     return (InetSocketAddress) listener.getLocalAddress();
--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -9,6 +9,7 @@
 import beampoint.http.HttpWriter;
 import beampoint.log.Log;
 import beampoint.settings.Address;
+import beampoint.transport.PeerFilter;
 import com.google.gson.JsonParseException;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
@@ -25,7 +26,6 @@
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
@@ -86,7 +86,7 @@
     this.broken = broken;
     this.silenceMs = silenceMs;
     this.writer = new HttpWriter(transport.getMemoryManager());
-    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter())
+    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new PeerFilter())
         .add(new HttpFilter(HttpFilter.Side.ANSWERS)).add(new Events());
     this.connector = TCPNIOConnectorHandler.builder(transport).processor(chain.build()).build();
   }
--- a/src/main/java/beampoint/ops/Calls.java
+++ b/src/main/java/beampoint/ops/Calls.java
@@ -7,6 +7,7 @@
 import beampoint.http.HttpFilter;
 import beampoint.http.HttpRequest;
 import beampoint.http.HttpWriter;
+import beampoint.transport.PeerFilter;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -23,7 +24,6 @@
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
@@ -69,7 +69,7 @@
 
   /** Listens on this address only; returns it with the port that the system picks where it is 0. */
   public InetSocketAddress listen(SocketAddress address) throws IOException {
-    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter())
+    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new PeerFilter())
         .add(new HttpFilter(HttpFilter.Side.REQUESTS)).add(new Events());
     listener = TCPNIOBindingHandler.builder(transport).processor(chain.build()).build().bind(address);
     return (InetSocketAddress) listener.getLocalAddress();
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -19,6 +19,7 @@
 import beampoint.memcache.ReplyFilter;
 import beampoint.memcache.ReplyPart;
 import beampoint.memcache.Writer;
+import beampoint.transport.PeerFilter;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -45,7 +46,6 @@
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
@@ -105,7 +105,7 @@
   }
 
   private TCPNIOConnectorHandler connector(Filter codec) {
-    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter()).add(codec)
+    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new PeerFilter()).add(codec)
         .add(new Events());
     return TCPNIOConnectorHandler.builder(transport).processor(chain.build()).build();
   }
--- a/src/test/java/beampoint/serve/ProxyTest.java
+++ b/src/test/java/beampoint/serve/ProxyTest.java
@@ -29,9 +29,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -584,6 +589,50 @@
     }
   }
 
+  /** Guards against ends of connections that cost as much as faults: the library words a line for each. */
+  @Test
+  void aClientThatLeavesIsNoFaultOfTheFilters() throws Exception {
+    Logger library = Logger.getLogger("org.glassfish.grizzly");
+    List<String> worded = new CopyOnWriteArrayList<>();
+    Handler handler = new Handler() {
+      @Override
+      public void publish(LogRecord line) {
+        worded.add(line.getMessage());
+      }
+
+      @Override
+      public void flush() {
+        // nothing is held back
+      }
+
+      @Override
+      public void close() {
+        // nothing is open
+      }
+    };
+    handler.setLevel(Level.ALL);
+    library.setLevel(Level.ALL);
+    library.addHandler(handler);
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody())) {
+      proxy.module.script = event -> List.of();
+      try (Client resets = new Client(proxy)) {
+        resets.say(READ);
+        proxy.module.next(RequestReceived.class);
+        resets.socket.setSoLinger(true, 0);
+      }
+      proxy.module.next(RequestGone.class);
+      try (Client client = new Client(proxy)) {
+        client.say(READ);
+        proxy.module.next(RequestReceived.class);
+      }
+      proxy.module.next(RequestGone.class);
+      assertEquals(List.of(), worded.stream().filter(line -> line.contains("GRIZZLY0013")).toList());
+    } finally {
+      library.removeHandler(handler);
+      library.setLevel(null);
+    }
+  }
+
   /** Guards against a fault in the module that ends the proxy, or leaves its request without an answer. */
   @Test
   void anExceptionOfTheModuleFailsItsRequestAndTheProxyLives() throws Exception {
