Of clients amid a command the one that has moved nothing for longest makes room

Sessions.makeRoom took those within their time in the order in which they came, so that a slow writer near its end went before a crowd that had stopped half way, which is ever younger. Ruled out: the 2.5 s that a command may take, which none of them reached.

Change: the filter notes when bytes last came; makeRoom orders by that. The test fails without it: the slow writer is closed.

--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -43,6 +43,7 @@
           sessions.loop().execute(Session.this::answerWritten);
         }
       };
+  private final double openedAt;
   private double restsSince; // without a whole command, a half one once it has been seen
   private boolean spoke;
   private boolean half;
@@ -58,6 +59,7 @@
   Session(Connection<?> connection, Sessions sessions, double openedAt) {
     this.connection = (Connection<SocketAddress>) connection;
     this.sessions = sessions;
+    this.openedAt = openedAt;
     this.restsSince = openedAt;
   }
 
@@ -79,6 +81,10 @@
     return !spoke;
   }
 
+  double openedAt() {
+    return openedAt;
+  }
+
   /** Since when it has been without a whole command. */
   double restsSince() {
     return restsSince;
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -17,6 +17,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -70,7 +72,7 @@
     this.intake = intake;
     this.counters = counters;
     this.writer = new Writer(transport.getMemoryManager());
-    this.codec = new CommandFilter(transport.getMemoryManager(), budget);
+    this.codec = new CommandFilter(transport.getMemoryManager(), budget, clock);
     loop.scheduleWithFixedDelay(this::closeStale, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -145,26 +147,33 @@
    * Guards against a full house: who has said nothing, or half a command, for too long makes room first, then
    * who has been idle for longest. Crowds that only connect, or ask once and stay, must not cost the usual
    * clients their connections, of which all clients together may hold fewer than there is room for here. Who
-   * has just come may still be writing, and goes only where such take up a third of the room, or all of it.
+   * has just come may still be writing, and goes only where such take up a third of the room, or all of it:
+   * then first who has moved nothing for longest, as a crowd that stopped does, and who writes slowly does not.
    */
   private void makeRoom(Session except) {
     double now = clock.getAsDouble();
     Deque<Session> past = new ArrayDeque<>(); // their time for a command
     Deque<Session> idle = new ArrayDeque<>();
-    Deque<Session> fresh = new ArrayDeque<>();
+    // The last move, and whose.
+    Queue<Map.Entry<Double, Session>> fresh = new PriorityQueue<>(Map.Entry.comparingByKey());
     int count = 0;
     for (Map.Entry<Connection<?>, Session> entry : open.entrySet()) {
       Session session = entry.getValue();
       count += session.isClosing() ? 0 : 1;
       if (session != except && session.isOpenAndIdle()) {
         boolean waits = session.isSilent() || codec.hasHalf(entry.getKey());
-        (!waits ? idle : now - session.restsSince() >= SILENCE_MS ? past : fresh).add(session);
+        if (waits && now - session.restsSince() < SILENCE_MS) {
+          fresh.add(Map.entry(Math.max(session.openedAt(), codec.movedAt(entry.getKey())), session));
+        } else {
+          (waits ? past : idle).add(session);
+        }
       }
     }
     int waiting = fresh.size();
     while (count > manyConnections) {
       boolean freshGoes = waiting > manyConnections / 3 || idle.isEmpty() && count >= maxConnections;
-      Session old = !past.isEmpty() ? past.poll() : freshGoes && waiting > 0 ? fresh.poll() : idle.poll();
+      Session old = !past.isEmpty() ? past.poll()
+          : freshGoes && waiting > 0 ? fresh.poll().getValue() : idle.poll();
       if (old == null) {
         return;
       }
--- a/src/main/java/beampoint/memcache/CommandFilter.java
+++ b/src/main/java/beampoint/memcache/CommandFilter.java
@@ -4,6 +4,7 @@
 import beampoint.buffer.Collector;
 import beampoint.memcache.Command.Kind;
 import java.io.IOException;
+import java.util.function.DoubleSupplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -27,10 +28,12 @@
 
   private final MemoryManager<?> memory;
   private final Budget budget;
+  private final DoubleSupplier clock;
 
-  public CommandFilter(MemoryManager<?> memory, Budget budget) {
+  public CommandFilter(MemoryManager<?> memory, Budget budget, DoubleSupplier clock) {
     this.memory = memory;
     this.budget = budget;
+    this.clock = clock;
   }
 
   /** What was read of one connection. */
@@ -38,6 +41,7 @@
     private int bad;
     private boolean over;
     private boolean half;
+    private double movedAt;
 
     Reading(Connection<?> connection) {
       super(memory, budget, () -> read(connection));
@@ -69,6 +73,11 @@
     return reading(connection).half;
   }
 
+  /** When bytes last came on a connection; 0 if none have. */
+  public double movedAt(Connection<?> connection) {
+    return reading(connection).movedAt;
+  }
+
   /** True while a value is on its way whose bytes may not be read, as there is no room for them. */
   public boolean isHeldUp(Connection<?> connection) {
     return reading(connection).isHeldUp();
@@ -94,6 +103,7 @@
     Reading reading = reading(ctx.getConnection());
     Command command = reading.over ? null : reading.parse(in);
     reading.half = command == null && !reading.over;
+    reading.movedAt = clock.getAsDouble();
     if (reading.isHeldUp()) {
       ctx.getConnection().disableIOEvent(IOEvent.READ);
     }
--- a/src/test/java/beampoint/serve/ProxyTest.java
+++ b/src/test/java/beampoint/serve/ProxyTest.java
@@ -505,6 +505,40 @@
     }
   }
 
+  /** Guards against slow writers that go before a crowd that has stopped, as the crowd is younger. */
+  @Test
+  void whoWritesSlowlyStaysWhileACrowdThatHasStoppedMakesRoom() throws Exception {
+    List<Client> crowd = new ArrayList<>();
+    // Of 140 descriptors clients may have 35 before they make room, a third of those amid a command.
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody(), 140);
+        Client slow = new Client(proxy); Client other = new Client(proxy)) {
+      proxy.module.script = event -> event instanceof RequestReceived e
+          ? List.of(new Refuse(e.id(), 0)) : List.of();
+      slow.say(READ.substring(0, 10));
+      for (int i = 0; i < 11; i++) {
+        crowd.add(new Client(proxy));
+      }
+      assertEquals("MN", other.ask("mn\r\n"));
+      slow.say(READ.substring(10, 20));
+      assertEquals("MN", other.ask("mn\r\n"));
+      assertEquals("MN", other.ask("mn\r\n"), "by now what the slow one wrote is read");
+      for (int i = 11; i < 41; i++) {
+        crowd.add(new Client(proxy));
+      }
+      while (proxy.proxy.counters().get(Counter.CLIENT_CONNECTIONS) < 43) {
+        Thread.onSpinWait();
+      }
+      assertEquals("MN", other.ask("mn\r\n"), "by now all that were accepted are known");
+      assertNull(crowd.get(0).line(), "who has moved nothing for longest made room");
+      assertEquals("SERVER_ERROR busy", slow.ask(READ.substring(20)));
+      assertEquals(8, proxy.proxy.counters().get(Counter.CLIENT_CONNECTIONS_CLOSED_FULL));
+    } finally {
+      for (Client client : crowd) {
+        client.close();
+      }
+    }
+  }
+
   /** Guards against crowds that connect and say nothing, and take the place of the usual clients. */
   @Test
   void crowdsThatSayNothingMakeRoomForThoseThatSpeak() throws Exception {
