Tests of what was open: kills while a ban is stored or a value is on its way, settings, memory, storms

Two processes by the deployed flags: a long value outlives a SIGTERM and is told to be cut off by a kill; bans that were answered outlive a process killed while it stores, three times; both processes at their peak fit the memory of one. On sockets: a request that is open while settings change keeps its attempts; an idle connection costs under 6 KB of heap, both ends counted. Of the larger fleet: 14 watches that an overbooked discovery turns away are all served with few calls; a full cache beside a dead one keeps what it can serve; a zone that was silent and is back cold at the same addresses is neither pushed over nor starved.

--- a/src/test/java/beampoint/FleetTest.java
+++ b/src/test/java/beampoint/FleetTest.java
@@ -127,6 +127,36 @@
     assertFair(36, 4_000);
   }
 
+  /** Half of the caches give no answer, while the list goes on naming them. */
+  private void silence(int silent, double time) {
+    for (double end = now + time; now < end; ) {
+      now += -Math.log(1 - random.nextDouble()) / RATE;
+      Fixture f = fleet.get(random.nextInt(INSTANCES));
+      f.now = now;
+      long id = f.nextId();
+      String to = Fixture.sentTo(f.read(random.nextInt(1 << 20)));
+      for (int attempt = 0; to != null && attempt < 3; attempt++) {
+        boolean none = Integer.parseInt(to.substring(6)) < silent;
+        Result result = none ? Result.CONNECT_FAILED : Result.OK;
+        to = Fixture.sentTo(f.end(id, attempt, to, none ? 50 : 150, result));
+      }
+    }
+  }
+
+  /**
+   * Guards against what was held against caches before they were lost: back at the same addresses they are
+   * cold, and neither skipped nor sent all that waited.
+   */
+  @Test
+  void aZoneThatWasSilentAndIsBackColdAtTheSameAddressesIsNeitherPushedOverNorStarved() {
+    begin(0);
+    run(0, 4_000);
+    silence(30, 6_000);
+    list(30);
+    run(30, 4_000);
+    assertFair(30, 4_000);
+  }
+
   /** Guards against a proxy that restarts in a roll and goes on sending to what was there. */
   @Test
   void nothingIsSentToWhatAnOldRememberedListNamesOnceTheInstanceWasTold() {
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -193,6 +193,36 @@
     assertEquals(primary, f.served(5));
   }
 
+  /** Guards against a cache that refuses new connections as it is full, and passes for a dead one. */
+  @Test
+  void aFullCacheBesideADeadOneKeepsWhatItCanServe() {
+    Fixture f = busy(6);
+    String full = f.served(1);
+    String dead = null;
+    for (long key = 2; dead == null || dead.equals(full); key++) {
+      dead = f.served(key);
+    }
+    Map<String, Integer> sent = new HashMap<>();
+    int served = 0;
+    for (int i = 0; i < 400; i++) {
+      f.now += 10;
+      long id = f.nextId();
+      String to = Fixture.sentTo(f.read(i % 40));
+      for (int attempt = 0; to != null && attempt < 3; attempt++) {
+        sent.merge(i >= 200 ? to : "early", 1, Integer::sum);
+        // The full one serves on the connections that it has, and refuses half of what would need another.
+        boolean refused = to.equals(dead) || to.equals(full) && i % 2 == 0;
+        Result result = refused ? Result.CONNECT_FAILED : Result.OK;
+        List<Action> next = f.end(id, attempt, to, refused ? 1 : 10, result);
+        served += refused ? 0 : 1;
+        to = refused ? Fixture.sentTo(next) : null;
+      }
+    }
+    assertTrue(served >= 390, "served of 400: " + served);
+    assertTrue(sent.getOrDefault(full, 0) >= 10, "what the full one can serve: " + sent);
+    assertTrue(sent.getOrDefault(dead, 0) <= 6, "the dead one is tried now and then: " + sent);
+  }
+
   @Test
   void atMostHalfOfTheCachesAreSkipped() {
     Fixture f = new Fixture(Fixture.READ).withFleet(6);
--- a/src/test/java/beampoint/discovery/WatchTest.java
+++ b/src/test/java/beampoint/discovery/WatchTest.java
@@ -9,10 +9,13 @@
 import beampoint.count.Counters;
 import beampoint.settings.Address;
 import com.google.gson.JsonParseException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
@@ -232,4 +235,34 @@
     assertEquals("d", list.hosts().get(0).host());
     assertEquals(HostList.Health.GONE, list.hosts().get(0).health());
   }
+
+  /** Guards against a fleet that asks in step: discovery takes two calls at a time and turns others away. */
+  @Test
+  void fourteenWatchesThatAreTurnedAwayAreAllServedAndAskFewTimes() throws Exception {
+    Semaphore free = new Semaphore(2);
+    try (Stub discovery = new Stub(peer -> {
+      peer.head();
+      if (!free.tryAcquire()) {
+        peer.say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        return;
+      }
+      Thread.sleep(20); // its work
+      peer.say(HEAD + chunk(list(42, true, "")));
+      free.release();
+      peer.beSilent();
+    })) {
+      List<Watch> fleet = new ArrayList<>();
+      for (int i = 0; i < 14; i++) {
+        int number = i;
+        fleet.add(new Watch(transport, loop, counters, new Random(i), Address.parse(discovery.address()),
+            41, lists::add, () -> fleet.get(number).followLater(), 60_000));
+      }
+      loop.execute(() -> fleet.forEach(Watch::follow));
+      for (int i = 0; i < 14; i++) {
+        assertTrue(next().whole());
+      }
+      int calls = discovery.connections();
+      assertTrue(calls > 14 && calls <= 14 * 8, "calls: " + calls);
+    }
+  }
 }
--- a/src/test/java/beampoint/serve/OperationsTest.java
+++ b/src/test/java/beampoint/serve/OperationsTest.java
@@ -13,6 +13,11 @@
 import beampoint.ops.Calls;
 import beampoint.serve.ProxyFixture.Client;
 import beampoint.serve.ProxyFixture.Module;
+import java.lang.management.ManagementFactory;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -211,4 +216,84 @@
       proxy.stop();
     }
   }
+
+  /** An open request keeps the attempts of the rules it was taken with; the next has the new ones. */
+  @Test
+  void aRequestThatIsOpenWhileSettingsChangeKeepsItsAttempts() throws Exception {
+    try (Stub cache = new Stub(peer -> {
+      for (String line = peer.line(); line != null; line = peer.line()) {
+        peer.stub().ends.take();
+        peer.say("SERVER_ERROR busy\r\n");
+      }
+    })) {
+      List<String> hosts = List.of(ProxyFixture.host("cache", cache.address(), "m2"));
+      Config config = ProxyFixture.config(hosts, 384, Stub.nobody(), ProxyFixture.SETTINGS, "127.0.0.1:0");
+      Proxy proxy = new Proxy(config, settings -> module, directory);
+      proxy.start();
+      module.script = event -> event instanceof Balancer.RequestReceived e
+          ? List.of(new Balancer.Send(e.id(), "cache", 0))
+          : event instanceof Balancer.AttemptEnded e
+          ? List.of(e.attempt() < 1 ? new Balancer.Send(e.id(), "cache", 0) : new Balancer.Refuse(e.id(), 0))
+          : List.of();
+      try (Client client = new Client(proxy.port())) {
+        client.say("mg 1 v O1 Pc=read,d=5000\r\n");
+        cache.nextLine();
+        proxy.reload(with(config, ProxyFixture.SETTINGS.replace("\"max-attempts\":3", "\"max-attempts\":1")));
+        module.next(SettingsChanged.class);
+        cache.ends.add(true);
+        cache.nextLine();
+        cache.ends.add(true);
+        assertEquals("SERVER_ERROR busy", client.line());
+        assertEquals(Balancer.Result.FULL, module.next(Balancer.AttemptEnded.class).result());
+        assertEquals(Balancer.Result.FULL, module.next(Balancer.AttemptEnded.class).result());
+        cache.ends.add(true);
+        assertEquals("SERVER_ERROR busy", client.ask("mg 1 v O2 Pc=read,d=5000\r\n"));
+        assertEquals(Balancer.Result.FULL, module.next(Balancer.AttemptEnded.class).result());
+        assertEquals(Balancer.Result.NOT_SENT, module.next(Balancer.AttemptEnded.class).result());
+      } finally {
+        proxy.stop();
+      }
+    }
+  }
+
+  /** Guards against crowds that cost memory: what a connection holds that says nothing is small. */
+  @Test
+  void anIdleConnectionCostsLittleMemory() throws Exception {
+    Proxy proxy = proxy(module, 2000);
+    List<SocketChannel> open = new ArrayList<>();
+    try {
+      connect(proxy, open, 50); // what the first ones cost alone
+      double before = heapInUse();
+      connect(proxy, open, 350);
+      double each = (heapInUse() - before) / 300;
+      assertTrue(each < 6 * 1024, "bytes a connection, both its ends in this process: " + each);
+    } finally {
+      for (SocketChannel client : open) {
+        client.close();
+      }
+      proxy.stop();
+    }
+  }
+
+  private static void connect(Proxy proxy, List<SocketChannel> open, int upTo) throws Exception {
+    ByteBuffer bytes = ByteBuffer.allocate(4);
+    while (open.size() < upTo) {
+      SocketChannel client = SocketChannel.open(new InetSocketAddress("127.0.0.1", proxy.port()));
+      open.add(client);
+      client.write(ByteBuffer.wrap("mn\r\n".getBytes(StandardCharsets.ISO_8859_1)));
+      while (bytes.hasRemaining()) {
+        assertTrue(client.read(bytes) > 0);
+      }
+      bytes.clear();
+    }
+  }
+
+  private static double heapInUse() {
+    double least = Double.POSITIVE_INFINITY;
+    for (int i = 0; i < 5; i++) {
+      System.gc();
+      least = Math.min(least, ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
+    }
+    return least;
+  }
 }
--- a/src/test/java/beampoint/serve/UpgradeTest.java
+++ b/src/test/java/beampoint/serve/UpgradeTest.java
@@ -5,6 +5,8 @@
 
 import beampoint.Stub;
 import beampoint.cli.Main;
+import beampoint.handover.Ban;
+import beampoint.handover.BanFile;
 import beampoint.serve.ProxyFixture.Client;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -14,9 +16,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -27,6 +31,10 @@
 @Timeout(90)
 class UpgradeTest {
 
+  private static final String LONG = "Olong"; // ids of requests whose value stays half way for a while
+  private static final int LENGTH = 1_000_000;
+  private static final int SPARE = 400; // nodes that nobody plays
+  private static final double MEMORY_MB = 192; // that both processes together may have
   private static final int DOOR_FREE = 2; // requests an upgrade that may end at the door
 
   @TempDir
@@ -43,10 +51,14 @@
   private int port;
 
   @BeforeEach
-  void configure() throws Exception {
+  void begin() throws Exception {
     caches = List.of(cache(), cache());
+    configure("");
+  }
+
+  private void configure(String spare) throws Exception {
     String hosts = ProxyFixture.host("a", caches.get(0).address(), "m2") + ","
-        + ProxyFixture.host("b", caches.get(1).address(), "m2");
+        + ProxyFixture.host("b", caches.get(1).address(), "m2") + spare;
     String list = "{\"seq\":2,\"whole\":true,\"hosts\":[" + hosts + "]}\n";
     discovery = new Stub(peer -> {
       peer.head();
@@ -77,6 +89,12 @@
     return new Stub(peer -> {
       for (String line = peer.line(); line != null; line = peer.line()) {
         String id = line.startsWith("mg") ? line.split(" ")[3] : "";
+        if (id.startsWith(LONG)) {
+          peer.say("VA " + LENGTH + " " + id + "\r\n" + "x".repeat(LENGTH / 2));
+          peer.stub().ends.take();
+          peer.say("x".repeat(LENGTH / 2) + "\r\n");
+          continue;
+        }
         if (!id.isEmpty()) {
           runs.merge(id, 1, Integer::sum);
         }
@@ -91,10 +109,20 @@
     }
   }
 
+  /** The program as operators run it, with their flags for the Java machine, but from the build's classes. */
   private Process begin(int ops) throws IOException {
-    ProcessBuilder builder = new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"),
-        "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Djava.net.preferIPv4Stack=true", "-cp",
-        System.getProperty("java.class.path"), Main.class.getName(), "serve", "--config", config.toString());
+    List<String> command = new ArrayList<>();
+    command.add(ProcessHandle.current().info().command().orElse("java"));
+    String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+        .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
+    for (String word : run.split("[ \"]+")) {
+      if (word.startsWith("-X") && !word.contains("Archive") || word.startsWith("-D")) {
+        command.add(word);
+      }
+    }
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve",
+        "--config", config.toString()));
+    ProcessBuilder builder = new ProcessBuilder(command);
     builder.environment().put("PROXY_OPS", "127.0.0.1:" + ops);
     builder.environment().put("TMPDIR", directory.toString());
     Process process = builder.redirectErrorStream(true)
@@ -207,4 +235,112 @@
     stop(threads);
     assertEquals(0, lost.get());
   }
+
+  private static Client askLong(int port, String id) throws IOException {
+    Client client = new Client(port);
+    assertEquals("VA " + LENGTH + " " + id, client.ask("mg 7f3a v " + id + " Pc=read,t=acme,d=900\r\n"));
+    assertEquals(LENGTH / 2, client.bytes(LENGTH / 2).length());
+    return client;
+  }
+
+  /** Guards against a value that ends with its process: a SIGTERM lets it come to its end. */
+  @Test
+  void aLongValueOnItsWayOutlivesASigtermAndIsToldToBeCutOffByAKill() throws Exception {
+    int first = freePort();
+    Process old = beginAndAwait(first);
+    try (Client ends = askLong(port, LONG + "1")) {
+      Process successor = beginAndAwait(freePort());
+      old.destroy();
+      while (call(first, "GET /_ready").equals("200")) {
+        Thread.onSpinWait();
+      }
+      caches.forEach(cache -> cache.ends.add(true));
+      assertEquals(LENGTH / 2 + 2, ends.bytes(LENGTH / 2 + 2).length());
+      assertTrue(old.waitFor(10, TimeUnit.SECONDS));
+      assertEquals(0, old.exitValue());
+      caches.forEach(cache -> cache.ends.clear());
+      try (Client cut = askLong(port, LONG + "2")) {
+        Process third = beginAndAwait(freePort());
+        successor.destroyForcibly().waitFor();
+        int rest = 0;
+        try {
+          rest = cut.bytes(LENGTH / 2 + 2).length();
+        } catch (IOException e) {
+          // a reset tells as much
+        }
+        assertTrue(rest < LENGTH / 2 + 2, "the client can tell");
+        assertTrue(third.isAlive());
+      }
+    }
+    List<Thread> threads = load(1);
+    awaitAnswers(20);
+    stop(threads);
+    assertEquals(0, lost.get());
+  }
+
+  /**
+   * Guards against a ban that is lost, or a file that is left half written, with the process that stores it:
+   * each is killed while calls come, and what was answered is known to the next.
+   */
+  @Test
+  void bansThatWereAnsweredOutliveAProcessThatIsKilledWhileItStores() throws Exception {
+    discovery.close();
+    StringBuilder spare = new StringBuilder();
+    for (int i = 0; i < SPARE; i++) {
+      spare.append(',').append(ProxyFixture.host("spare-" + i, Stub.nobody(), "m2"));
+    }
+    configure(spare.toString());
+    int out = 0;
+    for (int round = 1; round <= 3; round++) {
+      int ops = freePort();
+      Process process = beginAndAwait(ops);
+      int from = out;
+      AtomicInteger done = new AtomicInteger(from);
+      Thread caller = new Thread(() -> {
+        while (done.get() < SPARE && call(ops, "POST /_cache-nodes/detach/spare-" + done).equals("200")) {
+          done.incrementAndGet();
+        }
+      });
+      caller.start();
+      while (done.get() < from + 10 * round) {
+        Thread.onSpinWait();
+      }
+      process.destroyForcibly().waitFor();
+      caller.join();
+      out = done.get();
+      Set<String> stored = storedBans();
+      for (int i = 0; i < out; i++) {
+        assertTrue(stored.contains("spare-" + i), "answered and lost: " + i + " of " + out);
+      }
+      assertTrue(stored.size() <= out + 1, "stored and never called: " + stored);
+      out = stored.size();
+    }
+  }
+
+  private Set<String> storedBans() throws IOException {
+    try (var files = Files.list(directory)) {
+      Path path = files.filter(file -> file.toString().endsWith(".bans.json")).findFirst().orElseThrow();
+      return new BanFile(path, "n0").refresh().stream().filter(Ban::isOut).map(Ban::node)
+          .collect(Collectors.toSet());
+    }
+  }
+
+  /** Both processes of an upgrade, at their most, and what they share: within what one may have. */
+  @Test
+  void bothProcessesOfAnUpgradeFitTheMemoryOfOne() throws Exception {
+    Process old = beginAndAwait(freePort());
+    List<Thread> threads = load(3);
+    awaitAnswers(300);
+    Process successor = beginAndAwait(freePort());
+    awaitAnswers(300);
+    double both = peakMb(old) + peakMb(successor);
+    stop(threads);
+    assertTrue(both > 20 && both < MEMORY_MB, "MB of both: " + both);
+  }
+
+  private static double peakMb(Process process) throws IOException {
+    return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+        .filter(line -> line.startsWith("VmHWM")).findFirst()
+        .map(line -> Double.parseDouble(line.split("\\s+")[1]) / 1024).orElseThrow();
+  }
 }
