--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -148,7 +148,7 @@
    * who has been idle for longest. Crowds that only connect, or ask once and stay, must not cost the usual
    * clients their connections, of which all clients together may hold fewer than there is room for here. Who
    * has just come may still be writing, and goes only where such take up a third of the room, or all of it:
-   * then first who has moved nothing for longest, as a crowd that stopped does, and who writes slowly does not.
+   * first who has moved nothing for longest, as a crowd that stopped has, and who writes slowly has not.
    */
   private void makeRoom(Session except) {
     double now = clock.getAsDouble();
