A fleet emulator in virtual time: one scenario, one seed, one report to the last digit

Change: package emulator plays a scenario (YAML, read with positions) round instances of the module behind Balancer: open-loop clients that retry and give up, caches with cores, waiting room, memory, cold start and connections, an origin that stops when overrun, late discovery, ten kinds of faults.

--- /dev/null
+++ b/src/main/java/beampoint/emulator/CacheNode.java
@@ -0,0 +1,169 @@
+package beampoint.emulator;
+
+import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.EndpointState;
+import beampoint.Balancer.Result;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** A cache node: cores, a waiting room, memory, connections, and whatever is wrong with it. */
+final class CacheNode {
+
+  /** What it was sent, in ms of work of a warm node. */
+  private record Load(double at, double work) {}
+
+  private final World world;
+  private final Scenario.Caches caches;
+  final String id;
+  final int zone;
+  private final Server server;
+  private final Map<Long, Boolean> memory; // the least recently used first
+  private final Deque<Load> window = new ArrayDeque<>(); // while it is cold
+  private double windowWork;
+  double startedAt; // 0: long ago
+  EndpointState listed = EndpointState.RUNNING;
+  int life; // processes so far: connections end with theirs
+  boolean dead;
+  boolean silent;
+  boolean refuses;
+  double slowness = 1;
+  double errorPart;
+  private int connections;
+
+  CacheNode(World world, String id, int zone, double startedAt) {
+    this.world = world;
+    this.caches = world.scenario.caches();
+    this.id = id;
+    this.zone = zone;
+    this.startedAt = startedAt;
+    this.server = new Server(world.clock, caches.cores(), caches.queue());
+    this.memory = new LinkedHashMap<>(16, 0.75f, true) {
+      private static final long serialVersionUID = 1L;
+
+      @Override
+      protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+        return size() > caches.memory();
+      }
+    };
+  }
+
+  Endpoint endpoint() {
+    return new Endpoint(id, zone, World.CACHE, 0, listed, 1, startedAt);
+  }
+
+  double warmth() {
+    return startedAt <= 0 ? 1 : world.scenario.rules().warmth(world.clock.now() - startedAt);
+  }
+
+  boolean isCold() {
+    return warmth() < 1;
+  }
+
+  /** Opens a connection: OK, CONNECT_FAILED at once, or TIMEOUT where nobody answers. */
+  Result connect() {
+    if (silent) {
+      return Result.TIMEOUT;
+    }
+    if (dead || refuses || connections >= caches.connections()) {
+      return Result.CONNECT_FAILED;
+    }
+    connections++;
+    return Result.OK;
+  }
+
+  void disconnect(int ofLife) {
+    if (ofLife == life) {
+      connections--;
+    }
+  }
+
+  /** A request has come whole. */
+  void take(Attempt attempt, boolean fresh) {
+    if (dead || attempt.life != life) {
+      attempt.answer(Result.RESET);
+      return;
+    }
+    if (silent) {
+      return;
+    }
+    if (listed == EndpointState.DRAINING) {
+      attempt.answer(Result.FULL);
+      return;
+    }
+    if (errorPart > 0 && world.chance(attempt.ask.id, errorPart)) {
+      attempt.answer(Result.ERROR);
+      return;
+    }
+    double work = attempt.ask.work * attempt.ask.kind.work();
+    press(work);
+    if (dead) {
+      return;
+    }
+    double extra = fresh ? caches.handshake() : 0;
+    attempt.job = server.take(() -> {
+      attempt.hit = memory.get(attempt.ask.key) != null;
+      double part = attempt.hit ? 1 : caches.missPart();
+      return (extra + work * part) * slowness / warmth();
+    }, () -> attempt.answer(attempt.hit ? Result.OK : Result.MISS));
+    attempt.server = server;
+    if (attempt.job == null) {
+      attempt.answer(Result.FULL);
+    }
+  }
+
+  /** The rule on cold nodes: what it was sent in a window, beside what it can do at this moment. */
+  private void press(double work) {
+    if (!isCold()) {
+      window.clear();
+      windowWork = 0;
+      return;
+    }
+    double now = world.clock.now();
+    double length = world.scenario.rules().fallWindow();
+    window.add(new Load(now, work));
+    windowWork += work;
+    while (window.peekFirst().at() < now - length) {
+      windowWork -= window.pollFirst().work();
+    }
+    double multiple = windowWork / (caches.cores() * warmth() * length);
+    if (now - startedAt >= length) {
+      world.report.coldLoad(multiple);
+      if (multiple > world.scenario.rules().fallMultiple()) {
+        world.report.broken(now, "a cold cache was pushed over: " + id);
+        die();
+      }
+    }
+  }
+
+  void store(long key) {
+    if (!dead) {
+      memory.put(key, true);
+    }
+  }
+
+  void forget(long key) {
+    memory.remove(key);
+  }
+
+  void die() {
+    dead = true;
+    life++;
+    connections = 0;
+    server.empty();
+    memory.clear();
+    window.clear();
+    windowWork = 0;
+    world.proxies().forEach(proxy -> proxy.lost(this));
+  }
+
+  void begin() {
+    dead = false;
+    startedAt = world.clock.now();
+  }
+
+  int held() {
+    return server.held();
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/emulator/Front.java
@@ -0,0 +1,128 @@
+package beampoint.emulator;
+
+import beampoint.emulator.Ask.End;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ContinuousSampler;
+import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
+import org.apache.commons.rng.sampling.distribution.LogNormalSampler;
+import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+
+/**
+ * The clients and the front that deals them out. They come in an open loop: when a request is due depends
+ * on nothing that the proxies do, and all that is drawn for it is drawn then: two variants meet the same.
+ */
+final class Front {
+
+  private static final double WORK_SPREAD = 0.6; // of the logarithm of the work
+
+  private final World world;
+  private final UniformRandomProvider arrivals;
+  private final UniformRandomProvider choices;
+  private final ContinuousSampler gap;
+  private final ContinuousSampler work;
+  private final DiscreteSampler keys;
+  private final double shares;
+  private final double[] surge;
+  private final Map<Ask.Try, Instance> at = new HashMap<>();
+  private long lastId;
+
+  Front(World world, UniformRandomProvider arrivals, UniformRandomProvider choices) {
+    this.world = world;
+    this.arrivals = arrivals;
+    this.choices = choices;
+    this.gap = ZigguratSampler.Exponential.of(arrivals);
+    this.work = LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(arrivals),
+        -WORK_SPREAD * WORK_SPREAD / 2, WORK_SPREAD);
+    this.keys = RejectionInversionZipfSampler.of(arrivals, world.scenario.keys().count(),
+        world.scenario.keys().exponent());
+    this.shares = world.scenario.kinds().stream().mapToDouble(Scenario.Kind::share).sum();
+    this.surge = new double[world.scenario.tenants().size()];
+    Arrays.fill(surge, 1);
+  }
+
+  void begin() {
+    for (int tenant = 0; tenant < surge.length; tenant++) {
+      next(tenant);
+    }
+  }
+
+  void surge(int tenant, double factor) {
+    surge[tenant] = factor;
+  }
+
+  private void next(int tenant) {
+    double rate = world.scenario.tenants().get(tenant).rate() * surge[tenant] / 1000;
+    world.clock.after(gap.sample() / rate, () -> {
+      arrive(tenant);
+      next(tenant);
+    });
+  }
+
+  private void arrive(int tenant) {
+    int number = 0;
+    double drawn = arrivals.nextDouble() * shares;
+    List<Scenario.Kind> kinds = world.scenario.kinds();
+    while (number < kinds.size() - 1 && drawn >= kinds.get(number).share()) {
+      drawn -= kinds.get(number++).share();
+    }
+    double now = world.clock.now();
+    long drifted = (long) (world.scenario.keys().drift() * (now - World.START) / 1000);
+    long key = keys.sample() + drifted;
+    Ask ask = new Ask(++lastId, kinds.get(number), number, tenant, key, work.sample(), now);
+    world.report.asked(ask);
+    ask(ask);
+  }
+
+  private void ask(Ask ask) {
+    double now = world.clock.now();
+    ask.tries++;
+    double longest = ask.kind.rules().deadline() * world.scenario.clients().tryPart();
+    double time = Math.min(ask.endsAt() - now, longest);
+    Ask.Try asked = new Ask.Try(ask, now + time);
+    List<Instance> known = world.proxies().stream().filter(Instance::isKnownUp).toList();
+    if (known.isEmpty()) {
+      answered(asked, End.FAILED, 0);
+      return;
+    }
+    Instance proxy = known.get(choices.nextInt(known.size()));
+    at.put(asked, proxy);
+    proxy.take(asked);
+    // It waits a little longer than it says, so that an answer in time is never missed.
+    world.clock.at(asked.notAfter + World.PATIENCE, () -> {
+      if (at.containsKey(asked)) {
+        at.remove(asked);
+        proxy.left(asked);
+        asked.over = true;
+        again(ask, End.FAILED, world.scenario.clients().pause());
+      }
+    });
+  }
+
+  /** A try has its final answer. */
+  void answered(Ask.Try asked, End end, double advice) {
+    asked.over = true;
+    at.remove(asked);
+    Ask ask = asked.ask;
+    if (end == End.SERVED) {
+      world.report.served(ask, world.clock.now() - ask.dueAt);
+    } else {
+      again(ask, end, end == End.REFUSED && advice > 0 ? advice : world.scenario.clients().pause());
+    }
+  }
+
+  private void again(Ask ask, End end, double wait) {
+    boolean harmless = end == End.REFUSED || !ask.kind.write();
+    boolean inTime = world.clock.now() + wait < ask.endsAt();
+    if (harmless && inTime && ask.tries <= world.scenario.clients().retries()) {
+      world.report.retry();
+      world.clock.after(wait, () -> ask(ask));
+    } else {
+      world.report.notServed(ask, end);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/emulator/Scenario.java
@@ -0,0 +1,215 @@
+package beampoint.emulator;
+
+import beampoint.Balancer.DedupGroup;
+import beampoint.Balancer.Idempotency;
+import beampoint.Balancer.Limits;
+import beampoint.Balancer.Prices;
+import beampoint.Balancer.RequestClass;
+import beampoint.Balancer.Rules;
+import beampoint.Balancer.Settings;
+import beampoint.Balancer.Tenant;
+import beampoint.Balancer.WeightSource;
+import beampoint.settings.InputException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A day of a fleet, as a file tells it: who asks, who serves, and what breaks when. Times are in ms. */
+public record Scenario(String name, long seed, double length, double warmUp, int proxies, int zones,
+    double zoneDelay, double delay, Limits limits, Rules rules, Prices prices, double overShareWorth,
+    List<Kind> kinds, List<Client> tenants, Keys keys, Caches caches, Origin origin, Clients clients,
+    double discoveryDelay, List<Fault> faults) {
+
+  private static final int VERSION = 1;
+  private static final double DAY = 24 * 3600;
+
+  /** A class of requests: its part of all, the mean work at a cache, and its rules. */
+  public record Kind(String name, double share, double work, boolean write, RequestClass rules) {}
+
+  /** A tenant: its quota, and what it sends. */
+  public record Client(String name, double quota, double rate) {}
+
+  /** Keys of a Zipf law; which are popular drifts by so many places a second. */
+  public record Keys(int count, double exponent, double drift) {}
+
+  /** The cache nodes; memory counts keys, and a miss costs a part of the work. */
+  public record Caches(int count, int cores, int queue, int memory, int connections, double handshake,
+      double idle, double missPart, double filled) {}
+
+  /** The origin: what it can take, and after how much for how long it stops. */
+  public record Origin(int servers, double work, int queue, double stopMultiple, double stopWindow,
+      double stopped) {}
+
+  /** How clients come back. */
+  public record Clients(int retries, double pause, double tryPart, double frontNotices) {}
+
+  /** What may break. */
+  public enum What {
+    /** Cache nodes die, and come back empty and cold. */
+    CRASH,
+    /** Cache nodes say nothing, though they are listed; then they are back as they were. */
+    SILENT,
+    /** Cache nodes are so many times slower. */
+    SLOW,
+    /** Cache nodes refuse new connections. */
+    REFUSE,
+    /** Cache nodes fail a part of what they are sent, the factor, at once. */
+    ERRORS,
+    /** Cache nodes drain, go, and are replaced under new names, a batch at a time. */
+    ROLL,
+    /** Proxies are killed and start again with nothing learnt. */
+    RESTART,
+    /** The origin is so many times slower. */
+    ORIGIN_SLOW,
+    /** Discovery tells nothing. */
+    DISCOVERY_DOWN,
+    /** A tenant sends so many times what it usually does. */
+    SURGE
+  }
+
+  /** One fault: when, for how long, of what part of those it may hit, and how much. */
+  public record Fault(What what, double at, double length, double part, double factor, String tenant,
+      int zone) {}
+
+  /** Reads a file; whatever is wrong with it is told in one plain sentence. */
+  public static Scenario read(Path file) throws InputException {
+    try {
+      return parse(file.toString(), Files.readString(file));
+    } catch (IOException e) {
+      throw new InputException(file + ": can't be read: " + e.getMessage());
+    }
+  }
+
+  static Scenario parse(String file, String text) throws InputException {
+    Yaml top = Yaml.read(file, text);
+    if (top.whole("version", Double.NaN, -1_000_000, 1_000_000) != VERSION) {
+      throw top.wrong("version", "this program reads version " + VERSION + " only");
+    }
+    double length = 1000 * top.number("seconds", Double.NaN, 1, DAY);
+    int zones = top.whole("zones", 1, 1, 16);
+    List<Kind> kinds = new ArrayList<>();
+    for (Yaml kind : top.list("classes", 1)) {
+      kinds.add(kind(kind));
+    }
+    List<Client> tenants = new ArrayList<>();
+    for (Yaml tenant : top.list("tenants", 1)) {
+      double quota = tenant.number("quota_per_s", Double.NaN, 0.001, 1e6);
+      tenants.add(new Client(tenant.text("name", null), quota,
+          tenant.number("sends_per_s", quota, 0.001, 1e6)));
+      tenant.end();
+    }
+    List<Fault> faults = new ArrayList<>();
+    for (Yaml fault : top.list("faults", 0)) {
+      faults.add(fault(fault, zones, tenants));
+    }
+    Scenario scenario = new Scenario(top.text("name", "unnamed"), (long) top.number("seed", 1, 0, 1e15),
+        length, 1000 * top.number("warm_up_seconds", 0, 0, length / 1000),
+        top.whole("proxies", Double.NaN, 1, 2000), zones, top.number("zone_ms", 1, 0, 1000),
+        top.number("network_ms", 0.2, 0, 1000), limits(top.fields("settings")), rules(top.fields("rules")),
+        prices(top.fields("prices")), top.number("over_share_worth", 1, 0, 1), List.copyOf(kinds),
+        List.copyOf(tenants), keys(top.fields("keys")), caches(top.fields("caches")),
+        origin(top.fields("origin")), clients(top.fields("clients")),
+        top.number("discovery_ms", 1000, 0, 60_000), List.copyOf(faults));
+    top.end();
+    return scenario;
+  }
+
+  private static Kind kind(Yaml fields) throws InputException {
+    double deadline = fields.number("deadline_ms", Double.NaN, 1, 600_000);
+    RequestClass rules = new RequestClass(fields.word("effect", Idempotency.SAFE, Idempotency.class),
+        fields.word("dedup", DedupGroup.ALL, DedupGroup.class), fields.number("dedup_ms", 2000, 0, 600_000),
+        fields.number("aim_ms", deadline, 1, deadline), deadline, fields.number("worth", 1, 0, 1000),
+        fields.number("late_worth", 0, 0, 1));
+    Kind kind = new Kind(fields.text("name", null), fields.number("share", 1, 0, 1e6),
+        fields.number("work_ms", Double.NaN, 0.001, 60_000), fields.flag("write", false), rules);
+    fields.end();
+    return kind;
+  }
+
+  private static Limits limits(Yaml fields) throws InputException {
+    Limits limits = new Limits(fields.whole("attempts", 3, 1, 100), false, fields.flag("probes", false),
+        fields.flag("retry_advice", true), fields.number("longest_advice_ms", 400, 0, 60_000),
+        fields.number("connect_ms", 50, 1, 60_000));
+    fields.end();
+    return limits;
+  }
+
+  private static Rules rules(Yaml fields) throws InputException {
+    Rules rules = new Rules(fields.number("drain_grace_ms", 1000, 0, 60_000),
+        fields.number("fall_multiple", 3, 1, 100), fields.number("fall_window_ms", 2000, 1, 60_000),
+        fields.number("cold_from", 0.2, 0.001, 1), fields.number("warm_up_ms", 20_000, 0, 600_000), 10_000);
+    fields.end();
+    return rules;
+  }
+
+  private static Prices prices(Yaml fields) throws InputException {
+    Prices prices = new Prices(fields.number("hundred_connections", 0, 0, 1),
+        fields.number("handshake", 0, 0, 1), fields.number("probe", 0.01, 0, 1));
+    fields.end();
+    return prices;
+  }
+
+  private static Keys keys(Yaml fields) throws InputException {
+    Keys keys = new Keys(fields.whole("count", 20_000, 1, 50_000_000), fields.number("zipf", 0.9, 0, 5),
+        fields.number("drift_per_s", 0, 0, 1e6));
+    fields.end();
+    return keys;
+  }
+
+  private static Caches caches(Yaml fields) throws InputException {
+    Caches caches = new Caches(fields.whole("count", Double.NaN, 1, 2000),
+        fields.whole("cores", 2, 1, 1024), fields.whole("queue", 40, 0, 1_000_000),
+        fields.whole("memory_keys", 2000, 1, 50_000_000), fields.whole("connections", 1000, 1, 1_000_000),
+        fields.number("handshake_ms", 0.5, 0, 1000), fields.number("idle_ms", 10_000, 1, 3_600_000),
+        fields.number("miss_part", 0.2, 0.001, 1), fields.number("filled", 1, 0, 1));
+    fields.end();
+    return caches;
+  }
+
+  private static Origin origin(Yaml fields) throws InputException {
+    Origin origin = new Origin(fields.whole("servers", 10, 1, 100_000),
+        fields.number("work_ms", 100, 0.001, 60_000), fields.whole("queue", 200, 0, 1_000_000),
+        fields.number("stop_multiple", 3, 1, 1000), fields.number("stop_window_ms", 3000, 1, 60_000),
+        fields.number("stopped_ms", 3000, 0, 600_000));
+    fields.end();
+    return origin;
+  }
+
+  private static Clients clients(Yaml fields) throws InputException {
+    Clients clients = new Clients(fields.whole("retries", 2, 0, 100),
+        fields.number("wait_ms", 200, 0, 60_000), fields.number("try_part", 0.6, 0.01, 1),
+        fields.number("front_notices_ms", 2000, 0, 60_000));
+    fields.end();
+    return clients;
+  }
+
+  private static Fault fault(Yaml fields, int zones, List<Client> tenants) throws InputException {
+    What what = fields.word("what", null, What.class);
+    String tenant = fields.text("tenant", "");
+    if (what == What.SURGE && tenants.stream().noneMatch(t -> t.name().equals(tenant))) {
+      throw fields.wrong("tenant", "no tenant of this scenario: '" + tenant + "'");
+    }
+    boolean errors = what == What.ERRORS;
+    Fault fault = new Fault(what, 1000 * fields.number("at_s", Double.NaN, 0, DAY),
+        1000 * fields.number("for_s", 5, 0, DAY), fields.number("part", 0.25, 0, 1),
+        fields.number("factor", errors ? 0.5 : 4, 0, errors ? 1 : 1000), tenant,
+        fields.whole("zone", -1, -1, zones - 1));
+    fields.end();
+    return fault;
+  }
+
+  /** What an instance is told at its start; each has a seed of its own. */
+  Settings settings(long instanceSeed, int zone) {
+    return new Settings(instanceSeed, proxies, zone, true, WeightSource.NOMINAL, World.ORIGIN, overShareWorth,
+        limits, rules, prices, kinds.stream().map(Kind::rules).toList(),
+        tenants.stream().map(t -> new Tenant(t.quota())).toList());
+  }
+
+  /** The same day with another seed. */
+  public Scenario withSeed(long next) {
+    return new Scenario(name, next, length, warmUp, proxies, zones, zoneDelay, delay, limits, rules, prices,
+        overShareWorth, kinds, tenants, keys, caches, origin, clients, discoveryDelay, faults);
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/emulator/Yaml.java
@@ -0,0 +1,196 @@
+package beampoint.emulator;
+
+import beampoint.settings.InputException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.snakeyaml.engine.v2.api.LoadSettings;
+import org.snakeyaml.engine.v2.api.lowlevel.Compose;
+import org.snakeyaml.engine.v2.exceptions.Mark;
+import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
+import org.snakeyaml.engine.v2.nodes.MappingNode;
+import org.snakeyaml.engine.v2.nodes.Node;
+import org.snakeyaml.engine.v2.nodes.NodeTuple;
+import org.snakeyaml.engine.v2.nodes.ScalarNode;
+import org.snakeyaml.engine.v2.nodes.SequenceNode;
+
+/**
+ * One mapping of a YAML file, whose fields are taken by name. What is wrong is told with file, line and
+ * field, and a field that nobody takes is wrong as well: it would be a setting that has no effect.
+ */
+final class Yaml {
+
+  private final String file;
+  private final String path; // of the mapping in the file, with a dot at its end; empty at the top
+  private final MappingNode node;
+  private final Set<String> taken = new HashSet<>();
+
+  private Yaml(String file, String path, MappingNode node) {
+    this.file = file;
+    this.path = path;
+    this.node = node;
+  }
+
+  static Yaml read(String file, String text) throws InputException {
+    Optional<Node> top;
+    try {
+      top = new Compose(LoadSettings.builder().setUseMarks(true).setLabel(file).build()).composeString(text);
+    } catch (YamlEngineException e) {
+      throw new InputException(file + ": no YAML: " + e.getMessage().replaceAll("\\s+", " "));
+    }
+    if (top.isEmpty() || !(top.get() instanceof MappingNode mapping)) {
+      throw new InputException(file + ": no mapping of fields to values");
+    }
+    Set<String> names = new HashSet<>();
+    Yaml yaml = new Yaml(file, "", mapping);
+    yaml.checkNames(mapping, names);
+    return yaml;
+  }
+
+  private void checkNames(MappingNode mapping, Set<String> names) throws InputException {
+    for (NodeTuple entry : mapping.getValue()) {
+      if (!(entry.getKeyNode() instanceof ScalarNode name) || !names.add(name.getValue())) {
+        throw wrong(entry.getKeyNode(), "", "a field's name that is no text, or stands twice");
+      }
+    }
+  }
+
+  private Node find(String field) {
+    taken.add(field);
+    for (NodeTuple entry : node.getValue()) {
+      if (entry.getKeyNode() instanceof ScalarNode name && name.getValue().equals(field)) {
+        return entry.getValueNode();
+      }
+    }
+    return null;
+  }
+
+  boolean has(String field) {
+    return find(field) != null;
+  }
+
+  private InputException wrong(Node at, String field, String what) {
+    int line = at.getStartMark().map(Mark::getLine).orElse(0) + 1;
+    return new InputException(file + ", line " + line + ", field '" + path + field + "': " + what);
+  }
+
+  /** What a caller finds wrong with a field's value. */
+  InputException wrong(String field, String what) {
+    Node found = find(field);
+    return wrong(found == null ? node : found, field, what);
+  }
+
+  String text(String field, String usual) throws InputException {
+    Node found = find(field);
+    if (found == null) {
+      if (usual == null) {
+        throw wrong(node, field, "missing");
+      }
+      return usual;
+    }
+    if (!(found instanceof ScalarNode scalar) || scalar.getValue().isEmpty()) {
+      throw wrong(found, field, "no text");
+    }
+    return scalar.getValue();
+  }
+
+  /** A number of a range; NaN as the usual one says that it must be there. */
+  double number(String field, double usual, double least, double most) throws InputException {
+    String text = text(field, Double.isNaN(usual) ? null : Double.toString(usual));
+    double number;
+    try {
+      number = Double.parseDouble(text);
+    } catch (NumberFormatException e) {
+      throw wrong(field, "no number: '" + text + "'");
+    }
+    if (!(number >= least && number <= most)) {
+      throw wrong(field, text + " is not from " + shown(least) + " to " + shown(most));
+    }
+    return number;
+  }
+
+  private static String shown(double number) {
+    return number == Math.rint(number) ? Long.toString((long) number) : Double.toString(number);
+  }
+
+  /** As {@link #number}, without a fraction. */
+  int whole(String field, double usual, int least, int most) throws InputException {
+    double number = number(field, usual, least, most);
+    if (number != Math.rint(number)) {
+      throw wrong(field, "no whole number: " + number);
+    }
+    return (int) number;
+  }
+
+  boolean flag(String field, boolean usual) throws InputException {
+    String text = text(field, Boolean.toString(usual));
+    if (!text.equals("true") && !text.equals("false")) {
+      throw wrong(field, "neither true nor false: '" + text + "'");
+    }
+    return text.equals("true");
+  }
+
+  /** One of some words. */
+  <E extends Enum<E>> E word(String field, E usual, Class<E> words) throws InputException {
+    String text = text(field, usual == null ? null : usual.name().toLowerCase(Locale.ROOT));
+    for (E word : words.getEnumConstants()) {
+      if (word.name().toLowerCase(Locale.ROOT).replace('_', '-').equals(text.replace('_', '-'))) {
+        return word;
+      }
+    }
+    List<String> all = new ArrayList<>();
+    for (E word : words.getEnumConstants()) {
+      all.add(word.name().toLowerCase(Locale.ROOT).replace('_', '-'));
+    }
+    throw wrong(field, "'" + text + "' is none of " + String.join(", ", all));
+  }
+
+  /** A mapping below this one; one without fields where it is missing. */
+  Yaml fields(String field) throws InputException {
+    Node found = find(field);
+    if (found == null) {
+      MappingNode none = new MappingNode(node.getTag(), List.of(), node.getFlowStyle());
+      return new Yaml(file, path + field + ".", none);
+    }
+    return mapping(found, field);
+  }
+
+  private Yaml mapping(Node found, String field) throws InputException {
+    if (!(found instanceof MappingNode mapping)) {
+      throw wrong(found, field, "no mapping of fields to values");
+    }
+    Yaml yaml = new Yaml(file, path + field + ".", mapping);
+    yaml.checkNames(mapping, new HashSet<>());
+    return yaml;
+  }
+
+  /** The mappings of a list, of which there are so many at the least. */
+  List<Yaml> list(String field, int least) throws InputException {
+    Node found = find(field);
+    List<Yaml> entries = new ArrayList<>();
+    if (found instanceof SequenceNode sequence) {
+      for (Node entry : sequence.getValue()) {
+        entries.add(mapping(entry, field + "[" + entries.size() + "]"));
+      }
+    } else if (found != null) {
+      throw wrong(found, field, "no list");
+    }
+    if (entries.size() < least) {
+      throw wrong(field, "fewer than " + least + " entries");
+    }
+    return entries;
+  }
+
+  /** Guards against a field whose name is wrong, which would have no effect. */
+  void end() throws InputException {
+    for (NodeTuple entry : node.getValue()) {
+      String name = ((ScalarNode) entry.getKeyNode()).getValue();
+      if (!taken.contains(name)) {
+        throw wrong(entry.getKeyNode(), name, "unknown");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/emulator/ScenarioTest.java
@@ -0,0 +1,99 @@
+package beampoint.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.settings.InputException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What is wrong with a scenario is told by file, line and field, in one sentence; nothing is begun. */
+class ScenarioTest {
+
+  private static final String DAY = """
+      version: 1
+      seconds: 10
+      proxies: 2
+      classes:
+        - {name: read, work_ms: 20, deadline_ms: 1200}
+      tenants: [{name: one, quota_per_s: 100}]
+      caches: {count: 6}
+      """;
+
+  private static String problem(String text) {
+    String problem = assertThrows(InputException.class, () -> Scenario.parse("day.yaml", text)).getMessage();
+    assertEquals(1, problem.lines().count(), problem);
+    return problem;
+  }
+
+  @Test
+  void whatIsNotSaidHasAUsualValue() throws Exception {
+    Scenario scenario = Scenario.parse("day.yaml", DAY);
+    assertEquals(10_000, scenario.length());
+    assertEquals(1200, scenario.kinds().get(0).rules().aim());
+    assertEquals(100, scenario.tenants().get(0).rate());
+  }
+
+  @Test
+  void eachFaultOfAFileIsToldWithItsPlace() {
+    String caches = "caches: {count: 6}";
+    String[][] wrong = {
+        {"proxies: 2", "proxys: 2", "day.yaml, line 1, field 'proxies': missing"},
+        {"seconds: 10", "seconds: -1", "day.yaml, line 2, field 'seconds': -1 is not from 1 to 86400"},
+        {"seconds: 10", "seconds: soon", "day.yaml, line 2, field 'seconds': no number: 'soon'"},
+        {"proxies: 2", "proxies: 2.5", "day.yaml, line 3, field 'proxies': no whole number: 2.5"},
+        {"count: 6", "count: 0", "day.yaml, line 7, field 'caches.count': 0 is not from 1 to 2000"},
+        {"count: 6", "count: 6, colour: red", "day.yaml, line 7, field 'caches.colour': unknown"},
+        {"quota_per_s: 100", "quota_per_s: 0", "day.yaml, line 6, field 'tenants[0].quota_per_s': 0 is not"},
+        {"version: 1", "version: 2", "line 1, field 'version': this program reads version 1 only"},
+        {"version: 1", "version: 1\nversion: 1", "stands twice"},
+        {"- {name: read", "- {effect: sure, name: read", "'sure' is none of safe, keyed, unsafe"},
+        {caches, "caches: 6", "day.yaml, line 7, field 'caches': no mapping"},
+        {caches, caches + "\nfaults: [{what: slow}]", "'faults[0].at_s': missing"},
+        {caches, caches + "\nfaults: [{what: crash, at_s: 1, zone: 4}]", "zone': 4 is not"},
+        {caches, caches + "\nfaults: [{what: surge, at_s: 1, tenant: none}]", "no tenant of this scenario"},
+        {"tenants: [{name: one, quota_per_s: 100}]", "tenants: []", "'tenants': fewer than 1 entries"},
+    };
+    for (String[] each : wrong) {
+      String problem = problem(DAY.replace(each[0], each[1]));
+      assertTrue(problem.contains(each[2]), problem);
+    }
+  }
+
+  /** A file that was cut off anywhere is told, or lacks at its end only what had a usual value. */
+  @Test
+  void aTruncatedFileIsNeverHalfRead() {
+    int told = 0;
+    for (int length = 0; length < DAY.length(); length++) {
+      try {
+        Scenario.parse("day.yaml", DAY.substring(0, length));
+      } catch (InputException e) {
+        told++;
+        assertEquals(1, e.getMessage().lines().count(), e.getMessage());
+      }
+    }
+    assertTrue(told > DAY.length() - 12, "told: " + told + " of " + DAY.length());
+  }
+
+  @Test
+  void aFileThatIsNotThereIsTold(@TempDir Path directory) {
+    assertThrows(InputException.class, () -> Scenario.read(directory.resolve("none.yaml")));
+  }
+
+  /** The scenarios that operators are given can be read. */
+  @Test
+  void theGivenScenariosAreSound() throws Exception {
+    try (Stream<Path> files = Files.list(Path.of("deploy/scenarios"))) {
+      List<Path> given = files.filter(file -> file.toString().endsWith(".yaml")).toList();
+      assertTrue(!given.isEmpty());
+      for (Path file : given) {
+        Scenario.read(file);
+      }
+    }
+  }
+}
