Experiments: variants of a scenario on the same seeds, with 95% intervals of the difference

Need: whether a setting helps, with error bars; see docs/emulator.md for the ways weighed.

Change: package experiment reads a plan (YAML), plays all variants on the same seeds, some runs at a time, and writes runs.csv as runs end, summary.md with means, Student's intervals and paired differences ('no difference shown' where the interval holds zero), and a chart for each figure. A broken rule is told first and gives exit code 3; a variant that fails or hangs leaves a partial result, exit code 4; a plan of fewer than ten repeats is refused. The reader of YAML moved to a package of its own and can put other values in place. Command: experiment.

--- /dev/null
+++ b/src/main/java/beampoint/cli/ExperimentCommand.java
@@ -0,0 +1,61 @@
+package beampoint.cli;
+
+import beampoint.Logic;
+import beampoint.experiment.Experiment;
+import beampoint.experiment.Plan;
+import beampoint.experiment.Results;
+import beampoint.log.Log;
+import beampoint.settings.InputException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Compares variants of a scenario on the same seeds. */
+@Command(name = "experiment", mixinStandardHelpOptions = true,
+    description = "Plays variants of a scenario in pairs; runs.csv, summary.md and charts go to a directory.",
+    footer = "Exit code 2: the plan can't be used; 3: a rule was broken; 4: only a part was played.")
+final class ExperimentCommand implements Callable<Integer> {
+
+  static final int PARTIAL = 4;
+  private static final Log LOG = Log.of("experiment");
+
+  @Spec
+  private CommandSpec spec;
+
+  @Option(names = "--plan", paramLabel = "FILE", required = true, description = "What to compare, as YAML.")
+  private Path plan;
+
+  @Option(names = "--out", paramLabel = "DIR", required = true, description = "Where results go.")
+  private Path out;
+
+  @Option(names = "--threads", paramLabel = "N", defaultValue = "1", description = "Runs at a time.")
+  private int threads;
+
+  @Option(names = "--longest", paramLabel = "SECONDS", defaultValue = "600",
+      description = "After which a run is given up.")
+  private double longest;
+
+  @Override
+  public Integer call() {
+    Plan read;
+    try {
+      read = Plan.read(plan);
+    } catch (InputException e) {
+      LOG.error("bad plan: " + e.getMessage());
+      return 2;
+    }
+    try {
+      Results results = new Experiment(read, Logic::new, Math.max(1, threads), longest).run(out);
+      spec.commandLine().getOut().println(Files.readString(out.resolve("summary.md")));
+      return results.breaks() > 0 ? EmulateCommand.RULE_BROKEN : results.isPartial() ? PARTIAL : 0;
+    } catch (IOException e) {
+      LOG.error("results can't be written, what there is stays: " + e);
+      return PARTIAL;
+    }
+  }
+}
--- a/src/main/java/beampoint/cli/Main.java
+++ b/src/main/java/beampoint/cli/Main.java
@@ -19,7 +19,8 @@
 /** The command line. */
 @Command(name = "beampoint", mixinStandardHelpOptions = true, version = "beampoint 0.1.0",
     description = "Spreads keys over cache servers before a slow origin.",
-    subcommands = {Main.DrillCommand.class, Main.ServeCommand.class, EmulateCommand.class})
+    subcommands = {Main.DrillCommand.class, Main.ServeCommand.class, EmulateCommand.class,
+        ExperimentCommand.class})
 public final class Main implements Runnable {
 
   @Spec
--- a/src/main/java/beampoint/emulator/Report.java
+++ b/src/main/java/beampoint/emulator/Report.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
@@ -49,6 +50,11 @@
     }
   }
 
+  /** The names of all figures that a day gives. */
+  public static Set<String> names(Scenario scenario) {
+    return new Report(scenario).figures().keySet();
+  }
+
   private void count(String name) {
     counts.merge(name, 1L, Long::sum);
   }
--- a/src/main/java/beampoint/emulator/Scenario.java
+++ b/src/main/java/beampoint/emulator/Scenario.java
@@ -10,11 +10,11 @@
 import beampoint.Balancer.Tenant;
 import beampoint.Balancer.WeightSource;
 import beampoint.settings.InputException;
-import java.io.IOException;
-import java.nio.file.Files;
+import beampoint.yaml.Yaml;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 /** A day of a fleet, as a file tells it: who asks, who serves, and what breaks when. Times are in ms. */
 public record Scenario(String name, long seed, double length, double warmUp, int proxies, int zones,
@@ -75,15 +75,23 @@
 
   /** Reads a file; whatever is wrong with it is told in one plain sentence. */
   public static Scenario read(Path file) throws InputException {
-    try {
-      return parse(file.toString(), Files.readString(file));
-    } catch (IOException e) {
-      throw new InputException(file + ": can't be read: " + e.getMessage());
+    return read(file, Map.of());
+  }
+
+  /** As {@link #read(Path)}, with other values at some places, which are named as in messages. */
+  public static Scenario read(Path file, Map<String, String> changes) throws InputException {
+    Yaml top = Yaml.read(file);
+    for (Map.Entry<String, String> change : changes.entrySet()) {
+      top.set(change.getKey(), change.getValue());
     }
+    return parse(top);
   }
 
   static Scenario parse(String file, String text) throws InputException {
-    Yaml top = Yaml.read(file, text);
+    return parse(Yaml.read(file, text));
+  }
+
+  private static Scenario parse(Yaml top) throws InputException {
     if (top.whole("version", Double.NaN, -1_000_000, 1_000_000) != VERSION) {
       throw top.wrong("version", "this program reads version " + VERSION + " only");
     }
--- /dev/null
+++ b/src/main/java/beampoint/experiment/Charts.java
@@ -0,0 +1,42 @@
+package beampoint.experiment;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.knowm.xchart.CategoryChart;
+import org.knowm.xchart.CategoryChartBuilder;
+import org.knowm.xchart.CategorySeries.CategorySeriesRenderStyle;
+import org.knowm.xchart.VectorGraphicsEncoder;
+import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat;
+
+/** A chart for each figure: the mean of each variant and its interval. */
+final class Charts {
+
+  private static final int WIDTH = 640;
+  private static final int HEIGHT = 400;
+
+  private Charts() {}
+
+  static void write(Plan plan, Results results, Path directory) throws IOException {
+    System.setProperty("java.awt.headless", "true");
+    for (String figure : plan.figures()) {
+      List<String> names = new ArrayList<>();
+      List<Double> means = new ArrayList<>();
+      List<Double> halves = new ArrayList<>();
+      for (Plan.Variant variant : plan.variants()) {
+        Interval interval = Interval.of(results.values(variant, figure));
+        names.add(variant.name());
+        means.add(interval.mean());
+        halves.add(interval.half());
+      }
+      CategoryChart chart = new CategoryChartBuilder().width(WIDTH).height(HEIGHT).title(figure)
+          .yAxisTitle("mean and 95% interval, " + results.complete() + " seeds").build();
+      chart.getStyler().setLegendVisible(false);
+      chart.getStyler().setDefaultSeriesRenderStyle(CategorySeriesRenderStyle.Scatter);
+      chart.addSeries(figure, names, means, halves);
+      String file = directory.resolve(figure.replaceAll("[^\\w.-]", "_") + ".svg").toString();
+      VectorGraphicsEncoder.saveVectorGraphic(chart, file, VectorGraphicsFormat.SVG);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/experiment/Plan.java
@@ -0,0 +1,59 @@
+package beampoint.experiment;
+
+import beampoint.emulator.Report;
+import beampoint.emulator.Scenario;
+import beampoint.settings.InputException;
+import beampoint.yaml.Yaml;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** What is to be compared: variants of one scenario, over how many seeds, by which figures. */
+public record Plan(Path file, Path scenario, int repeats, long firstSeed, List<String> figures,
+    List<Variant> variants) {
+
+  /** Fewer values give no interval that is worth the name. */
+  public static final int FEWEST = 10;
+  private static final int VERSION = 1;
+  private static final List<String> USUAL =
+      List.of("service", "all.p50_ms", "all.p99_ms", "fetches", "handshakes", "probes", "cold_multiple");
+
+  /** One variant: what it changes, and the day that comes of it. */
+  public record Variant(String name, Map<String, String> changes, Scenario scenario) {}
+
+  /** Reads a plan and all that it names; whatever is wrong is told in one plain sentence. */
+  public static Plan read(Path file) throws InputException {
+    Yaml top = Yaml.read(file);
+    if (top.whole("version", Double.NaN, -1_000_000, 1_000_000) != VERSION) {
+      throw top.wrong("version", "this program reads version " + VERSION + " only");
+    }
+    Path scenario = file.toAbsolutePath().resolveSibling(top.text("scenario", null));
+    int repeats = top.whole("repeats", Double.NaN, 1, 100_000);
+    if (repeats < FEWEST) {
+      throw top.wrong("repeats", repeats + " are too few for an interval, which needs " + FEWEST);
+    }
+    long firstSeed = (long) top.number("first_seed", 1, 0, 1e15);
+    String named = top.text("figures", String.join(" ", USUAL));
+    List<Variant> variants = new ArrayList<>();
+    for (Yaml fields : top.list("variants", 2)) {
+      String name = fields.text("name", null);
+      if (variants.stream().anyMatch(v -> v.name().equals(name))) {
+        throw fields.wrong("name", "stands twice: '" + name + "'");
+      }
+      Map<String, String> changes = fields.fields("set").texts();
+      fields.end();
+      variants.add(new Variant(name, changes, Scenario.read(scenario, changes)));
+    }
+    List<String> figures = List.of(named.trim().split("[ ,]+"));
+    for (Variant variant : variants) {
+      for (String figure : figures) {
+        if (!Report.names(variant.scenario()).contains(figure)) {
+          throw top.wrong("figures", "no figure of variant '" + variant.name() + "': '" + figure + "'");
+        }
+      }
+    }
+    top.end();
+    return new Plan(file, scenario, repeats, firstSeed, figures, List.copyOf(variants));
+  }
+}
--- a/src/main/java/beampoint/emulator/Yaml.java
+++ b/src/main/java/beampoint/yaml/Yaml.java
@@ -1,14 +1,23 @@
-package beampoint.emulator;
+package beampoint.yaml;
 
 import beampoint.settings.InputException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.snakeyaml.engine.v2.api.LoadSettings;
 import org.snakeyaml.engine.v2.api.lowlevel.Compose;
+import org.snakeyaml.engine.v2.common.FlowStyle;
+import org.snakeyaml.engine.v2.common.ScalarStyle;
 import org.snakeyaml.engine.v2.exceptions.Mark;
 import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
 import org.snakeyaml.engine.v2.nodes.MappingNode;
@@ -16,12 +25,15 @@
 import org.snakeyaml.engine.v2.nodes.NodeTuple;
 import org.snakeyaml.engine.v2.nodes.ScalarNode;
 import org.snakeyaml.engine.v2.nodes.SequenceNode;
+import org.snakeyaml.engine.v2.nodes.Tag;
 
 /**
  * One mapping of a YAML file, whose fields are taken by name. What is wrong is told with file, line and
  * field, and a field that nobody takes is wrong as well: it would be a setting that has no effect.
  */
-final class Yaml {
+public final class Yaml {
+
+  private static final Pattern PLACE = Pattern.compile("(\\w+)\\[(\\d{1,4})\\]");
 
   private final String file;
   private final String path; // of the mapping in the file, with a dot at its end; empty at the top
@@ -34,7 +46,17 @@
     this.node = node;
   }
 
-  static Yaml read(String file, String text) throws InputException {
+  /** Reads a file. */
+  public static Yaml read(Path file) throws InputException {
+    try {
+      return read(file.toString(), Files.readString(file));
+    } catch (IOException e) {
+      throw new InputException(file + ": can't be read: " + e.getMessage());
+    }
+  }
+
+  /** Reads a text that stands for a file of this name. */
+  public static Yaml read(String file, String text) throws InputException {
     Optional<Node> top;
     try {
       top = new Compose(LoadSettings.builder().setUseMarks(true).setLabel(file).build()).composeString(text);
@@ -50,6 +72,54 @@
     return yaml;
   }
 
+  /** The scalars of this mapping by name, all of them taken. */
+  public Map<String, String> texts() throws InputException {
+    Map<String, String> texts = new LinkedHashMap<>();
+    for (NodeTuple entry : node.getValue()) {
+      String name = ((ScalarNode) entry.getKeyNode()).getValue();
+      texts.put(name, text(name, null));
+    }
+    return texts;
+  }
+
+  /**
+   * Puts a value in place of another, or where none was; the path names fields and places in lists, as the
+   * messages do: {@code classes[0].aim_ms}.
+   */
+  public void set(String at, String value) throws InputException {
+    Yaml inner = this;
+    String[] names = at.split("\\.");
+    for (int i = 0; i < names.length - 1; i++) {
+      inner = inner.step(names[i], at);
+    }
+    String last = names[names.length - 1];
+    Node key = new ScalarNode(Tag.STR, last, ScalarStyle.PLAIN);
+    Node set = new ScalarNode(Tag.STR, false, value, ScalarStyle.PLAIN, inner.node.getStartMark(),
+        inner.node.getEndMark());
+    List<NodeTuple> entries = new ArrayList<>(inner.node.getValue());
+    entries.removeIf(e -> e.getKeyNode() instanceof ScalarNode name && name.getValue().equals(last));
+    entries.add(new NodeTuple(key, set));
+    inner.node.setValue(entries);
+  }
+
+  private Yaml step(String name, String at) throws InputException {
+    Matcher place = PLACE.matcher(name);
+    Node found = find(place.matches() ? place.group(1) : name);
+    if (place.matches() && found instanceof SequenceNode list) {
+      int index = Integer.parseInt(place.group(2));
+      found = index < list.getValue().size() ? list.getValue().get(index) : null;
+    }
+    if (found == null && !place.matches()) {
+      found = new MappingNode(Tag.MAP, true, new ArrayList<>(), FlowStyle.BLOCK, node.getStartMark(),
+          node.getEndMark());
+      node.getValue().add(new NodeTuple(new ScalarNode(Tag.STR, name, ScalarStyle.PLAIN), found));
+    }
+    if (!(found instanceof MappingNode mapping)) {
+      throw wrong(node, name, "no place for '" + at + "'");
+    }
+    return new Yaml(file, path + name + ".", mapping);
+  }
+
   private void checkNames(MappingNode mapping, Set<String> names) throws InputException {
     for (NodeTuple entry : mapping.getValue()) {
       if (!(entry.getKeyNode() instanceof ScalarNode name) || !names.add(name.getValue())) {
@@ -68,7 +138,8 @@
     return null;
   }
 
-  boolean has(String field) {
+  /** True where a field stands. */
+  public boolean has(String field) {
     return find(field) != null;
   }
 
@@ -78,12 +149,13 @@
   }
 
   /** What a caller finds wrong with a field's value. */
-  InputException wrong(String field, String what) {
+  public InputException wrong(String field, String what) {
     Node found = find(field);
     return wrong(found == null ? node : found, field, what);
   }
 
-  String text(String field, String usual) throws InputException {
+  /** A text; null as the usual one says that it must be there. */
+  public String text(String field, String usual) throws InputException {
     Node found = find(field);
     if (found == null) {
       if (usual == null) {
@@ -98,7 +170,7 @@
   }
 
   /** A number of a range; NaN as the usual one says that it must be there. */
-  double number(String field, double usual, double least, double most) throws InputException {
+  public double number(String field, double usual, double least, double most) throws InputException {
     String text = text(field, Double.isNaN(usual) ? null : Double.toString(usual));
     double number;
     try {
@@ -117,7 +189,7 @@
   }
 
   /** As {@link #number}, without a fraction. */
-  int whole(String field, double usual, int least, int most) throws InputException {
+  public int whole(String field, double usual, int least, int most) throws InputException {
     double number = number(field, usual, least, most);
     if (number != Math.rint(number)) {
       throw wrong(field, "no whole number: " + number);
@@ -125,7 +197,8 @@
     return (int) number;
   }
 
-  boolean flag(String field, boolean usual) throws InputException {
+  /** True or false. */
+  public boolean flag(String field, boolean usual) throws InputException {
     String text = text(field, Boolean.toString(usual));
     if (!text.equals("true") && !text.equals("false")) {
       throw wrong(field, "neither true nor false: '" + text + "'");
@@ -134,7 +207,7 @@
   }
 
   /** One of some words. */
-  <E extends Enum<E>> E word(String field, E usual, Class<E> words) throws InputException {
+  public <E extends Enum<E>> E word(String field, E usual, Class<E> words) throws InputException {
     String text = text(field, usual == null ? null : usual.name().toLowerCase(Locale.ROOT));
     for (E word : words.getEnumConstants()) {
       if (word.name().toLowerCase(Locale.ROOT).replace('_', '-').equals(text.replace('_', '-'))) {
@@ -149,7 +222,7 @@
   }
 
   /** A mapping below this one; one without fields where it is missing. */
-  Yaml fields(String field) throws InputException {
+  public Yaml fields(String field) throws InputException {
     Node found = find(field);
     if (found == null) {
       MappingNode none = new MappingNode(node.getTag(), List.of(), node.getFlowStyle());
@@ -168,7 +241,7 @@
   }
 
   /** The mappings of a list, of which there are so many at the least. */
-  List<Yaml> list(String field, int least) throws InputException {
+  public List<Yaml> list(String field, int least) throws InputException {
     Node found = find(field);
     List<Yaml> entries = new ArrayList<>();
     if (found instanceof SequenceNode sequence) {
@@ -185,7 +258,7 @@
   }
 
   /** Guards against a field whose name is wrong, which would have no effect. */
-  void end() throws InputException {
+  public void end() throws InputException {
     for (NodeTuple entry : node.getValue()) {
       String name = ((ScalarNode) entry.getKeyNode()).getValue();
       if (!taken.contains(name)) {
--- /dev/null
+++ b/src/test/java/beampoint/experiment/ExperimentTest.java
@@ -0,0 +1,190 @@
+package beampoint.experiment;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer;
+import beampoint.Balancer.Settings;
+import beampoint.Logic;
+import beampoint.emulator.Emulation;
+import beampoint.emulator.Scenario;
+import beampoint.settings.InputException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Experiments find what is there and nothing where nothing is; what goes wrong is told and loses nothing. */
+@Timeout(120)
+class ExperimentTest {
+
+  private static final String DAY = """
+      version: 1
+      seconds: 4
+      proxies: 2
+      settings: {attempts: 3}
+      classes: [{name: read, work_ms: 10, aim_ms: 300, deadline_ms: 800}]
+      tenants: [{name: one, quota_per_s: 60}]
+      keys: {count: 400}
+      caches: {count: 5, memory_keys: 300}
+      origin: {servers: 8, work_ms: 40}
+      faults: [{what: errors, at_s: 0.5, for_s: 3, part: 0.4, factor: 0.6}]
+      """;
+  private static final String PLAN = """
+      version: 1
+      scenario: day.yaml
+      repeats: 10
+      figures: service fetches
+      variants:
+        - {name: present}
+        - {name: other, set: {settings.attempts: 1}}
+      """;
+
+  @TempDir
+  private Path directory;
+
+  @BeforeEach
+  void write() throws IOException {
+    Files.writeString(directory.resolve("day.yaml"), DAY);
+  }
+
+  private Plan plan(String text) throws Exception {
+    return Plan.read(Files.writeString(directory.resolve("plan.yaml"), text));
+  }
+
+  private Results run(Plan plan, Function<Settings, Balancer> factory) throws Exception {
+    return new Experiment(plan, factory, 2, 20).run(directory.resolve("out"));
+  }
+
+  private String summary() throws IOException {
+    return Files.readString(directory.resolve("out/summary.md"));
+  }
+
+  @Test
+  void aVariantThatIsMadeWorseIsFoundAndTheSameOneIsNot() throws Exception {
+    Plan plan = plan(PLAN + "  - {name: same}\n");
+    Results results = run(plan, Logic::new);
+    assertEquals("less", results.verdict(plan.variants().get(1), "service"));
+    assertEquals("no difference shown", results.verdict(plan.variants().get(2), "service"));
+    assertFalse(results.isPartial());
+    assertTrue(summary().contains("| service | other | "), summary());
+    assertTrue(summary().contains("no difference shown"), summary());
+    assertEquals(31, Files.readAllLines(directory.resolve("out/runs.csv")).size());
+    assertTrue(Files.readString(directory.resolve("out/service.svg")).contains("<svg"));
+  }
+
+  @Test
+  void anExperimentCanBeRunAgainToTheLastDigit() throws Exception {
+    run(plan(PLAN), Logic::new);
+    byte[] first = Files.readAllBytes(directory.resolve("out/runs.csv"));
+    String summary = summary();
+    run(plan(PLAN), Logic::new);
+    assertArrayEquals(first, Files.readAllBytes(directory.resolve("out/runs.csv")));
+    assertEquals(summary, summary());
+  }
+
+  /** Two variants that are the same, on other days: the interval holds zero about as often as it says. */
+  @Test
+  void whereNothingDiffersADifferenceIsShownAboutAsSeldomAsStated() throws Exception {
+    Scenario day = Scenario.read(directory.resolve("day.yaml"));
+    int held = 0;
+    for (int group = 0; group < 100; group++) {
+      double[] one = new double[10];
+      double[] other = new double[10];
+      for (int i = 0; i < 10; i++) {
+        one[i] = Emulation.run(day.withSeed(group * 20L + i), Logic::new).service();
+        other[i] = Emulation.run(day.withSeed(group * 20L + 10 + i), Logic::new).service();
+      }
+      held += Interval.ofDifference(one, other).excludesZero() ? 0 : 1;
+    }
+    assertTrue(held >= 88 && held < 100, "held zero: " + held + " of 100");
+  }
+
+  @Test
+  void aBrokenRuleIsToldFirstWithVariantSeedAndTime() throws Exception {
+    Results results = run(plan(PLAN), settings -> settings.limits().maxAttempts() > 1 ? new Logic(settings)
+        : (now, event) -> List.of());
+    assertTrue(results.breaks() > 0);
+    assertTrue(results.broken().get(0).matches("other, [0-9.]+ s, seed 1: a request was lost.*"),
+        results.broken().get(0));
+    assertTrue(summary().indexOf("Rules broken") < summary().indexOf("| figure"), summary());
+  }
+
+  @Test
+  void aVariantThatFailsLeavesWhatWasPlayedAndItIsCalledPartial() throws Exception {
+    Results results = run(plan(PLAN), settings -> {
+      if (settings.limits().maxAttempts() == 1 && settings.seed() / 1_000_003 == 4) {
+        throw new IllegalStateException("it does not start");
+      }
+      return new Logic(settings);
+    });
+    assertTrue(results.isPartial());
+    assertEquals(3, results.complete());
+    assertTrue(summary().contains("Partial: 3 of 10 repeats"), summary());
+    assertTrue(summary().contains("other, seed 4: failed: java.lang.IllegalStateException"), summary());
+    assertEquals(8, Files.readAllLines(directory.resolve("out/runs.csv")).size());
+  }
+
+  @Test
+  void aVariantThatHangsIsGivenUp() throws Exception {
+    CountDownLatch never = new CountDownLatch(1);
+    Experiment experiment = new Experiment(plan(PLAN), settings -> {
+      try {
+        never.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      return new Logic(settings);
+    }, 2, 0.2);
+    Results results = experiment.run(directory.resolve("out"));
+    assertEquals(0, results.complete());
+    assertTrue(results.failures().get(0).contains("not ended after 0.2 s"), results.failures().get(0));
+  }
+
+  @Test
+  void resultsThatCanNotBeWrittenAreTold() throws Exception {
+    Path file = Files.writeString(directory.resolve("file"), "");
+    Plan plan = plan(PLAN);
+    assertThrows(IOException.class, () -> new Experiment(plan, Logic::new, 1, 20).run(file));
+  }
+
+  @Test
+  void whatIsWrongWithAPlanIsToldWithItsPlace() {
+    String[][] wrong = {
+        {"repeats: 10", "repeats: 9", "line 3, field 'repeats': 9 are too few for an interval"},
+        {"scenario: day.yaml", "scenario: none.yaml", "none.yaml: can't be read"},
+        {"fetches", "colour", "no figure of variant 'present': 'colour'"},
+        {"name: other", "name: present", "stands twice: 'present'"},
+        {"settings.attempts: 1", "settings.attempts: 0", "field 'settings.attempts': 0 is not from 1 to 100"},
+        {"settings.attempts: 1", "settings.colour: 1", "field 'settings.colour': unknown"},
+        {"settings.attempts: 1", "\"classes[4].aim_ms\": 1", "no place for 'classes[4].aim_ms'"},
+        {"version: 1", "version: 3", "this program reads version 1 only"},
+    };
+    for (String[] each : wrong) {
+      String problem = assertThrows(InputException.class, () -> plan(PLAN.replace(each[0], each[1])))
+          .getMessage();
+      assertTrue(problem.contains(each[2]), problem);
+    }
+  }
+
+  /** A variant may change any place, in a list too, and may add what was not said. */
+  @Test
+  void aVariantChangesWhatItNamesAndNothingElse() throws Exception {
+    Plan plan = plan(PLAN.replace("settings.attempts: 1",
+        "\"classes[0].aim_ms\": 250, clients.retries: 0, prices.probe: 0.5"));
+    Scenario changed = plan.variants().get(1).scenario();
+    assertEquals(250, changed.kinds().get(0).rules().aim());
+    assertEquals(0, changed.clients().retries());
+    assertEquals(0.5, changed.prices().probe());
+    assertEquals(plan.variants().get(0).scenario().limits(), changed.limits());
+  }
+}
