--- a/src/main/java/beampoint/experiment/Experiment.java
+++ b/src/main/java/beampoint/experiment/Experiment.java
@@ -19,7 +19,7 @@
 
 /**
  * Plays all variants of a plan on the same seeds, some runs at a time. What has ended is written at once and
- * in order, whatever happens later: an experiment that is cut short, or whose variant fails, keeps what it has.
+ * in order, whatever happens later: an experiment that is cut short or whose variant fails keeps what it has.
  */
 public final class Experiment {
 
--- a/src/main/java/beampoint/experiment/Summary.java
+++ b/src/main/java/beampoint/experiment/Summary.java
@@ -32,10 +32,12 @@
       results.failures().forEach(failure -> text.append("- ").append(failure).append('\n'));
       text.append(results.failures().isEmpty() ? "" : "\n");
     }
+    long last = plan.firstSeed() + plan.repeats() - 1;
     text.append("Scenario ").append(plan.scenario().getFileName()).append(", seeds ")
-        .append(plan.firstSeed()).append(" to ").append(plan.firstSeed() + plan.repeats() - 1).append("; Java ")
-        .append(Runtime.version()).append(", ").append(System.getProperty("os.arch")).append(", ")
-        .append(Runtime.getRuntime().availableProcessors()).append(" processors. Virtual time, simulated.\n\n");
+        .append(plan.firstSeed()).append(" to ").append(last).append("; Java ").append(Runtime.version())
+        .append(", ").append(System.getProperty("os.arch")).append(", ")
+        .append(Runtime.getRuntime().availableProcessors())
+        .append(" processors. Virtual time, simulated.\n\n");
     for (Plan.Variant variant : plan.variants()) {
       text.append("- ").append(variant.name()).append(": ")
           .append(variant.changes().isEmpty() ? "as the scenario has it" : variant.changes().toString())
