--- a/src/main/java/beampoint/emulator/CacheNode.java
+++ b/src/main/java/beampoint/emulator/CacheNode.java
@@ -39,12 +39,17 @@
     this.zone = zone;
     this.startedAt = startedAt;
     this.server = new Server(world.clock, caches.cores(), caches.queue());
-    this.memory = new LinkedHashMap<>(16, 0.75f, true) {
+    this.memory = memory(caches.memory());
+  }
+
+  /** Room for so many keys, of which the least recently used goes. */
+  static Map<Long, Boolean> memory(int room) {
+    return new LinkedHashMap<>(16, 0.75f, true) {
       private static final long serialVersionUID = 1L;
 
       @Override
       protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
-        return size() > caches.memory();
+        return size() > room;
       }
     };
   }
