--- a/src/main/java/beampoint/emulator/Clock.java
+++ b/src/main/java/beampoint/emulator/Clock.java
@@ -4,10 +4,10 @@
 import java.util.PriorityQueue;
 
 /** Virtual time: what is due runs in the order of its times and, at one time, in the order of its setting. */
-final class Clock {
+class Clock {
 
   /** What is due at a time. */
-  private record Task(double at, long number, Runnable run) {}
+  record Task(double at, long number, Runnable run) {}
 
   private final PriorityQueue<Task> tasks =
       new PriorityQueue<>(Comparator.comparingDouble(Task::at).thenComparingLong(Task::number));
@@ -23,11 +23,20 @@
   }
 
   void at(double time, Runnable task) {
-    tasks.add(new Task(Math.max(now, time), ++number, task));
+    tasks.add(new Task(Math.max(now(), time), ++number, task));
   }
 
   void after(double delay, Runnable task) {
-    at(now + Math.max(0, delay), task);
+    at(now() + Math.max(0, delay), task);
+  }
+
+  /** The next task, or null where none is set. */
+  final Task peek() {
+    return tasks.peek();
+  }
+
+  final Task poll() {
+    return tasks.poll();
   }
 
   /** Runs all that is due up to a time; returns how many tasks that were. */
--- a/src/main/java/beampoint/emulator/Faults.java
+++ b/src/main/java/beampoint/emulator/Faults.java
@@ -25,7 +25,7 @@
 
   void plan() {
     for (Fault fault : world.scenario.faults()) {
-      world.clock.at(World.START + fault.at(), () -> begin(fault));
+      world.clock.at(world.start + fault.at(), () -> begin(fault));
     }
   }
 
--- a/src/main/java/beampoint/emulator/Front.java
+++ b/src/main/java/beampoint/emulator/Front.java
@@ -71,7 +71,7 @@
       drawn -= kinds.get(number++).share();
     }
     double now = world.clock.now();
-    long drifted = (long) (world.scenario.keys().drift() * (now - World.START) / 1000);
+    long drifted = (long) (world.scenario.keys().drift() * (now - world.start) / 1000);
     long key = keys.sample() + drifted;
     Ask ask = new Ask(++lastId, kinds.get(number), number, tenant, key, work.sample(), now);
     world.report.asked(ask);
--- a/src/main/java/beampoint/emulator/Instance.java
+++ b/src/main/java/beampoint/emulator/Instance.java
@@ -1,58 +1,20 @@
 package beampoint.emulator;
 
-import beampoint.Balancer;
-import beampoint.Balancer.Action;
-import beampoint.Balancer.AttemptEnded;
 import beampoint.Balancer.Endpoint;
-import beampoint.Balancer.EndpointState;
-import beampoint.Balancer.Event;
 import beampoint.Balancer.ListKind;
-import beampoint.Balancer.ListReceived;
-import beampoint.Balancer.ProbeEnded;
-import beampoint.Balancer.RequestGone;
-import beampoint.Balancer.RequestReceived;
 import beampoint.Balancer.Result;
-import beampoint.Balancer.TimerFired;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 
-/** One proxy: an instance of the decision module, its connections, and what it was told of the list. */
-final class Instance {
+/** One proxy as the model knows it, whether it is an instance of the module or a process. */
+abstract class Instance {
 
-  private static final double LATE = 50; // after a request's time, within which an answer still counts
+  static final double LATE = 50; // after a request's time, within which an answer still counts
 
-  /** A request that it has taken. */
-  private static final class Open {
-    private final Ask.Try asked;
-    private final List<CacheNode> missedAt = new ArrayList<>();
-    private int attempts;
-    private Attempt out;
-
-    private Open(Ask.Try asked) {
-      this.asked = asked;
-    }
-  }
-
-  /** An idle connection. */
-  private record Link(int life, double since) {}
-
-  private final World world;
+  final World world;
   final int number;
   final int zone;
-  private Balancer balancer;
-  private int life; // processes so far; what was set in one does not reach the next
   private boolean up;
   private double diedAt = Double.NEGATIVE_INFINITY;
-  private long lastId;
-  private final Map<Long, Open> open = new HashMap<>();
-  private final Map<Ask.Try, Open> byTry = new HashMap<>();
-  private final Map<String, Deque<Link>> idle = new TreeMap<>();
-  private final Map<String, Double> mayNotSendFrom = new TreeMap<>(); // since it was told, and the grace
 
   Instance(World world, int number, int zone) {
     this.world = world;
@@ -60,300 +22,51 @@
     this.zone = zone;
   }
 
-  void start(List<Endpoint> remembered) {
-    up = true;
-    life++;
-    balancer = world.newBalancer(this, life);
-    give(new ListReceived(ListKind.REMEMBERED, remembered));
-  }
-
-  boolean isUp() {
-    return up;
-  }
-
-  /** True where the front still sends to it. */
-  boolean isKnownUp() {
-    return up || world.clock.now() < diedAt + world.scenario.clients().frontNotices();
-  }
-
-  void kill() {
-    up = false;
-    life++;
-    diedAt = world.clock.now();
-    for (Open each : List.copyOf(open.values())) {
-      if (each.out != null) {
-        close(each.out);
-        each.out.giveUp();
-      }
-      world.front.answered(each.asked, Ask.End.FAILED, 0);
-    }
-    idle.forEach((id, links) -> links.forEach(link -> disconnect(id, link)));
-    idle.clear();
-    open.clear();
-    byTry.clear();
-    mayNotSendFrom.clear();
-  }
+  /** Begins with nothing learnt and an old list; it is up then, or later. */
+  abstract void start(List<Endpoint> remembered);
 
-  // ---- What it is told ------------------------------------------------------------------------------------
+  /** Ends it at once, whatever it holds. */
+  abstract void kill();
 
-  void told(ListKind kind, List<Endpoint> endpoints) {
-    if (!up) {
-      return;
-    }
-    double from = world.clock.now() + world.scenario.rules().drainGrace();
-    for (Endpoint endpoint : endpoints) {
-      if (endpoint.state() == EndpointState.RUNNING) {
-        mayNotSendFrom.remove(endpoint.id());
-      } else {
-        mayNotSendFrom.putIfAbsent(endpoint.id(), from);
-      }
-    }
-    give(new ListReceived(kind, endpoints));
-  }
+  /** Discovery tells it of nodes. */
+  abstract void told(ListKind kind, List<Endpoint> endpoints);
 
-  void take(Ask.Try asked) {
-    if (!up) {
-      world.front.answered(asked, Ask.End.FAILED, 0);
-      return;
-    }
-    long id = ++lastId;
-    Open taken = new Open(asked);
-    open.put(id, taken);
-    byTry.put(asked, taken);
-    inLife(asked.notAfter + LATE - world.clock.now(), () -> {
-      if (!asked.over) {
-        world.report.broken(world.clock.now(), "a request was lost: no answer in time");
-        answer(id, Ask.End.LOST, 0);
-      }
-    });
-    give(new RequestReceived(id, asked.notAfter, asked.ask.tenant, asked.ask.kindNumber, asked.ask.key,
-        asked.ask.kind.write()));
-  }
+  /** A client asks. */
+  abstract void take(Ask.Try asked);
 
   /** The client has left. */
-  void left(Ask.Try asked) {
-    Open taken = byTry.get(asked);
-    if (taken != null && !asked.over) {
-      asked.over = true;
-      long id = idOf(taken);
-      forget(id, taken);
-      give(new RequestGone(id));
-    }
-  }
+  abstract void left(Ask.Try asked);
 
-  private long idOf(Open taken) {
-    return open.entrySet().stream().filter(e -> e.getValue() == taken).findFirst().orElseThrow().getKey();
-  }
+  /** The cache nodes that lacked the key for this request. */
+  abstract List<CacheNode> missedAt(Ask.Try asked);
 
-  private void give(Event event) {
-    world.report.decision();
-    for (Action action : balancer.handle(world.clock.now(), event)) {
-      carryOut(action);
-    }
-  }
+  /** A peer has answered; the answer is on its way. */
+  abstract void answered(Attempt attempt, Result result);
 
-  private void carryOut(Action action) {
-    if (action instanceof Balancer.Send a) {
-      send(a);
-    } else if (action instanceof Balancer.Refuse a) {
-      answer(a.id(), Ask.End.REFUSED, a.retryAfter());
-    } else if (action instanceof Balancer.Fail a) {
-      answer(a.id(), Ask.End.FAILED, 0);
-    } else if (action instanceof Balancer.Cancel a) {
-      Open taken = open.get(a.id());
-      if (taken != null && taken.out != null && taken.out.number == a.attempt()) {
-        Attempt out = taken.out;
-        inLife(0, () -> end(a.id(), out, Result.CANCELLED));
-      }
-    } else if (action instanceof Balancer.SetTimer a) {
-      inLife(a.delay(), () -> give(new TimerFired(a.token())));
-    } else if (action instanceof Balancer.Probe a) {
-      probe(a.endpoint());
-    } else if (action instanceof Balancer.CloseIdle a) {
-      Deque<Link> links = idle.remove(a.endpoint());
-      if (links != null) {
-        links.forEach(link -> disconnect(a.endpoint(), link));
-      }
-    } else if (action instanceof Balancer.FollowList) {
-      world.discovery.follow(this);
-    }
-  }
+  /** A cache node died: what was out there ends as a reset. */
+  abstract void lost(CacheNode node);
 
-  /** Runs a task later, unless this process has ended by then. */
-  private void inLife(double delay, Runnable task) {
-    int ofLife = life;
-    world.clock.after(delay, () -> {
-      if (ofLife == life && up) {
-        task.run();
-      }
-    });
+  final void up() {
+    up = true;
   }
 
-  private void answer(long id, Ask.End end, double advice) {
-    Open taken = open.get(id);
-    if (taken != null && !taken.asked.over) {
-      taken.asked.over = true;
-      world.front.answered(taken.asked, end, advice);
-      forget(id, taken);
-    }
+  final void down() {
+    up = false;
+    diedAt = world.clock.now();
   }
 
-  private void forget(long id, Open taken) {
-    if (taken.asked.over && taken.out == null) {
-      open.remove(id);
-      byTry.remove(taken.asked);
-    }
+  final boolean isUp() {
+    return up;
   }
 
-  /** The cache nodes that lacked the key for this request. */
-  List<CacheNode> missedAt(Ask.Try asked) {
-    Open taken = byTry.get(asked);
-    return taken == null ? List.of() : taken.missedAt;
+  /** True where the front still sends to it. */
+  final boolean isKnownUp() {
+    return up || world.clock.now() < diedAt + world.scenario.clients().frontNotices();
   }
 
-  // ---- Attempts -------------------------------------------------------------------------------------------
-
-  private double way(CacheNode node) {
+  /** One way to a node, or to the origin. */
+  final double way(CacheNode node) {
     boolean crosses = node != null && node.zone != zone;
     return world.scenario.delay() + (crosses ? world.scenario.zoneDelay() : 0);
   }
-
-  private void send(Balancer.Send a) {
-    Open taken = open.get(a.id());
-    double now = world.clock.now();
-    if (taken == null) {
-      return;
-    }
-    CacheNode node = world.cache(a.endpoint());
-    Attempt attempt = new Attempt(this, taken.asked, taken.attempts++, node, now);
-    taken.out = attempt;
-    world.report.attempt(attempt.number);
-    Double from = mayNotSendFrom.get(a.endpoint());
-    if (from != null && now > from) {
-      world.report.broken(now, "sent past a drain's grace: " + a.endpoint());
-    }
-    double last = a.limit() > 0 ? Math.min(taken.asked.notAfter, now + a.limit()) : taken.asked.notAfter;
-    if (taken.asked.over || now >= last || attempt.number >= world.scenario.limits().maxAttempts()) {
-      inLife(0, () -> end(a.id(), attempt, Result.NOT_SENT));
-      return;
-    }
-    inLife(last - now, () -> end(a.id(), attempt, Result.TIMEOUT));
-    attempt.ended = result -> end(a.id(), attempt, result);
-    if (a.endpoint().equals(OriginServer.ID)) {
-      inLife(world.scenario.delay(), () -> unlessOver(attempt, () -> world.origin.take(attempt)));
-    } else if (node == null) {
-      inLife(way(null), () -> end(a.id(), attempt, Result.CONNECT_FAILED));
-    } else {
-      connect(a.id(), attempt);
-    }
-  }
-
-  private static void unlessOver(Attempt attempt, Runnable task) {
-    if (!attempt.over) {
-      task.run();
-    }
-  }
-
-  private void connect(long id, Attempt attempt) {
-    CacheNode node = attempt.node;
-    Link link = idleLink(node);
-    if (link != null) {
-      attempt.life = link.life();
-      attempt.connected = true;
-      inLife(way(node), () -> unlessOver(attempt, () -> node.take(attempt, false)));
-      return;
-    }
-    inLife(way(node), () -> unlessOver(attempt, () -> {
-      Result made = node.connect();
-      if (made == Result.OK) {
-        attempt.life = node.life;
-        attempt.connected = true;
-        world.report.handshake();
-        inLife(2 * way(node), () -> unlessOver(attempt, () -> node.take(attempt, true)));
-      } else {
-        double wait = made == Result.TIMEOUT ? world.scenario.limits().connectTimeout() : way(node);
-        inLife(wait, () -> end(id, attempt, Result.CONNECT_FAILED));
-      }
-    }));
-  }
-
-  /** The idle connection that was used last; those whose process has ended, or that stood too long, go. */
-  private Link idleLink(CacheNode node) {
-    Deque<Link> links = idle.getOrDefault(node.id, new ArrayDeque<>());
-    for (Link link = links.pollLast(); link != null; link = links.pollLast()) {
-      if (link.life() == node.life && world.clock.now() < link.since() + world.scenario.caches().idle()) {
-        return link;
-      }
-      disconnect(node.id, link);
-    }
-    return null;
-  }
-
-  private void disconnect(String id, Link link) {
-    CacheNode node = world.cache(id);
-    if (node != null) {
-      node.disconnect(link.life());
-    }
-  }
-
-  private void close(Attempt attempt) {
-    if (attempt.node != null && attempt.connected) {
-      attempt.node.disconnect(attempt.life);
-    }
-  }
-
-  /** A peer has answered; the answer is on its way. */
-  void answered(Attempt attempt, Result result) {
-    inLife(way(attempt.node), () -> attempt.ended.accept(result));
-  }
-
-  /** A cache node died: what was out there ends as a reset. */
-  void lost(CacheNode node) {
-    for (Map.Entry<Long, Open> entry : List.copyOf(open.entrySet())) {
-      Attempt out = entry.getValue().out;
-      if (out != null && out.node == node) {
-        Result result = out.connected ? Result.RESET : Result.CONNECT_FAILED;
-        inLife(way(node), () -> end(entry.getKey(), out, result));
-      }
-    }
-  }
-
-  private void end(long id, Attempt attempt, Result result) {
-    Open taken = open.get(id);
-    if (attempt.over || taken == null || taken.out != attempt) {
-      return;
-    }
-    attempt.giveUp();
-    taken.out = null;
-    boolean kept = result == Result.OK || result == Result.MISS || result == Result.FULL
-        || result == Result.ERROR;
-    if (kept && attempt.node != null && attempt.connected) {
-      idle.computeIfAbsent(attempt.node.id, key -> new ArrayDeque<>())
-          .addLast(new Link(attempt.life, world.clock.now()));
-    } else {
-      close(attempt);
-    }
-    world.report.ended(result);
-    if (result == Result.MISS) {
-      taken.missedAt.add(attempt.node);
-    }
-    if (result == Result.OK) {
-      answer(id, Ask.End.SERVED, 0);
-    }
-    boolean done = taken.asked.over;
-    forget(id, taken);
-    String endpoint = attempt.node == null ? OriginServer.ID : attempt.node.id;
-    give(new AttemptEnded(id, attempt.number, endpoint, world.clock.now() - attempt.sentAt, result, done));
-  }
-
-  private void probe(String endpoint) {
-    world.report.probe();
-    CacheNode node = world.cache(endpoint);
-    double connect = world.scenario.limits().connectTimeout();
-    boolean mute = node != null && node.silent;
-    boolean fails = node == null || node.dead || node.refuses;
-    Result result = mute ? Result.TIMEOUT : fails ? Result.CONNECT_FAILED : Result.OK;
-    double time = mute ? 2 * connect : 2 * way(node);
-    inLife(time, () -> give(new ProbeEnded(endpoint, result, time)));
-  }
 }
--- /dev/null
+++ b/src/main/java/beampoint/emulator/ModuleInstance.java
@@ -0,0 +1,343 @@
+package beampoint.emulator;
+
+import beampoint.Balancer;
+import beampoint.Balancer.Action;
+import beampoint.Balancer.AttemptEnded;
+import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.EndpointState;
+import beampoint.Balancer.Event;
+import beampoint.Balancer.ListKind;
+import beampoint.Balancer.ListReceived;
+import beampoint.Balancer.ProbeEnded;
+import beampoint.Balancer.RequestGone;
+import beampoint.Balancer.RequestReceived;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Settings;
+import beampoint.Balancer.TimerFired;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/** A proxy in virtual time: an instance of the decision module, its connections, and what it was told. */
+final class ModuleInstance extends Instance {
+
+  /** A request that it has taken. */
+  private static final class Open {
+    private final Ask.Try asked;
+    private final List<CacheNode> missedAt = new ArrayList<>();
+    private int attempts;
+    private Attempt out;
+
+    private Open(Ask.Try asked) {
+      this.asked = asked;
+    }
+  }
+
+  /** An idle connection. */
+  private record Link(int life, double since) {}
+
+  private final Function<Settings, Balancer> factory;
+  private Balancer balancer;
+  private int life; // processes so far; what was set in one does not reach the next
+  private long lastId;
+  private final Map<Long, Open> open = new HashMap<>();
+  private final Map<Ask.Try, Open> byTry = new HashMap<>();
+  private final Map<String, Deque<Link>> idle = new TreeMap<>();
+  private final Map<String, Double> mayNotSendFrom = new TreeMap<>(); // since it was told, and the grace
+
+  ModuleInstance(World world, int number, int zone, Function<Settings, Balancer> factory) {
+    super(world, number, zone);
+    this.factory = factory;
+  }
+
+  @Override
+  void start(List<Endpoint> remembered) {
+    up();
+    life++;
+    balancer = factory.apply(world.settings(this, life));
+    give(new ListReceived(ListKind.REMEMBERED, remembered));
+  }
+
+  @Override
+  void kill() {
+    down();
+    life++;
+    for (Open each : List.copyOf(open.values())) {
+      if (each.out != null) {
+        close(each.out);
+        each.out.giveUp();
+      }
+      world.front.answered(each.asked, Ask.End.FAILED, 0);
+    }
+    idle.forEach((id, links) -> links.forEach(link -> disconnect(id, link)));
+    idle.clear();
+    open.clear();
+    byTry.clear();
+    mayNotSendFrom.clear();
+  }
+
+  // ---- What it is told ------------------------------------------------------------------------------------
+
+  @Override
+  void told(ListKind kind, List<Endpoint> endpoints) {
+    if (!isUp()) {
+      return;
+    }
+    double from = world.clock.now() + world.scenario.rules().drainGrace();
+    for (Endpoint endpoint : endpoints) {
+      if (endpoint.state() == EndpointState.RUNNING) {
+        mayNotSendFrom.remove(endpoint.id());
+      } else {
+        mayNotSendFrom.putIfAbsent(endpoint.id(), from);
+      }
+    }
+    give(new ListReceived(kind, endpoints));
+  }
+
+  @Override
+  void take(Ask.Try asked) {
+    if (!isUp()) {
+      world.front.answered(asked, Ask.End.FAILED, 0);
+      return;
+    }
+    long id = ++lastId;
+    Open taken = new Open(asked);
+    open.put(id, taken);
+    byTry.put(asked, taken);
+    inLife(asked.notAfter + LATE - world.clock.now(), () -> {
+      if (!asked.over) {
+        world.report.broken(world.clock.now(), "a request was lost: no answer in time");
+        answer(id, Ask.End.LOST, 0);
+      }
+    });
+    give(new RequestReceived(id, asked.notAfter, asked.ask.tenant, asked.ask.kindNumber, asked.ask.key,
+        asked.ask.kind.write()));
+  }
+
+  @Override
+  void left(Ask.Try asked) {
+    Open taken = byTry.get(asked);
+    if (taken != null && !asked.over) {
+      asked.over = true;
+      long id = idOf(taken);
+      forget(id, taken);
+      give(new RequestGone(id));
+    }
+  }
+
+  private long idOf(Open taken) {
+    return open.entrySet().stream().filter(e -> e.getValue() == taken).findFirst().orElseThrow().getKey();
+  }
+
+  private void give(Event event) {
+    world.report.decision();
+    for (Action action : balancer.handle(world.clock.now(), event)) {
+      carryOut(action);
+    }
+  }
+
+  private void carryOut(Action action) {
+    if (action instanceof Balancer.Send a) {
+      send(a);
+    } else if (action instanceof Balancer.Refuse a) {
+      answer(a.id(), Ask.End.REFUSED, a.retryAfter());
+    } else if (action instanceof Balancer.Fail a) {
+      answer(a.id(), Ask.End.FAILED, 0);
+    } else if (action instanceof Balancer.Cancel a) {
+      Open taken = open.get(a.id());
+      if (taken != null && taken.out != null && taken.out.number == a.attempt()) {
+        Attempt out = taken.out;
+        inLife(0, () -> end(a.id(), out, Result.CANCELLED));
+      }
+    } else if (action instanceof Balancer.SetTimer a) {
+      inLife(a.delay(), () -> give(new TimerFired(a.token())));
+    } else if (action instanceof Balancer.Probe a) {
+      probe(a.endpoint());
+    } else if (action instanceof Balancer.CloseIdle a) {
+      Deque<Link> links = idle.remove(a.endpoint());
+      if (links != null) {
+        links.forEach(link -> disconnect(a.endpoint(), link));
+      }
+    } else if (action instanceof Balancer.FollowList) {
+      world.discovery.follow(this);
+    }
+  }
+
+  /** Runs a task later, unless this process has ended by then. */
+  private void inLife(double delay, Runnable task) {
+    int ofLife = life;
+    world.clock.after(delay, () -> {
+      if (ofLife == life && isUp()) {
+        task.run();
+      }
+    });
+  }
+
+  private void answer(long id, Ask.End end, double advice) {
+    Open taken = open.get(id);
+    if (taken != null && !taken.asked.over) {
+      taken.asked.over = true;
+      world.front.answered(taken.asked, end, advice);
+      forget(id, taken);
+    }
+  }
+
+  private void forget(long id, Open taken) {
+    if (taken.asked.over && taken.out == null) {
+      open.remove(id);
+      byTry.remove(taken.asked);
+    }
+  }
+
+  @Override
+  List<CacheNode> missedAt(Ask.Try asked) {
+    Open taken = byTry.get(asked);
+    return taken == null ? List.of() : taken.missedAt;
+  }
+
+  // ---- Attempts -------------------------------------------------------------------------------------------
+
+  private void send(Balancer.Send a) {
+    Open taken = open.get(a.id());
+    double now = world.clock.now();
+    if (taken == null) {
+      return;
+    }
+    CacheNode node = world.cache(a.endpoint());
+    Attempt attempt = new Attempt(this, taken.asked, taken.attempts++, node, now);
+    taken.out = attempt;
+    world.report.attempt(attempt.number);
+    Double from = mayNotSendFrom.get(a.endpoint());
+    if (from != null && now > from) {
+      world.report.broken(now, "sent past a drain's grace: " + a.endpoint());
+    }
+    double last = a.limit() > 0 ? Math.min(taken.asked.notAfter, now + a.limit()) : taken.asked.notAfter;
+    if (taken.asked.over || now >= last || attempt.number >= world.scenario.limits().maxAttempts()) {
+      inLife(0, () -> end(a.id(), attempt, Result.NOT_SENT));
+      return;
+    }
+    inLife(last - now, () -> end(a.id(), attempt, Result.TIMEOUT));
+    attempt.ended = result -> end(a.id(), attempt, result);
+    if (a.endpoint().equals(OriginServer.ID)) {
+      inLife(world.scenario.delay(), () -> unlessOver(attempt, () -> world.origin.take(attempt)));
+    } else if (node == null) {
+      inLife(way(null), () -> end(a.id(), attempt, Result.CONNECT_FAILED));
+    } else {
+      connect(a.id(), attempt);
+    }
+  }
+
+  private static void unlessOver(Attempt attempt, Runnable task) {
+    if (!attempt.over) {
+      task.run();
+    }
+  }
+
+  private void connect(long id, Attempt attempt) {
+    CacheNode node = attempt.node;
+    Link link = idleLink(node);
+    if (link != null) {
+      attempt.life = link.life();
+      attempt.connected = true;
+      inLife(way(node), () -> unlessOver(attempt, () -> node.take(attempt, false)));
+      return;
+    }
+    inLife(way(node), () -> unlessOver(attempt, () -> {
+      Result made = node.connect();
+      if (made == Result.OK) {
+        attempt.life = node.life;
+        attempt.connected = true;
+        world.report.handshake();
+        inLife(2 * way(node), () -> unlessOver(attempt, () -> node.take(attempt, true)));
+      } else {
+        double wait = made == Result.TIMEOUT ? world.scenario.limits().connectTimeout() : way(node);
+        inLife(wait, () -> end(id, attempt, Result.CONNECT_FAILED));
+      }
+    }));
+  }
+
+  /** The idle connection that was used last; those whose process has ended, or that stood too long, go. */
+  private Link idleLink(CacheNode node) {
+    Deque<Link> links = idle.getOrDefault(node.id, new ArrayDeque<>());
+    for (Link link = links.pollLast(); link != null; link = links.pollLast()) {
+      if (link.life() == node.life && world.clock.now() < link.since() + world.scenario.caches().idle()) {
+        return link;
+      }
+      disconnect(node.id, link);
+    }
+    return null;
+  }
+
+  private void disconnect(String id, Link link) {
+    CacheNode node = world.cache(id);
+    if (node != null) {
+      node.disconnect(link.life());
+    }
+  }
+
+  private void close(Attempt attempt) {
+    if (attempt.node != null && attempt.connected) {
+      attempt.node.disconnect(attempt.life);
+    }
+  }
+
+  @Override
+  void answered(Attempt attempt, Result result) {
+    inLife(way(attempt.node), () -> attempt.ended.accept(result));
+  }
+
+  @Override
+  void lost(CacheNode node) {
+    for (Map.Entry<Long, Open> entry : List.copyOf(open.entrySet())) {
+      Attempt out = entry.getValue().out;
+      if (out != null && out.node == node) {
+        Result result = out.connected ? Result.RESET : Result.CONNECT_FAILED;
+        inLife(way(node), () -> end(entry.getKey(), out, result));
+      }
+    }
+  }
+
+  private void end(long id, Attempt attempt, Result result) {
+    Open taken = open.get(id);
+    if (attempt.over || taken == null || taken.out != attempt) {
+      return;
+    }
+    attempt.giveUp();
+    taken.out = null;
+    boolean kept = result == Result.OK || result == Result.MISS || result == Result.FULL
+        || result == Result.ERROR;
+    if (kept && attempt.node != null && attempt.connected) {
+      idle.computeIfAbsent(attempt.node.id, key -> new ArrayDeque<>())
+          .addLast(new Link(attempt.life, world.clock.now()));
+    } else {
+      close(attempt);
+    }
+    world.report.ended(result);
+    if (result == Result.MISS) {
+      taken.missedAt.add(attempt.node);
+    }
+    if (result == Result.OK) {
+      answer(id, Ask.End.SERVED, 0);
+    }
+    boolean done = taken.asked.over;
+    forget(id, taken);
+    String endpoint = attempt.node == null ? OriginServer.ID : attempt.node.id;
+    give(new AttemptEnded(id, attempt.number, endpoint, world.clock.now() - attempt.sentAt, result, done));
+  }
+
+  private void probe(String endpoint) {
+    world.report.probe();
+    CacheNode node = world.cache(endpoint);
+    double connect = world.scenario.limits().connectTimeout();
+    boolean mute = node != null && node.silent;
+    boolean fails = node == null || node.dead || node.refuses;
+    Result result = mute ? Result.TIMEOUT : fails ? Result.CONNECT_FAILED : Result.OK;
+    double time = mute ? 2 * connect : 2 * way(node);
+    inLife(time, () -> give(new ProbeEnded(endpoint, result, time)));
+  }
+}
--- a/src/main/java/beampoint/emulator/Report.java
+++ b/src/main/java/beampoint/emulator/Report.java
@@ -39,6 +39,7 @@
   private long breaks;
   private double coldest;
   private long tasks;
+  private double start;
 
   Report(Scenario scenario) {
     this.scenario = scenario;
@@ -50,6 +51,10 @@
     }
   }
 
+  void begins(double at) {
+    start = at;
+  }
+
   /** The names of all figures that a day gives. */
   public static Set<String> names(Scenario scenario) {
     return new Report(scenario).figures().keySet();
@@ -101,13 +106,13 @@
   void broken(double at, String rule) {
     breaks++;
     if (broken.size() < MOST_TOLD) {
-      broken.add(String.format(Locale.ROOT, "%.3f s, seed %d: %s", (at - World.START) / 1000, scenario.seed(),
+      broken.add(String.format(Locale.ROOT, "%.3f s, seed %d: %s", (at - start) / 1000, scenario.seed(),
           rule));
     }
   }
 
   private List<Tally> tallies(Ask ask) {
-    boolean counts = ask.dueAt >= World.START + scenario.warmUp();
+    boolean counts = ask.dueAt >= start + scenario.warmUp();
     return counts ? List.of(all, kinds.get(ask.kindNumber), tenants.get(ask.tenant)) : List.of();
   }
 
@@ -115,7 +120,7 @@
     for (Tally tally : tallies(ask)) {
       tally.asked++;
       // What is due so late that the day ends before its time is over owes nothing.
-      tally.worth += ask.endsAt() <= World.START + scenario.length() ? ask.kind.rules().worth() : 0;
+      tally.worth += ask.endsAt() <= start + scenario.length() ? ask.kind.rules().worth() : 0;
     }
   }
 
@@ -125,7 +130,7 @@
       tally.inTime += inTime ? 1 : 0;
       tally.late += inTime ? 0 : 1;
       tally.micros.recordValue((long) Math.min(LONGEST_MICROS, time * 1000));
-      if (ask.endsAt() <= World.START + scenario.length()) {
+      if (ask.endsAt() <= start + scenario.length()) {
         tally.earned += ask.kind.rules().worth() * (inTime ? 1 : ask.kind.rules().lateWorth());
       }
     }
--- a/src/main/java/beampoint/emulator/World.java
+++ b/src/main/java/beampoint/emulator/World.java
@@ -1,6 +1,5 @@
 package beampoint.emulator;
 
-import beampoint.Balancer;
 import beampoint.Balancer.Endpoint;
 import beampoint.Balancer.Settings;
 import java.util.ArrayList;
@@ -8,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Function;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -17,11 +15,11 @@
 
   static final int CACHE = 0; // kinds of endpoints
   static final int ORIGIN = 1;
-  static final double START = 1e9; // the clock at the start of a day, long after "long ago"
   static final double PATIENCE = 100; // beyond its time that a client waits
 
   final Scenario scenario;
-  final Clock clock = new Clock(START);
+  final Clock clock;
+  double start; // of the day
   final Report report;
   final Discovery discovery;
   final OriginServer origin;
@@ -29,11 +27,16 @@
   final List<Endpoint> remembered;
   private final Map<String, CacheNode> caches = new TreeMap<>();
   private final List<Instance> proxies = new ArrayList<>();
-  private final Function<Settings, Balancer> factory;
 
-  World(Scenario scenario, Function<Settings, Balancer> factory) {
+  /** Makes the proxies of a day. */
+  interface Maker {
+    Instance make(World world, int number, int zone);
+  }
+
+  World(Scenario scenario, Clock clock, Maker maker) {
     this.scenario = scenario;
-    this.factory = factory;
+    this.clock = clock;
+    this.start = clock.now();
     this.report = new Report(scenario);
     this.discovery = new Discovery(this, stream(1));
     this.origin = new OriginServer(this);
@@ -43,7 +46,7 @@
       add("cache-" + i, i % scenario.zones(), 0);
     }
     for (int i = 0; i < scenario.proxies(); i++) {
-      proxies.add(new Instance(this, i, i % scenario.zones()));
+      proxies.add(maker.make(this, i, i % scenario.zones()));
     }
     remembered = discovery.list();
     fill(filling);
@@ -65,9 +68,10 @@
     }
   }
 
-  Balancer newBalancer(Instance proxy, int life) {
+  /** What a proxy is told at one of its starts. */
+  Settings settings(Instance proxy, int life) {
     long seed = scenario.seed() * 1_000_003 + proxy.number * 1009L + life;
-    return factory.apply(scenario.settings(seed, proxy.zone));
+    return scenario.settings(seed, proxy.zone);
   }
 
   CacheNode add(String id, int zone, double startedAt) {
@@ -98,9 +102,11 @@
   Report play() {
     proxies.forEach(proxy -> proxy.start(remembered));
     proxies.forEach(discovery::follow);
+    start = clock.now();
+    report.begins(start);
     new Faults(this, stream(5)).plan();
     front.begin();
-    long tasks = clock.runTo(START + scenario.length());
+    long tasks = clock.runTo(start + scenario.length());
     report.end(tasks);
     return report;
   }
--- a/src/test/java/beampoint/emulator/ChaosTest.java
+++ b/src/test/java/beampoint/emulator/ChaosTest.java
@@ -24,14 +24,17 @@
     int proxies = 1 + random.nextInt(6);
     double load = caches * (20 + 25 * random.nextDouble()); // requests a second: a third to two thirds of all
     StringBuilder day = new StringBuilder("version: 1\nseconds: 25\nseed: " + number + "\nzones: "
-        + (1 + random.nextInt(3)) + "\nproxies: " + proxies + "\ndiscovery_ms: " + (100 + random.nextInt(1500))
+        + (1 + random.nextInt(3)) + "\nproxies: " + proxies + "\ndiscovery_ms: "
+        + (100 + random.nextInt(1500))
         + "\nsettings: {attempts: " + (1 + random.nextInt(5)) + ", probes: " + random.nextBoolean()
         + ", retry_advice: " + random.nextBoolean() + "}\n"
         + "rules: {drain_grace_ms: 500, fall_multiple: 3, fall_window_ms: 2000, cold_from: 0.15, "
         + "warm_up_ms: 15000}\nclasses:\n"
         + "  - {name: read, share: 90, work_ms: 30, aim_ms: 500, deadline_ms: 1200}\n"
-        + "  - {name: put, effect: unsafe, write: true, share: 6, work_ms: 1, aim_ms: 900, deadline_ms: 3000}\n"
-        + "  - {name: note, effect: keyed, write: true, share: 4, work_ms: 1, aim_ms: 900, deadline_ms: 3000}\n"
+        + "  - {name: put, effect: unsafe, write: true, share: 6, work_ms: 1, aim_ms: 900, "
+        + "deadline_ms: 3000}\n"
+        + "  - {name: note, effect: keyed, write: true, share: 4, work_ms: 1, aim_ms: 900, "
+        + "deadline_ms: 3000}\n"
         + "tenants:\n  - {name: one, quota_per_s: " + load * 0.6 + "}\n  - {name: two, quota_per_s: "
         + load * 0.4 + "}\nkeys: {count: 8000, zipf: 0.9, drift_per_s: 2}\n"
         + "caches: {count: " + caches + ", memory_keys: 1200}\norigin: {servers: "
