Emulator on loopback: the same scenario and model in real time round real serve processes

Need: predictions of the model are worth as much as real processes agree with them; see docs/emulator.md.

Change: Instance has a second way, ProcessInstance: a process of a given jar, its clients on sockets, its watch. Caches and origin answer on loopback listeners from the one model, which a clock in real time runs on one thread. What is due follows what was due, not when it was begun. The load maker's lateness is measured; over 20 ms at a hundredth of its tasks the run is void, exit code 5. No process outlives a run.

Seen on the way: the id of a request stands without its flag at the origin, so no fetch was known; ports given by the system were taken by others before a process listened, so they come from below that range.

--- a/src/main/java/beampoint/cli/EmulateCommand.java
+++ b/src/main/java/beampoint/cli/EmulateCommand.java
@@ -2,12 +2,16 @@
 
 import beampoint.Logic;
 import beampoint.emulator.Emulation;
+import beampoint.emulator.Loopback;
 import beampoint.emulator.Report;
 import beampoint.emulator.Scenario;
 import beampoint.log.Log;
 import beampoint.settings.InputException;
+import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -17,10 +21,11 @@
 /** Plays a day of a fleet round the decision module in virtual time, and tells what was counted. */
 @Command(name = "emulate", mixinStandardHelpOptions = true,
     description = "Plays a scenario in virtual time; figures as name=value lines on standard output.",
-    footer = "Exit code 2: the scenario can't be used; 3: a rule was broken, which is told first.")
+    footer = "Exit code 2: the scenario can't be used; 3: a rule was broken; 5: the run is void.")
 final class EmulateCommand implements Callable<Integer> {
 
   static final int RULE_BROKEN = 3;
+  static final int VOID = 5;
   private static final Log LOG = Log.of("emulate");
 
   @Spec
@@ -32,15 +37,23 @@
   @Option(names = "--seed", paramLabel = "N", description = "A seed in place of the scenario's.")
   private Long seed;
 
+  @Option(names = "--loopback", paramLabel = "JAR",
+      description = "Plays in real time with processes of this jar.")
+  private Path jar;
+
   @Override
   public Integer call() {
     Report report;
     try {
       Scenario day = Scenario.read(scenario);
-      report = Emulation.run(seed == null ? day : day.withSeed(seed), Logic::new);
+      day = seed == null ? day : day.withSeed(seed);
+      report = jar == null ? Emulation.run(day, Logic::new) : onLoopback(day);
     } catch (InputException e) {
       LOG.error("bad scenario: " + e.getMessage());
       return 2;
+    } catch (IOException e) {
+      LOG.error("the run is void: " + e.getMessage());
+      return VOID;
     }
     PrintWriter out = spec.commandLine().getOut();
     report.broken().forEach(rule -> out.println("rule_broken=" + rule));
@@ -48,4 +61,18 @@
     out.flush();
     return report.breaks() > 0 ? RULE_BROKEN : 0;
   }
+
+  private Report onLoopback(Scenario day) throws IOException {
+    String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    Path directory = Files.createTempDirectory("emulate");
+    List<String> command = List.of(java, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m",
+        "-Djava.net.preferIPv4Stack=true", "-jar", jar.toAbsolutePath().toString());
+    Loopback.Outcome outcome = Loopback.run(day, command, directory);
+    if (outcome.report() == null) {
+      throw new IOException(outcome.why());
+    }
+    LOG.info("a hundredth of the load maker's tasks was later than " + outcome.lateness() + " ms; logs: "
+        + directory);
+    return outcome.report();
+  }
 }
--- /dev/null
+++ b/src/main/java/beampoint/emulator/ClientCall.java
@@ -0,0 +1,95 @@
+package beampoint.emulator;
+
+import beampoint.Balancer.Idempotency;
+import beampoint.emulator.Ask.End;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.util.Locale;
+
+/** One request of a client on a connection to a proxy, by the meta commands. */
+final class ClientCall {
+
+  /** How it ended, and the advice where it was refused. */
+  interface Told {
+    void ended(End end, double advice);
+  }
+
+  private final String words;
+  private final String id;
+  private final Told told;
+  private Socket socket;
+  private boolean over;
+
+  ClientCall(String words, String id, Told told) {
+    this.words = words;
+    this.id = id;
+    this.told = told;
+  }
+
+  /** What a client writes for a try. */
+  static String words(Ask.Try asked, Scenario scenario, double now, String id) {
+    Ask ask = asked.ask;
+    long wait = Math.max(1, (long) (asked.notAfter - now));
+    String list = " Pc=" + ask.kind.name() + ",t=" + scenario.tenants().get(ask.tenant).name() + ",d=" + wait;
+    String key = String.format(Locale.ROOT, "%016x", ask.key);
+    if (!ask.kind.write()) {
+      return "mg " + key + " v " + id + list + "\r\n";
+    }
+    String once = ask.kind.rules().idempotency() == Idempotency.KEYED ? ",k=" + id.substring(1) : "";
+    return "ms " + key + " 5 " + id + list + once + "\r\nvalue\r\n";
+  }
+
+  /** Asks on this connection; false where it ended before an answer began. */
+  boolean play(Socket on) {
+    synchronized (this) {
+      if (over) {
+        return true;
+      }
+      socket = on;
+    }
+    try {
+      Listener.write(on, words);
+      InputStream in = on.getInputStream();
+      String line = Listener.line(in);
+      if (line == null) {
+        ProxyProcess.close(on);
+        return false;
+      }
+      read(line, in);
+      return !on.isClosed();
+    } catch (IOException e) {
+      ProxyProcess.close(on);
+      return false;
+    }
+  }
+
+  private void read(String line, InputStream in) throws IOException {
+    String[] words = line.split(" ");
+    if (words[0].equals("VA") && words.length > 2) {
+      String value = ProxyProcess.bytes(in, Integer.parseInt(words[1]) + 2);
+      end(words[2].equals(id) && value.startsWith(id) ? End.SERVED : End.LOST, 0);
+    } else if (words[0].equals("HD") && words.length > 1) {
+      end(words[1].equals(id) ? End.SERVED : End.LOST, 0);
+    } else if (line.startsWith("SERVER_ERROR busy")) {
+      end(End.REFUSED, words.length > 2 ? Double.parseDouble(words[2]) : 0);
+    } else {
+      end(End.FAILED, 0);
+    }
+  }
+
+  synchronized void end(End end, double advice) {
+    if (!over) {
+      over = true;
+      told.ended(end, advice);
+    }
+  }
+
+  /** The client leaves: its connection is closed. */
+  synchronized void leave() {
+    over = true;
+    if (socket != null) {
+      ProxyProcess.close(socket);
+    }
+  }
+}
--- a/src/main/java/beampoint/emulator/Front.java
+++ b/src/main/java/beampoint/emulator/Front.java
@@ -47,7 +47,7 @@
 
   void begin() {
     for (int tenant = 0; tenant < surge.length; tenant++) {
-      next(tenant);
+      next(tenant, world.clock.now());
     }
   }
 
@@ -55,25 +55,26 @@
     surge[tenant] = factor;
   }
 
-  private void next(int tenant) {
+  /** What is due follows what was due before, not when that was begun, which in real time is later. */
+  private void next(int tenant, double last) {
     double rate = world.scenario.tenants().get(tenant).rate() * surge[tenant] / 1000;
-    world.clock.after(gap.sample() / rate, () -> {
-      arrive(tenant);
-      next(tenant);
+    double due = last + gap.sample() / rate;
+    world.clock.at(due, () -> {
+      arrive(tenant, due);
+      next(tenant, due);
     });
   }
 
-  private void arrive(int tenant) {
+  private void arrive(int tenant, double due) {
     int number = 0;
     double drawn = arrivals.nextDouble() * shares;
     List<Scenario.Kind> kinds = world.scenario.kinds();
     while (number < kinds.size() - 1 && drawn >= kinds.get(number).share()) {
       drawn -= kinds.get(number++).share();
     }
-    double now = world.clock.now();
-    long drifted = (long) (world.scenario.keys().drift() * (now - world.start) / 1000);
+    long drifted = (long) (world.scenario.keys().drift() * (due - world.start) / 1000);
     long key = keys.sample() + drifted;
-    Ask ask = new Ask(++lastId, kinds.get(number), number, tenant, key, work.sample(), now);
+    Ask ask = new Ask(++lastId, kinds.get(number), number, tenant, key, work.sample(), due);
     world.report.asked(ask);
     ask(ask);
   }
--- /dev/null
+++ b/src/main/java/beampoint/emulator/ProcessInstance.java
@@ -0,0 +1,209 @@
+package beampoint.emulator;
+
+import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.EndpointState;
+import beampoint.Balancer.ListKind;
+import beampoint.Balancer.Result;
+import com.google.gson.JsonObject;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A proxy that is a process: its clients, what it sends to cache nodes and origin, and its discovery. */
+final class ProcessInstance extends Instance {
+
+  private final ProcessFleet fleet;
+  private final ProxyProcess process;
+  private final Listener discovery;
+  private final List<Socket> watches = new CopyOnWriteArrayList<>();
+  private final Map<String, Double> mayNotSendFrom = new TreeMap<>();
+  private final Map<Ask.Try, Open> open = new HashMap<>();
+  private final List<Attempt> out = new ArrayList<>();
+  private long sequence = 1;
+  private int life;
+
+  /** A request that it has taken. */
+  private static final class Open {
+    private final List<CacheNode> missedAt = new ArrayList<>();
+    private int attempts;
+    private ClientCall call;
+  }
+
+  ProcessInstance(World world, int number, int zone, ProcessFleet fleet) throws IOException {
+    super(world, number, zone);
+    this.fleet = fleet;
+    this.discovery = new Listener(this::watch);
+    this.process = new ProxyProcess(fleet, "n" + number);
+  }
+
+  private void watch(Socket socket, InputStream in) throws IOException {
+    for (String line = Listener.line(in); line != null && !line.isEmpty(); line = Listener.line(in)) {
+      // the head; whatever it asks for is the whole list first
+    }
+    fleet.clock().post(() -> {
+      Listener.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      watches.add(socket);
+      write(socket, true, world.discovery.list());
+    });
+    while (in.read() >= 0) {
+      // nothing more is asked on it
+    }
+    watches.remove(socket);
+  }
+
+  private void write(Socket socket, boolean whole, List<Endpoint> endpoints) {
+    String line = fleet.list(++sequence, whole, endpoints).toString() + "\n";
+    Listener.write(socket, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+    note(endpoints);
+  }
+
+  /** Guards against a watch that is taken for dead: an empty line comes now and then. */
+  void breathe() {
+    watches.forEach(socket -> Listener.write(socket, "1\r\n\n\r\n"));
+  }
+
+  private void note(List<Endpoint> endpoints) {
+    double from = world.clock.now() + world.scenario.rules().drainGrace() + LATE;
+    for (Endpoint endpoint : endpoints) {
+      if (endpoint.state() == EndpointState.RUNNING) {
+        mayNotSendFrom.remove(endpoint.id());
+      } else {
+        mayNotSendFrom.putIfAbsent(endpoint.id(), from);
+      }
+    }
+  }
+
+  @Override
+  void start(List<Endpoint> remembered) {
+    int now = ++life;
+    JsonObject config = fleet.config(this, now, discovery.address(), remembered);
+    process.start(config, () -> fleet.clock().post(() -> {
+      if (now == life) {
+        up();
+      }
+    }));
+  }
+
+  boolean hasFailed() {
+    return process.hasFailed();
+  }
+
+  @Override
+  void kill() {
+    life++;
+    down();
+    process.kill();
+    watches.clear();
+    mayNotSendFrom.clear();
+  }
+
+  @Override
+  void told(ListKind kind, List<Endpoint> endpoints) {
+    watches.forEach(socket -> write(socket, kind == ListKind.FULL, endpoints));
+  }
+
+  // ---- Clients --------------------------------------------------------------------------------------------
+
+  @Override
+  void take(Ask.Try asked) {
+    Open taken = new Open();
+    open.put(asked, taken);
+    fleet.register(asked, this);
+    int ofLife = life;
+    taken.call = process.call(asked, world.scenario, world.clock.now(), fleet.wireId(asked),
+        (end, advice) -> fleet.clock().post(() -> ended(asked, end, advice, ofLife)));
+    world.clock.at(asked.notAfter + LATE, () -> {
+      if (!asked.over && ofLife == life) {
+        world.report.broken(world.clock.now(), "a request was lost: no answer in time");
+      }
+    });
+  }
+
+  /** A connection that ended with no answer lost its request, unless its process was killed. */
+  private void ended(Ask.Try asked, Ask.End end, double advice, int ofLife) {
+    forget(asked);
+    if (!asked.over) {
+      if (end == Ask.End.LOST && ofLife == life) {
+        world.report.broken(world.clock.now(), "a request was lost: its connection ended without an answer");
+      }
+      world.front.answered(asked, end, advice);
+    }
+  }
+
+  private void forget(Ask.Try asked) {
+    open.remove(asked);
+    fleet.forget(asked);
+  }
+
+  @Override
+  void left(Ask.Try asked) {
+    Open taken = open.get(asked);
+    asked.over = true;
+    if (taken != null) {
+      taken.call.leave();
+      forget(asked);
+    }
+  }
+
+  @Override
+  List<CacheNode> missedAt(Ask.Try asked) {
+    Open taken = open.get(asked);
+    return taken == null ? List.of() : taken.missedAt;
+  }
+
+  // ---- What it sends --------------------------------------------------------------------------------------
+
+  /** An attempt of it has come whole at a cache node or, without one, at the origin. */
+  Attempt came(Ask.Try asked, CacheNode node) {
+    Open taken = open.get(asked);
+    double now = world.clock.now();
+    Attempt attempt = new Attempt(this, asked, taken == null ? 0 : taken.attempts++, node, now);
+    world.report.attempt(attempt.number);
+    Double from = node == null ? null : mayNotSendFrom.get(node.id);
+    if (from != null && now > from) {
+      world.report.broken(now, "sent past a drain's grace: " + node.id);
+    }
+    out.add(attempt);
+    return attempt;
+  }
+
+  @Override
+  void answered(Attempt attempt, Result result) {
+    out.remove(attempt);
+    world.report.ended(result);
+    Open taken = open.get(attempt.asked);
+    if (result == Result.MISS && taken != null) {
+      taken.missedAt.add(attempt.node);
+    }
+    world.clock.after(way(attempt.node), () -> attempt.ended.accept(result));
+  }
+
+  /** Its connection ended before the answer. */
+  void gaveUp(Attempt attempt) {
+    if (!attempt.over && out.remove(attempt)) {
+      attempt.giveUp();
+      world.report.ended(Result.TIMEOUT);
+    }
+  }
+
+  @Override
+  void lost(CacheNode node) {
+    fleet.reset(node);
+    List.copyOf(out).stream().filter(attempt -> attempt.node == node).forEach(attempt -> {
+      out.remove(attempt);
+      attempt.giveUp();
+      world.report.ended(Result.RESET);
+    });
+  }
+
+  void close() throws IOException {
+    process.kill();
+    discovery.close();
+  }
+}
--- a/src/main/java/beampoint/emulator/World.java
+++ b/src/main/java/beampoint/emulator/World.java
@@ -102,6 +102,11 @@
   Report play() {
     proxies.forEach(proxy -> proxy.start(remembered));
     proxies.forEach(discovery::follow);
+    return playOn();
+  }
+
+  /** Plays the day with proxies that have begun. */
+  Report playOn() {
     start = clock.now();
     report.begins(start);
     new Faults(this, stream(5)).plan();
