What goes to a node that is out breaks an invariant; a run on loopback waits for its processes to end

The test has the module send to one: a debug build stops it.

A run on loopback returned while a killed process was still on its way out, so that the test which counts children failed once in three: closing waits for the end now (LoopbackTest and OperationsTest twice green).

--- a/src/main/java/beampoint/emulator/ProcessInstance.java
+++ b/src/main/java/beampoint/emulator/ProcessInstance.java
@@ -203,7 +203,7 @@
   }
 
   void close() throws IOException {
-    process.kill();
+    process.end();
     discovery.close();
   }
 }
--- a/src/main/java/beampoint/emulator/ProxyProcess.java
+++ b/src/main/java/beampoint/emulator/ProxyProcess.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 
 /** The process of one proxy, and the connections of its clients. */
 final class ProxyProcess {
@@ -24,6 +25,7 @@
   private static final int LOWEST_PORT = 12_000;
   private static final int HIGHEST_PORT = 32_000;
   private static final int TRIES = 100;
+  private static final long LONGEST_END_S = 10;
 
   private final ProcessFleet fleet;
   private final String name;
@@ -113,6 +115,18 @@
     }
   }
 
+  /** Kills it and waits until it is gone: no process outlives a run. */
+  void end() {
+    kill();
+    try {
+      if (process != null && !process.waitFor(LONGEST_END_S, TimeUnit.SECONDS)) {
+        throw new IllegalStateException("a proxy does not end: " + name);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private Socket connect() throws IOException {
     Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), port);
     socket.setTcpNoDelay(true);
--- a/src/main/java/beampoint/serve/Operations.java
+++ b/src/main/java/beampoint/serve/Operations.java
@@ -68,6 +68,12 @@
     }
   }
 
+  /** True while a node is taken out. */
+  boolean isOut(String node) {
+    Ban ban = file.of(node);
+    return ban != null && ban.isOut();
+  }
+
   int processes() {
     return processes;
   }
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -503,6 +503,7 @@
     } else if (action instanceof Balancer.SetTimer a) {
       after(a.delay(), () -> give(new TimerFired(a.token())));
     } else if (action instanceof Balancer.Probe a) {
+      checkInUse(a.endpoint());
       upstreams.probe(a.endpoint());
     } else if (action instanceof Balancer.CloseIdle a) {
       upstreams.closeIdle(a.endpoint());
@@ -522,6 +523,7 @@
     double last = Math.min(exchange.notAfter(), endsBy);
     counters.check(settings.limits().secondCopies() || exchange.attemptsOut() == 0,
         "one attempt is out at a time");
+    checkInUse(a.endpoint());
     int attempt = exchange.beginAttempt();
     if (exchange.isOver() || now >= last || attempt >= exchange.maxAttempts()) {
       loop.execute(() -> ended(exchange, attempt, a.endpoint(), 0, Result.NOT_SENT, null));
@@ -530,6 +532,10 @@
     }
   }
 
+  private void checkInUse(String endpoint) {
+    counters.check(operations == null || !operations.isOut(endpoint), "nothing goes to a node that is out");
+  }
+
   private void close(Exchange exchange, Answer answer) {
     if (exchange != null && exchange.answer(answer)) {
       forget(exchange);
--- a/src/test/java/beampoint/serve/OperationsTest.java
+++ b/src/test/java/beampoint/serve/OperationsTest.java
@@ -71,6 +71,21 @@
     }
   }
 
+  /** Guards against a module that forgets a ban: what must hold is checked where it is carried out. */
+  @Test
+  void whatWouldGoToANodeThatIsOutBreaksWhatMustHold() throws Exception {
+    Proxy proxy = proxy(module, 384);
+    module.script = event -> event instanceof Balancer.RequestReceived e
+        ? List.of(new Balancer.Send(e.id(), "cache", 0)) : List.of();
+    try (Client client = new Client(proxy.port())) {
+      assertEquals("200", status(proxy, "POST /_cache-nodes/detach/cache"));
+      assertEquals("SERVER_ERROR failed", client.ask("mg 1 v O1 Pc=read,d=100\r\n"));
+      assertEquals(0, proxy.counters().get(Counter.ATTEMPTS_SENT), "a debug build stops it");
+    } finally {
+      proxy.stop();
+    }
+  }
+
   private Path stored() throws Exception {
     try (var files = Files.list(directory)) {
       return files.filter(f -> f.toString().endsWith(".bans.json")).findFirst().orElseThrow();
