Emulator on loopback: a request that meets a dying process has failed and is not lost

The front goes on sending to a proxy that was killed; between the kill and its end a connection is accepted and reset. ProcessInstance took that for a lost request, as it looked at the start's number alone: on two cores the test of a restart broke five times in a row. It asks whether the proxy is up as well now.

--- a/src/main/java/beampoint/emulator/ProcessInstance.java
+++ b/src/main/java/beampoint/emulator/ProcessInstance.java
@@ -119,17 +119,17 @@
     taken.call = process.call(asked, world.scenario, world.clock.now(), fleet.wireId(asked),
         (end, advice) -> fleet.clock().post(() -> ended(asked, end, advice, ofLife)));
     world.clock.at(asked.notAfter + LATE, () -> {
-      if (!asked.over && ofLife == life) {
+      if (!asked.over && ofLife == life && isUp()) {
         world.report.broken(world.clock.now(), "a request was lost: no answer in time");
       }
     });
   }
 
-  /** A connection that ended with no answer lost its request, unless its process was killed. */
+  /** A connection that ended with no answer lost its request, unless its process was killed, or was dying. */
   private void ended(Ask.Try asked, Ask.End end, double advice, int ofLife) {
     forget(asked);
     if (!asked.over) {
-      if (end == Ask.End.LOST && ofLife == life) {
+      if (end == Ask.End.LOST && ofLife == life && isUp()) {
         world.report.broken(world.clock.now(), "a request was lost: its connection ended without an answer");
       }
       world.front.answered(asked, end, advice);
