Emulator: the drain rule is kept in one place for both ways of running; dead code gone

Both kinds of proxy had the same map of what they may send to no more, and the same check: Instance has them now. A request knows its id in place of a search for it; two methods that counted work and one of the YAML reader were used by nobody.

--- a/src/main/java/beampoint/emulator/CacheNode.java
+++ b/src/main/java/beampoint/emulator/CacheNode.java
@@ -167,8 +167,4 @@
     dead = false;
     startedAt = world.clock.now();
   }
-
-  int held() {
-    return server.held();
-  }
 }
--- a/src/main/java/beampoint/emulator/Instance.java
+++ b/src/main/java/beampoint/emulator/Instance.java
@@ -1,9 +1,12 @@
 package beampoint.emulator;
 
 import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.EndpointState;
 import beampoint.Balancer.ListKind;
 import beampoint.Balancer.Result;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
 /** One proxy as the model knows it, whether it is an instance of the module or a process. */
 abstract class Instance {
@@ -13,6 +16,7 @@
   final World world;
   final int number;
   final int zone;
+  private final Map<String, Double> mayNotSendFrom = new TreeMap<>(); // since it was told, and the grace
   private boolean up;
   private double diedAt = Double.NEGATIVE_INFINITY;
 
@@ -46,6 +50,27 @@
   /** A cache node died: what was out there ends as a reset. */
   abstract void lost(CacheNode node);
 
+  /** It was told of these; its grace for those that take nothing new is longer by so much. */
+  final void note(List<Endpoint> endpoints, double more) {
+    double from = world.clock.now() + world.scenario.rules().drainGrace() + more;
+    for (Endpoint endpoint : endpoints) {
+      if (endpoint.state() == EndpointState.RUNNING) {
+        mayNotSendFrom.remove(endpoint.id());
+      } else {
+        mayNotSendFrom.putIfAbsent(endpoint.id(), from);
+      }
+    }
+  }
+
+  /** The rule on drains, for what it sends now. */
+  final void checkGrace(String endpoint) {
+    double now = world.clock.now();
+    Double from = mayNotSendFrom.get(endpoint);
+    if (from != null && now > from) {
+      world.report.broken(now, "sent past a drain's grace: " + endpoint);
+    }
+  }
+
   final void up() {
     up = true;
   }
@@ -53,6 +78,7 @@
   final void down() {
     up = false;
     diedAt = world.clock.now();
+    mayNotSendFrom.clear();
   }
 
   final boolean isUp() {
--- a/src/main/java/beampoint/emulator/ModuleInstance.java
+++ b/src/main/java/beampoint/emulator/ModuleInstance.java
@@ -4,7 +4,6 @@
 import beampoint.Balancer.Action;
 import beampoint.Balancer.AttemptEnded;
 import beampoint.Balancer.Endpoint;
-import beampoint.Balancer.EndpointState;
 import beampoint.Balancer.Event;
 import beampoint.Balancer.ListKind;
 import beampoint.Balancer.ListReceived;
@@ -28,12 +27,14 @@
 
   /** A request that it has taken. */
   private static final class Open {
+    private final long id;
     private final Ask.Try asked;
     private final List<CacheNode> missedAt = new ArrayList<>();
     private int attempts;
     private Attempt out;
 
-    private Open(Ask.Try asked) {
+    private Open(long id, Ask.Try asked) {
+      this.id = id;
       this.asked = asked;
     }
   }
@@ -48,7 +49,6 @@
   private final Map<Long, Open> open = new HashMap<>();
   private final Map<Ask.Try, Open> byTry = new HashMap<>();
   private final Map<String, Deque<Link>> idle = new TreeMap<>();
-  private final Map<String, Double> mayNotSendFrom = new TreeMap<>(); // since it was told, and the grace
 
   ModuleInstance(World world, int number, int zone, Function<Settings, Balancer> factory) {
     super(world, number, zone);
@@ -78,7 +78,6 @@
     idle.clear();
     open.clear();
     byTry.clear();
-    mayNotSendFrom.clear();
   }
 
   // ---- What it is told ------------------------------------------------------------------------------------
@@ -88,14 +87,7 @@
     if (!isUp()) {
       return;
     }
-    double from = world.clock.now() + world.scenario.rules().drainGrace();
-    for (Endpoint endpoint : endpoints) {
-      if (endpoint.state() == EndpointState.RUNNING) {
-        mayNotSendFrom.remove(endpoint.id());
-      } else {
-        mayNotSendFrom.putIfAbsent(endpoint.id(), from);
-      }
-    }
+    note(endpoints, 0);
     give(new ListReceived(kind, endpoints));
   }
 
@@ -106,7 +98,7 @@
       return;
     }
     long id = ++lastId;
-    Open taken = new Open(asked);
+    Open taken = new Open(id, asked);
     open.put(id, taken);
     byTry.put(asked, taken);
     inLife(asked.notAfter + LATE - world.clock.now(), () -> {
@@ -124,16 +116,11 @@
     Open taken = byTry.get(asked);
     if (taken != null && !asked.over) {
       asked.over = true;
-      long id = idOf(taken);
-      forget(id, taken);
-      give(new RequestGone(id));
+      forget(taken.id, taken);
+      give(new RequestGone(taken.id));
     }
   }
 
-  private long idOf(Open taken) {
-    return open.entrySet().stream().filter(e -> e.getValue() == taken).findFirst().orElseThrow().getKey();
-  }
-
   private void give(Event event) {
     world.report.decision();
     for (Action action : balancer.handle(world.clock.now(), event)) {
@@ -212,10 +199,7 @@
     Attempt attempt = new Attempt(this, taken.asked, taken.attempts++, node, now);
     taken.out = attempt;
     world.report.attempt(attempt.number);
-    Double from = mayNotSendFrom.get(a.endpoint());
-    if (from != null && now > from) {
-      world.report.broken(now, "sent past a drain's grace: " + a.endpoint());
-    }
+    checkGrace(a.endpoint());
     double last = a.limit() > 0 ? Math.min(taken.asked.notAfter, now + a.limit()) : taken.asked.notAfter;
     if (taken.asked.over || now >= last || attempt.number >= world.scenario.limits().maxAttempts()) {
       inLife(0, () -> end(a.id(), attempt, Result.NOT_SENT));
--- a/src/main/java/beampoint/emulator/ProcessInstance.java
+++ b/src/main/java/beampoint/emulator/ProcessInstance.java
@@ -1,7 +1,6 @@
 package beampoint.emulator;
 
 import beampoint.Balancer.Endpoint;
-import beampoint.Balancer.EndpointState;
 import beampoint.Balancer.ListKind;
 import beampoint.Balancer.Result;
 import com.google.gson.JsonObject;
@@ -12,7 +11,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A proxy that is a process: its clients, what it sends to cache nodes and origin, and its discovery. */
@@ -22,7 +20,6 @@
   private final ProxyProcess process;
   private final Listener discovery;
   private final List<Socket> watches = new CopyOnWriteArrayList<>();
-  private final Map<String, Double> mayNotSendFrom = new TreeMap<>();
   private final Map<Ask.Try, Open> open = new HashMap<>();
   private final List<Attempt> out = new ArrayList<>();
   private long sequence = 1;
@@ -60,7 +57,7 @@
   private void write(Socket socket, boolean whole, List<Endpoint> endpoints) {
     String line = fleet.list(++sequence, whole, endpoints).toString() + "\n";
     Listener.write(socket, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
-    note(endpoints);
+    note(endpoints, LATE);
   }
 
   /** Guards against a watch that is taken for dead: an empty line comes now and then. */
@@ -68,17 +65,6 @@
     watches.forEach(socket -> Listener.write(socket, "1\r\n\n\r\n"));
   }
 
-  private void note(List<Endpoint> endpoints) {
-    double from = world.clock.now() + world.scenario.rules().drainGrace() + LATE;
-    for (Endpoint endpoint : endpoints) {
-      if (endpoint.state() == EndpointState.RUNNING) {
-        mayNotSendFrom.remove(endpoint.id());
-      } else {
-        mayNotSendFrom.putIfAbsent(endpoint.id(), from);
-      }
-    }
-  }
-
   @Override
   void start(List<Endpoint> remembered) {
     int now = ++life;
@@ -100,7 +86,6 @@
     down();
     process.kill();
     watches.clear();
-    mayNotSendFrom.clear();
   }
 
   @Override
@@ -165,9 +150,8 @@
     double now = world.clock.now();
     Attempt attempt = new Attempt(this, asked, taken == null ? 0 : taken.attempts++, node, now);
     world.report.attempt(attempt.number);
-    Double from = node == null ? null : mayNotSendFrom.get(node.id);
-    if (from != null && now > from) {
-      world.report.broken(now, "sent past a drain's grace: " + node.id);
+    if (node != null) {
+      checkGrace(node.id);
     }
     out.add(attempt);
     return attempt;
--- a/src/main/java/beampoint/emulator/Server.java
+++ b/src/main/java/beampoint/emulator/Server.java
@@ -91,8 +91,4 @@
     busy = 0;
     waiting.clear();
   }
-
-  int held() {
-    return busy + waiting.size();
-  }
 }
--- a/src/main/java/beampoint/yaml/Yaml.java
+++ b/src/main/java/beampoint/yaml/Yaml.java
@@ -138,11 +138,6 @@
     return null;
   }
 
-  /** True where a field stands. */
-  public boolean has(String field) {
-    return find(field) != null;
-  }
-
   private InputException wrong(Node at, String field, String what) {
     int line = at.getStartMark().map(Mark::getLine).orElse(0) + 1;
     return new InputException(file + ", line " + line + ", field '" + path + field + "': " + what);
