Connections are held only where they are used often for the load of the fleet

Cause: holdTime held each connection until holding had cost a new one, whether or not it was likely to be used again; one of 350 balancers uses a cache once in ten seconds, and breaks even at three. It also took the quotas for the load. Lines at fault: Logic.holdTime, closeIdle.

Now a connection is held while it is used more often than once in the break-even time; what was not seen yet counts like an even share of this balancer's requests.

--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -31,7 +31,7 @@
   private static final double SPILL_FACTOR = 2; // a primary spills above this multiple of the mean in flight
   private static final int SPILL_EXTRA = 2; // and at least so many over it
   private static final double COPY_PART = 0.5; // of a cache's fair share that one bucket may draw there
-  private static final double HEAT_FADE = 30_000; // what a bucket draws counts half after this
+  private static final double HEAT_FADE = 30_000; // what a bucket draws or a connection is used counts half
   private static final double CACHE_PART = 0.6; // of the time to the aim at a cache: a miss comes on top
   private static final double YIELD_PART = 0.8; // of a worthier aim that queues of lesser work may fill
   private static final double OVER_SHARE_PART = 0.4; // of that, for traffic beyond a tenant's share
@@ -472,6 +472,7 @@
     outAtCaches += node.origin ? 0 : 1;
     outSince += node.origin ? 0 : now;
     node.flights.add(r.current);
+    node.uses.add(now, HEAT_FADE, 1);
     node.freeAt = warmth(node) >= 1 ? now : Math.max(now, node.freeAt) + coldGap(node);
     out.add(new Send(r.id, node.entry.id(), 0));
   }
@@ -507,7 +508,6 @@
     attempt.node.inFlight--;
     outAtCaches -= attempt.node.origin ? 0 : 1;
     outSince -= attempt.node.origin ? 0 : attempt.sentAt;
-    attempt.node.usedAt = now;
     boolean answered = e.result() == Result.OK || e.result() == Result.MISS;
     attempt.node.answeredAt = answered ? now : attempt.node.answeredAt;
     idle.remove(attempt.node);
@@ -519,18 +519,26 @@
   private final List<Node> idle = new ArrayList<>(); // endpoints with perhaps an idle connection
   private double holdPart = 1; // of the time that one is worth holding
 
-  /** Until holding has cost a new one; less while connects are refused, as caches accept few. */
-  private double holdTime() {
+  /**
+   * Held while it is used more often than once in the time in which holding it costs a new one: of hundreds
+   * of balancers most use a cache too seldom for that. Less while connects are refused, as caches accept few.
+   */
+  private boolean worthHolding(Node node) {
     Prices prices = settings.prices();
-    double worth = 100_000 * caches.size() * prices.handshake() / (prices.connection() * Math.max(1, quotas));
-    return prices.connection() <= 0 ? Double.POSITIVE_INFINITY : worth * holdPart;
+    double rate = taken.rate(now, LONGEST_FADE);
+    double all = 1000 * rate * settings.siblings();
+    double fleetRate = quotas > 0 ? Math.min(all, quotas) : all;
+    double hold = 100_000 * caches.size() * prices.handshake() * holdPart;
+    // As many uses as an even share brings stand in for what was not seen yet.
+    double seen = (1 - Math.pow(0.5, (now - startedAt) / HEAT_FADE)) * HEAT_FADE / Math.log(2);
+    double uses = (PRIOR + node.uses.count(now, HEAT_FADE)) / (PRIOR * caches.size() / rate + seen);
+    return uses * hold >= prices.connection() * fleetRate;
   }
 
   private void closeIdle() {
-    double hold = holdTime();
     // Hosts that are gone leave the list too: those that come in their place have new names.
     idle.removeIf(node -> node.inFlight == 0
-        && (now >= node.usedAt + hold || node.ban.isOut() || node.entry.state() == EndpointState.GONE)
+        && (!worthHolding(node) || node.ban.isOut() || node.entry.state() == EndpointState.GONE)
         && out.add(new CloseIdle(node.entry.id())));
   }
 
--- a/src/main/java/beampoint/State.java
+++ b/src/main/java/beampoint/State.java
@@ -25,7 +25,8 @@
     /** Requests that wait for the probe that is out. */
     final List<Request> askers = new ArrayList<>();
     int inFlight;
-    double usedAt;
+    /** Sends to it, which tell how often a connection is used. */
+    final Mean uses = new Mean();
     /** When it last gave an answer that shows it at work. */
     double answeredAt;
     /** When a cold cache may be sent more. */
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -21,11 +21,13 @@
 import beampoint.Balancer.RequestGone;
 import beampoint.Balancer.Result;
 import beampoint.Balancer.SetTimer;
+import beampoint.Balancer.Settings;
 import beampoint.Balancer.TimerFired;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
 /** The decision module, driven through its interface. */
@@ -513,16 +515,51 @@
     assertTrue(asked.stream().anyMatch(a -> a instanceof SetTimer t && t.delay() < 20));
   }
 
+  /** One of so many balancers before four caches; a hundred connections a cache cost what a new one does. */
+  private static Fixture priced(int balancers) {
+    Settings s = Fixture.settings(List.of(), true, false, new Balancer.Prices(0.05, 0.05, 0), Fixture.READ);
+    return new Fixture(new Settings(s.seed(), balancers, s.zone(), s.listPushed(), s.weightSource(),
+        s.originKind(), s.overShareWorth(), s.limits(), s.rules(), s.prices(), s.classes(), s.tenants()))
+        .withFleet(4);
+  }
+
+  /** Serves reads of ever other keys, one in so many ms; how many times a connection was closed. */
+  private static int closes(Fixture f, double gap) {
+    int closes = 0;
+    for (int i = 0; i < 200; i++) {
+      f.now += gap;
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(i));
+      closes += f.end(id, 0, endpoint, 10, Result.OK).contains(new CloseIdle(endpoint)) ? 1 : 0;
+    }
+    return closes;
+  }
+
+  /** However often one balancer sends: the more of them there are, the more connections a cache holds. */
   @Test
-  void idleConnectionsAreClosedOnceHoldingThemCostsMoreThanNewOnes() {
-    Balancer b = new Logic(Fixture.settings(List.of(new Balancer.Tenant(100)), true, false,
-        new Balancer.Prices(0.05, 0.05, 0), Fixture.READ));
-    b.handle(0, new ListReceived(ListKind.FULL, Fixture.fleet(4)));
-    String endpoint = Fixture.sentTo(b.handle(1, new Balancer.RequestReceived(1, 900, 0, 0, 5, false)));
-    b.handle(20, new Balancer.AttemptEnded(1, 0, endpoint, 19, Result.OK, true));
-    assertFalse(Fixture.has(b.handle(1_000, new TimerFired(7)), Balancer.CloseIdle.class));
-    assertTrue(b.handle(5_000, new TimerFired(7)).contains(new Balancer.CloseIdle(endpoint)));
-    assertFalse(Fixture.has(b.handle(6_000, new TimerFired(7)), Balancer.CloseIdle.class));
+  void connectionsAreHeldWhereTheyAreUsedOftenForTheLoadOfTheFleet() {
+    assertTrue(closes(priced(20), 100) < 5);
+    assertTrue(closes(priced(20), 1_000) < 5);
+    assertTrue(closes(priced(400), 100) > 150);
+    assertTrue(closes(priced(400), 1_000) > 150);
+  }
+
+  @Test
+  void aConnectionIsClosedOnceOthersAreUsedInItsPlace() {
+    Fixture lookUp = priced(60);
+    String endpoint = lookUp.served(5);
+    List<Long> keys = LongStream.range(10, 400).filter(k -> !lookUp.served(k).equals(endpoint)).boxed().toList();
+    Fixture f = priced(60);
+    assertEquals(endpoint, f.served(5));
+    int closes = 0;
+    for (int i = 0; i < 2_000; i++) {
+      f.now += 100;
+      long id = f.nextId();
+      List<Action> actions = f.read(keys.get(i % keys.size()));
+      closes += actions.contains(new CloseIdle(endpoint)) ? 1 : 0;
+      f.end(id, 0, Fixture.sentTo(actions), 10, Result.OK);
+    }
+    assertEquals(1, closes);
   }
 
   @Test
