Load reports reach the module; traffic beyond a share yields only where caches say they are busy

Ruled out: the origin's room (150 refusals), silent caches, pauses. Lines at fault: Logic.hasRoom gives such traffic 0.4 of 0.6 of the aim, service and all; the work is a fifth of the aim here, a fiftieth at the deployments before.

Answers carry load reports here (queue, or how busy cores are). They come in through Balancer as a Load, what is not told as NaN, and none at all as null; columns are named by the settings. How busy caches say they are scales what such traffic yields. Where none reports, all is as before.

--- a/src/main/java/beampoint/Balancer.java
+++ b/src/main/java/beampoint/Balancer.java
@@ -61,8 +61,11 @@
   record Limits(int maxAttempts, boolean secondCopies, boolean probes, boolean retryAdvice,
       double maxRetryAfter, double connectTimeout) {}
 
-  /** What is charged, of a request's worth: a hundred connections held a cache, a new connection, a probe. */
-  record Prices(double connection, double handshake, double probe) {}
+  /**
+   * What is charged, of a request's worth: a hundred connections held a cache, a new connection, a probe, an
+   * attempt that crosses zones.
+   */
+  record Prices(double connection, double handshake, double probe, double crossZone) {}
 
   /** The figures of the rules on drains, cold endpoints and asking for the list. */
   record Rules(double drainGrace, double fallMultiple, double fallWindow, double coldFrom, double warmUp,
@@ -89,6 +92,12 @@
     }
   }
 
+  /**
+   * What an endpoint last said of its load, late and a little noisy: requests that wait, and the part of its
+   * cores that is busy (0 to 1). What it does not tell is NaN, never 0; without a report there is no Load.
+   */
+  record Load(double queue, double utilisation) {}
+
   /** What a balancer observes. */
   sealed interface Event permits ListReceived, RequestReceived, AttemptStarted, AttemptEnded, RequestGone,
       TimerFired, ProbeEnded, BanChanged, ShareChanged, SettingsChanged {}
@@ -103,9 +112,18 @@
   /** A streamed answer has begun; the attempt belongs to the client from here on. */
   record AttemptStarted(long id, int attempt) implements Event {}
 
-  /** An attempt's one outcome; done tells that the request has had its final answer. */
-  record AttemptEnded(long id, int attempt, String endpoint, double elapsed, Result result, boolean done)
-      implements Event {}
+  /**
+   * An attempt's one outcome; done tells that the request has had its final answer. The load is null where
+   * none was reported.
+   */
+  record AttemptEnded(long id, int attempt, String endpoint, double elapsed, Result result, boolean done,
+      Load load) implements Event {
+
+    /** From a host that gets no reports. */
+    public AttemptEnded(long id, int attempt, String endpoint, double elapsed, Result result, boolean done) {
+      this(id, attempt, endpoint, elapsed, result, done, null);
+    }
+  }
 
   /** The client has left; nothing more is owed. */
   record RequestGone(long id) implements Event {}
@@ -113,8 +131,14 @@
   /** A timer set earlier is due. */
   record TimerFired(long token) implements Event {}
 
-  /** A probe's outcome. */
-  record ProbeEnded(String endpoint, Result result, double elapsed) implements Event {}
+  /** A probe's outcome; the load is null where none was reported. */
+  record ProbeEnded(String endpoint, Result result, double elapsed, Load load) implements Event {
+
+    /** From a host that gets no reports. */
+    public ProbeEnded(String endpoint, Result result, double elapsed) {
+      this(endpoint, result, elapsed, null);
+    }
+  }
 
   /** Operators took an endpoint out at the given time, whatever the list says, or use it again. */
   record BanChanged(String endpoint, boolean out, double at) implements Event {}
--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -34,7 +34,7 @@
   private static final double HEAT_FADE = 30_000; // what a bucket draws or a connection is used counts half
   private static final double CACHE_PART = 0.6; // of the time to the aim at a cache: a miss comes on top
   private static final double YIELD_PART = 0.8; // of a worthier aim that queues of lesser work may fill
-  private static final double OVER_SHARE_PART = 0.4; // of that, for traffic beyond a tenant's share
+  private static final double OVER_SHARE_PART = 0.4; // of that, for traffic beyond a share at busy caches
   private static final double CLASS_GAIN = 0.01; // weight of one answer in what a class takes longer
   private static final double FADE = 1000; // evidence counts half after this or after some sends to one
   private static final double SENDS_KEPT = 3; // cache, as many as this,
@@ -213,7 +213,7 @@
   /** Guards against queues whose answers come too late, and lesser work that makes worthier work late. */
   private boolean hasRoom(Node node, Request r) {
     double left = (r.type.lateWorth() > 0 && now > r.aimAt ? r.deadline : r.aimAt) - now;
-    double part = r.overShare ? OVER_SHARE_PART : 1;
+    double part = r.overShare ? 1 - busy.value(now, FADE, 1, PRIOR) * (1 - OVER_SHARE_PART) : 1;
     boolean room = fits(node, r.kind, left * part * (node.origin ? 1 : CACHE_PART));
     for (Kind other : kinds) {
       double aim = other.rules.aim() * part * YIELD_PART;
@@ -260,6 +260,18 @@
     return Math.min(LONGEST_FADE, Math.max(FADE, sends * gap));
   }
 
+  // ---- Load reports ---------------------------------------------------------------------------------------
+
+  private final Mean busy = new Mean(); // how busy caches said they are, 0 to 1; fully, until any says
+
+  /** A queue is there only once all slots are taken; without one, what is said of the cores counts. */
+  private void onLoad(Load load) {
+    double told = Double.isNaN(load.utilisation()) ? load.queue() : load.utilisation();
+    if (!Double.isNaN(told)) {
+      busy.add(now, FADE, load.queue() > 0 ? 1 : Math.min(1, told));
+    }
+  }
+
   // ---- Readiness ------------------------------------------------------------------------------------------
 
   private void observe(Attempt attempt, double elapsed, Result result) {
@@ -513,6 +525,9 @@
     idle.remove(attempt.node);
     idle.add(attempt.node);
     holdPart = e.result() == Result.CONNECT_FAILED ? holdPart / 2 : Math.min(1, holdPart * HOLD_GAIN);
+    if (e.load() != null && !attempt.node.origin) {
+      onLoad(e.load());
+    }
     observe(attempt, e.elapsed(), e.result());
   }
 
--- a/src/main/java/beampoint/emulator/Scenario.java
+++ b/src/main/java/beampoint/emulator/Scenario.java
@@ -154,7 +154,8 @@
 
   private static Prices prices(Yaml fields) throws InputException {
     Prices prices = new Prices(fields.number("hundred_connections", 0, 0, 1),
-        fields.number("handshake", 0, 0, 1), fields.number("probe", 0.01, 0, 1));
+        fields.number("handshake", 0, 0, 1), fields.number("probe", 0.01, 0, 1),
+        fields.number("cross_zone", 0, 0, 1));
     fields.end();
     return prices;
   }
--- a/src/main/java/beampoint/settings/SettingsReader.java
+++ b/src/main/java/beampoint/settings/SettingsReader.java
@@ -46,7 +46,7 @@
             m.number("rules.tip-after-ms", 1000), m.number("rules.cold-from", 1),
             m.number("rules.cold-ms", 0), m.number("rules.ask-every-ms", 10_000)),
         new Balancer.Prices(m.number("prices.connection", 0), m.number("prices.handshake", 0),
-            m.number("prices.probe", 0)),
+            m.number("prices.probe", 0), m.number("prices.cross-zone", 0)),
         List.copyOf(classes), List.copyOf(tenants));
   }
 
--- a/src/main/java/beampoint/sim/Codec.java
+++ b/src/main/java/beampoint/sim/Codec.java
@@ -14,6 +14,7 @@
 import beampoint.Balancer.Result;
 import beampoint.Balancer.TimerFired;
 import beampoint.settings.InputException;
+import beampoint.settings.LoadColumns;
 
 /** Translates between the wire's words and the decision module's types. Decides nothing. */
 final class Codec {
@@ -43,16 +44,18 @@
   }
 
   /** The event that a message stands for, or null where this version knows no such message. */
-  static Event event(Message m) throws InputException {
+  static Event event(Message m, LoadColumns columns) throws InputException {
     return switch (m.name) {
       case "new_request" -> new RequestReceived(m.whole("rid"), m.number("not-after-ms"),
           m.index("customer", 0), m.index("service", 0), m.whole("affinity", -1), m.flag("is-write", false));
       case "established" -> new AttemptStarted(m.whole("rid"), m.index("trial", 0));
       case "finished" -> new AttemptEnded(m.whole("rid"), m.index("trial", 0), m.text("node"),
-          m.number("duration-ms", 0), result(m), m.flag("done-flag", false));
+          m.number("duration-ms", 0), result(m), m.flag("done-flag", false),
+          columns.parse(m.text("pressure", null)));
       case "vanished" -> new RequestGone(m.whole("rid"));
       case "timer" -> new TimerFired(m.whole("name"));
-      case "echo" -> new ProbeEnded(m.text("node"), result(m), m.number("duration-ms", 0));
+      case "echo" -> new ProbeEnded(m.text("node"), result(m), m.number("duration-ms", 0),
+          columns.parse(m.text("pressure", null)));
       default -> null;
     };
   }
--- a/src/main/java/beampoint/sim/Drill.java
+++ b/src/main/java/beampoint/sim/Drill.java
@@ -8,6 +8,7 @@
 import beampoint.Balancer.Settings;
 import beampoint.log.Log;
 import beampoint.settings.InputException;
+import beampoint.settings.LoadColumns;
 import beampoint.settings.SettingsReader;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -30,12 +31,15 @@
   private final BufferedReader in;
   private final OutputStream out;
   private final Function<Settings, Balancer> factory;
-  private final Map<String, Balancer> instances = new HashMap<>();
+  private final Map<String, Instance> instances = new HashMap<>();
   private final StringBuilder reply = new StringBuilder();
   private int line;
   private String context;
   private String replyContext;
 
+  /** A balancer and how load is reported to it. */
+  private record Instance(Balancer balancer, LoadColumns columns) {}
+
   public Drill(InputStream in, PrintStream out, Function<Settings, Balancer> factory) {
     this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
     this.out = out;
@@ -75,14 +79,15 @@
           return;
         }
         case "context" -> context = m.text("proxy-id");
-        case "new_instance" -> instances.put(context(m), factory.apply(SettingsReader.read(m)));
+        case "new_instance" -> instances.put(context(m),
+            new Instance(factory.apply(SettingsReader.read(m)), LoadColumns.read(m)));
         case "kill" -> {
           instance(m);
           instances.remove(context);
         }
         case "endpoints" -> give(now, m, list(m));
         default -> {
-          Event event = Codec.event(m);
+          Event event = Codec.event(m, instance(m).columns);
           if (event != null) {
             give(now, m, event);
           }
@@ -112,8 +117,8 @@
     return context;
   }
 
-  private Balancer instance(Message m) throws InputException {
-    Balancer instance = instances.get(context(m));
+  private Instance instance(Message m) throws InputException {
+    Instance instance = instances.get(context(m));
     if (instance == null) {
       throw new InputException(
           "line " + line + ": '" + m.name + "' for the unknown instance '" + context + "'");
@@ -122,9 +127,9 @@
   }
 
   private void give(double now, Message m, Event event) throws InputException {
-    Balancer instance = instance(m);
+    Balancer balancer = instance(m).balancer;
     try {
-      for (Action action : instance.handle(now, event)) {
+      for (Action action : balancer.handle(now, event)) {
         select();
         Codec.write(action, reply);
       }
--- a/src/test/java/beampoint/Fixture.java
+++ b/src/test/java/beampoint/Fixture.java
@@ -42,11 +42,11 @@
   }
 
   Fixture(boolean probes, RequestClass... classes) {
-    this(settings(List.of(), true, probes, new Balancer.Prices(0, 0, 0), classes));
+    this(settings(List.of(), true, probes, new Balancer.Prices(0, 0, 0, 0), classes));
   }
 
   static Settings settings(List<Tenant> tenants, boolean listPushed, RequestClass... classes) {
-    return settings(tenants, listPushed, false, new Balancer.Prices(0, 0, 0), classes);
+    return settings(tenants, listPushed, false, new Balancer.Prices(0, 0, 0, 0), classes);
   }
 
   static Settings settings(List<Tenant> tenants, boolean listPushed, boolean probes, Balancer.Prices prices,
@@ -108,6 +108,11 @@
     return balancer.handle(now, new AttemptEnded(id, attempt, endpoint, elapsed, result, done));
   }
 
+  /** An attempt ends with a value and a report of load. */
+  List<Action> served(long id, String endpoint, double elapsed, Balancer.Load load) {
+    return balancer.handle(now, new AttemptEnded(id, 0, endpoint, elapsed, Result.OK, true, load));
+  }
+
   /** Where a read of the key is sent by an idle balancer; the read is served at once. */
   String served(long key) {
     long id = nextId;
--- a/src/test/java/beampoint/FleetTest.java
+++ b/src/test/java/beampoint/FleetTest.java
@@ -42,7 +42,7 @@
   private static Fixture fresh(long seed) {
     return new Fixture(new Settings(seed, INSTANCES, 0, true, WeightSource.NOMINAL, Fixture.ORIGIN, 0.05,
         new Limits(3, false, false, true, 400, 50), new Rules(500, 3, WINDOW, COLD_FROM, 20_000, 10_000),
-        new Prices(0, 0, 0), List.of(Fixture.READ), List.of(new Tenant(RATE * 1_000))));
+        new Prices(0, 0, 0, 0), List.of(Fixture.READ), List.of(new Tenant(RATE * 1_000))));
   }
 
   private static List<Endpoint> caches(int cold, double startedAt) {
--- /dev/null
+++ b/src/test/java/beampoint/LoadReportTest.java
@@ -0,0 +1,92 @@
+package beampoint;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.Load;
+import beampoint.Balancer.Refuse;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Tenant;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What reports of load change, and that without them all is as it was. */
+class LoadReportTest {
+
+  private static final List<Tenant> TENANTS = List.of(new Tenant(40), new Tenant(40), new Tenant(40));
+  private static final Load FREE = new Load(0, Double.NaN);
+  private static final Load QUEUE = new Load(3, Double.NaN);
+  private static final Load NOTHING = new Load(Double.NaN, Double.NaN);
+
+  private static int tenant(int request) {
+    return request % 10 == 0 ? 1 : request % 10 == 5 ? 2 : 0;
+  }
+
+  /**
+   * One of three tenants surges while caches need 0.3 of the aim for an answer. True where its traffic beyond
+   * its share is served nearly in full.
+   */
+  private static boolean servesASurge(Load load) {
+    Fixture f = new Fixture(TENANTS, Fixture.READ).withFleet(6);
+    int refused = 0;
+    for (int i = 0; i < 1_500; i++) {
+      f.now += 10;
+      long id = f.nextId();
+      List<Balancer.Action> actions = f.request(0, tenant(i), i, false);
+      String endpoint = Fixture.sentTo(actions);
+      refused += Fixture.has(actions, Refuse.class) ? 1 : 0;
+      if (endpoint != null) {
+        f.served(id, endpoint, 150, load);
+      }
+    }
+    return refused < 75;
+  }
+
+  @Test
+  void trafficBeyondAShareIsServedWhileCachesSayThatNothingWaits() {
+    assertTrue(servesASurge(FREE));
+    assertTrue(servesASurge(new Load(Double.NaN, 0.1)));
+  }
+
+  @Test
+  void trafficBeyondAShareIsHeldBackWhileCachesSayThatTheyAreBusyOrSayNothing() {
+    assertFalse(servesASurge(QUEUE));
+    assertFalse(servesASurge(new Load(Double.NaN, 0.98)));
+    assertFalse(servesASurge(null));
+    assertFalse(servesASurge(NOTHING));
+  }
+
+  /** Guards against a report of minutes ago that goes on opening the door. */
+  @Test
+  void whatWasReportedLongAgoCountsNoMore() {
+    Fixture f = new Fixture(TENANTS, Fixture.READ).withFleet(6);
+    for (int i = 0; i < 100; i++) {
+      f.now += 10;
+      long id = f.nextId();
+      f.served(id, Fixture.sentTo(f.request(0, i % 3, i, false)), 150, FREE);
+    }
+    f.now += 60_000;
+    int refused = 0;
+    for (int i = 0; i < 1_500; i++) {
+      f.now += 10;
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.request(0, tenant(i), i, false));
+      refused += endpoint == null ? 1 : 0;
+      if (endpoint != null) {
+        f.end(id, 0, endpoint, 150, Result.OK);
+      }
+    }
+    assertTrue(refused > 75, "refused: " + refused);
+  }
+
+  /** A report may come with an attempt whose cache has left the list meanwhile. */
+  @Test
+  void aReportOfACacheThatIsGoneDoesNoHarm() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(3);
+    long id = f.nextId();
+    String endpoint = Fixture.sentTo(f.read(1));
+    f.list(Balancer.ListKind.FULL, List.of(Fixture.originEndpoint()));
+    f.served(id, endpoint, 20, QUEUE);
+    assertTrue(Fixture.has(f.read(2), Refuse.class));
+  }
+}
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -487,7 +487,7 @@
 
   @Test
   void aProbeIsSentOnlyWhereBadOutcomesMakeItWorthItsPrice() {
-    Balancer.Prices prices = new Balancer.Prices(0, 0, 0.08);
+    Balancer.Prices prices = new Balancer.Prices(0, 0, 0.08, 0);
     Fixture f = new Fixture(Fixture.settings(List.of(), true, true, prices, Fixture.READ)).withFleet(40);
     for (long key = 0; key < 20; key++) {
       long id = f.nextId();
@@ -517,7 +517,7 @@
 
   /** One of so many balancers before four caches; a hundred connections a cache cost what a new one does. */
   private static Fixture priced(int balancers) {
-    Settings s = Fixture.settings(List.of(), true, false, new Balancer.Prices(0.05, 0.05, 0), Fixture.READ);
+    Settings s = Fixture.settings(List.of(), true, false, new Balancer.Prices(0.05, 0.05, 0, 0), Fixture.READ);
     return new Fixture(new Settings(s.seed(), balancers, s.zone(), s.listPushed(), s.weightSource(),
         s.originKind(), s.overShareWorth(), s.limits(), s.rules(), s.prices(), s.classes(), s.tenants()))
         .withFleet(4);
