Idle connections are let go where one was refused, whatever they cost

Ruled out: caches that stand still (no refused connect at a cache), the connect time-out (all end within 50 ms). Cause: the origin accepts a limited number, one request takes one, and each of 130 balancers holds all that it ever needed at once, as holding costs nothing there; holdPart only scales the price. Line at fault: Logic.worthHolding.

--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -50,7 +50,6 @@
   private static final double USAGE_MEMORY = 3; // a tenant's use counts for so many memories of a cache
   private static final int COLD_SAVED = 2; // sends to a cold cache beyond its part, so that it can start
   private static final double BEST_KEPT = 0.9999; // of the best service, with each outcome
-  private static final double HOLD_GAIN = 1.02; // by which the time to hold connections recovers
   private static final long LIST_TIMER = 1L << 60; // tokens of calls for the list; other timers carry ids
 
   private Settings settings;
@@ -524,7 +523,7 @@
     attempt.node.answeredAt = answered ? now : attempt.node.answeredAt;
     idle.remove(attempt.node);
     idle.add(attempt.node);
-    holdPart = e.result() == Result.CONNECT_FAILED ? holdPart / 2 : Math.min(1, holdPart * HOLD_GAIN);
+    attempt.node.refusedAt = e.result() == Result.CONNECT_FAILED ? now : attempt.node.refusedAt;
     if (e.load() != null && !attempt.node.origin) {
       onLoad(e.load());
     }
@@ -532,22 +531,22 @@
   }
 
   private final List<Node> idle = new ArrayList<>(); // endpoints with perhaps an idle connection
-  private double holdPart = 1; // of the time that one is worth holding
 
   /**
    * Held while it is used more often than once in the time in which holding it costs a new one: of hundreds
-   * of balancers most use a cache too seldom for that. Less while connects are refused, as caches accept few.
+   * of balancers most use a cache too seldom for that. Not held while connects are refused: what some hold
+   * idle, others lack.
    */
   private boolean worthHolding(Node node) {
     Prices prices = settings.prices();
     double rate = taken.rate(now, LONGEST_FADE);
     double all = 1000 * rate * settings.siblings();
     double fleetRate = quotas > 0 ? Math.min(all, quotas) : all;
-    double hold = 100_000 * caches.size() * prices.handshake() * holdPart;
+    double hold = 100_000 * caches.size() * prices.handshake();
     // As many uses as an even share brings stand in for what was not seen yet.
     double seen = (1 - Math.pow(0.5, (now - startedAt) / HEAT_FADE)) * HEAT_FADE / Math.log(2);
     double uses = (PRIOR + node.uses.count(now, HEAT_FADE)) / (PRIOR * caches.size() / rate + seen);
-    return uses * hold >= prices.connection() * fleetRate;
+    return now - node.refusedAt > memory() && uses * hold >= prices.connection() * fleetRate;
   }
 
   private void closeIdle() {
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -562,6 +562,21 @@
     assertEquals(1, closes);
   }
 
+  /** Guards against an origin whose connections some hold idle while others are refused, at no price. */
+  @Test
+  void idleConnectionsAreLetGoWhereOneWasRefusedUntilThatIsForgotten() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    long refused = f.nextId();
+    String cache = Fixture.sentTo(f.read(1));
+    assertEquals("origin", Fixture.sentTo(f.end(refused, 0, cache, 10, Result.MISS)));
+    assertEquals("origin", Fixture.sentTo(f.end(refused, 1, "origin", 5, Result.CONNECT_FAILED)));
+    assertTrue(f.end(refused, 2, "origin", 20, Result.OK).contains(new CloseIdle("origin")));
+    f.now += 60_000;
+    long later = f.nextId();
+    f.end(later, 0, Fixture.sentTo(f.read(2)), 10, Result.MISS);
+    assertFalse(Fixture.has(f.end(later, 1, "origin", 20, Result.OK), CloseIdle.class));
+  }
+
   @Test
   void aFullQueueIsNotTakenForAQuickCache() {
     Fixture f = busy(6);
