Buckets have a near place in each zone while the origin has room

So a bucket has the first warm cache of the own zone clockwise as its place before the one that all zones share, for a part of the buckets that grows while the origin has room: all after 8 s. A fetch that fails or finds no room takes all of it back, one that takes over half of the aim a tenth. Going back is cheap, as the shared place is the near one of its own zone. Cold caches are no near places. Off where crossing is free.

--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -32,6 +32,9 @@
   private static final int SPILL_EXTRA = 2; // and at least so many over it
   private static final double COPY_PART = 0.5; // of a cache's fair share that one bucket may draw there
   private static final double HEAT_FADE = 30_000; // what a bucket draws or a connection is used counts half
+  private static final double NEAR_RAMP = 8_000; // in which all buckets get places in each zone
+  private static final double NEAR_STRAIN = 0.5; // of the aim: an origin that takes longer is strained
+  private static final double NEAR_STEP = 0.1; // of the near places that one such answer takes back
   private static final double CACHE_PART = 0.6; // of the time to the aim at a cache: a miss comes on top
   private static final double YIELD_PART = 0.8; // of a worthier aim that queues of lesser work may fill
   private static final double OVER_SHARE_PART = 0.4; // of that, for traffic beyond a share at busy caches
@@ -76,6 +79,7 @@
   public List<Action> handle(double time, Event event) {
     now = time;
     startedAt = Math.min(startedAt, time);
+    roomSince = Double.isNaN(roomSince) ? time : roomSince;
     out.clear();
     if (event instanceof ListReceived e) {
       onList(e);
@@ -180,16 +184,26 @@
     return mayWait && fits(sooner, r.kind, r.aimAt - now) ? sooner : null;
   }
 
-  /** The next distinct ready cache clockwise from the bucket after so many, without those already tried. */
+  /**
+   * The next distinct ready cache clockwise from the bucket after so many, without those already tried. Near
+   * buckets have a place in the own zone before all others.
+   */
   private Node nextReady(Request r, int skip) {
     int start = ring.after(Hash.of(~(long) r.bucket));
     List<Node> passed = new ArrayList<>(r.tried);
+    Node near = r.bucket < nearPart() * BUCKETS ? nearPlace(start) : null;
+    if (near != null && !passed.contains(near) && isReady(near, r)) {
+      if (skip-- == 0) {
+        return near;
+      }
+      passed.add(near);
+    }
     for (int i = 0; i < ring.size(); i++) {
       Node node = ring.owner(start + i);
       if (!passed.contains(node)) {
         // A cold cache takes its own buckets only, not what its neighbours spill.
         boolean open = i == 0 ? mayTake(node) : warmth(node) >= 1;
-        if (open && now >= node.pausedUntil && mayRunAt(r, node) && skip-- == 0) {
+        if (open && isReady(node, r) && skip-- == 0) {
           return node;
         }
         passed.add(node);
@@ -198,6 +212,35 @@
     return null;
   }
 
+  private boolean isReady(Node node, Request r) {
+    return now >= node.pausedUntil && mayRunAt(r, node);
+  }
+
+  /** The first warm cache of the own zone clockwise, or null: a cold one has all it can bear from its part. */
+  private Node nearPlace(int start) {
+    for (int i = 0; i < ring.size(); i++) {
+      Node node = ring.owner(start + i);
+      if (node.entry.zone() == settings.zone() && warmth(node) >= 1) {
+        return node;
+      }
+    }
+    return null;
+  }
+
+  private double roomSince = Double.NaN; // when the origin began to have room, less what strains took back
+
+  /** Crossing zones costs, but so do misses: buckets have a place in each zone as long as the origin has room. */
+  private double nearPart() {
+    roomSince = Math.max(roomSince, now - NEAR_RAMP);
+    return zones > 1 && settings.prices().crossZone() > 0 ? (now - roomSince) / NEAR_RAMP : 0;
+  }
+
+  /** A slow fetch may be a heavy one and takes a part of the near places back; one that failed takes all. */
+  private void strain(double part) {
+    nearPart();
+    roomSince = Math.min(now, roomSince + part * NEAR_RAMP);
+  }
+
   /** A bucket has as many primaries as its traffic fills: a key hotter than two caches would sink them. */
   private int copy(Request r) {
     double share = Math.max(0, heat.of(r.bucket) - 1) / (heat.total() + caches.size());
@@ -391,7 +434,9 @@
   // ---- Origin gate ----------------------------------------------------------------------------------------
 
   private Node openOrigin(Request r) {
-    return origin != null && mayRunAt(r, origin) && hasRoom(origin, r) ? origin : null;
+    boolean room = origin != null && hasRoom(origin, r);
+    strain(room ? 0 : 1);
+    return room && mayRunAt(r, origin) ? origin : null;
   }
 
   /** A miss is fetched, once a key at a time; if the origin has no room, the second cache may hold it. */
@@ -524,10 +569,13 @@
     idle.remove(attempt.node);
     idle.add(attempt.node);
     attempt.node.refusedAt = e.result() == Result.CONNECT_FAILED ? now : attempt.node.refusedAt;
+    observe(attempt, e.elapsed(), e.result());
+    if (attempt.node.origin) {
+      strain(e.result() != Result.OK ? 1 : e.elapsed() > NEAR_STRAIN * attempt.kind.rules.aim() ? NEAR_STEP : 0);
+    }
     if (e.load() != null && !attempt.node.origin) {
       onLoad(e.load());
     }
-    observe(attempt, e.elapsed(), e.result());
   }
 
   private final List<Node> idle = new ArrayList<>(); // endpoints with perhaps an idle connection
@@ -616,6 +664,7 @@
 
   private final Map<Integer, Double> sizes = new HashMap<>(); // the greatest weight listed for each kind
   private final List<Node> caches = new ArrayList<>(); // that run
+  private int zones; // in which they run
   private double meanLoad = 1; // as the list tells it
   private int outAtCaches; // attempts, and the sum of the times when they were sent
   private double outSince;
@@ -683,6 +732,7 @@
         origin = node;
       }
     }
+    zones = (int) caches.stream().mapToInt(n -> n.entry.zone()).distinct().count();
     meanLoad = Math.exp(logLoad / Math.max(1, caches.size()));
   }
 
