A full queue counts as the aim in the expected time, not as the deadline

Cause: a sixth of the attempts find a full queue (one slot a core, short queues here), each counts as its deadline, 2.5 s, three times the aim; before, deadlines were near the aims. Ruled out: silence of caches, the origin's room. Line at fault: Logic.observe.

An answer of a full cache would have come after the aim, that is all that is known of it.

--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -323,8 +323,8 @@
       attempt.kind.extraTime += CLASS_GAIN * (extra - attempt.kind.extraTime);
     }
     if (result == Result.OK || result == Result.TIMEOUT || result == Result.FULL) {
-      // A full queue answers at once and would look quick: it counts as the deadline, more than any wait.
-      double least = result == Result.FULL ? attempt.kind.rules.deadline() : elapsed;
+      // A full queue answers at once and would look quick: it counts as the aim, by which it would be late.
+      double least = result == Result.FULL ? attempt.kind.rules.aim() : elapsed;
       double seen = Math.log(Math.max(least, result == Result.OK ? 1 : expectedTime(node)));
       node.time.add(now, memory(), seen);
       node.depth.add(now, memory(), attempt.depth);
