--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -2,7 +2,6 @@
 
 import beampoint.State.Attempt;
 import beampoint.State.Ban;
-import beampoint.State.Kind;
 import beampoint.State.Node;
 import beampoint.State.Request;
 import java.util.ArrayList;
@@ -36,9 +35,7 @@
   private static final double NEAR_STRAIN = 0.5; // of the aim: an origin that takes longer is strained
   private static final double NEAR_STEP = 0.1; // of the near places that one such answer takes back
   private static final double CACHE_PART = 0.6; // of the time to the aim at a cache: a miss comes on top
-  private static final double YIELD_PART = 0.8; // of a worthier aim that queues of lesser work may fill
   private static final double OVER_SHARE_PART = 0.4; // of that, for traffic beyond a share at busy caches
-  private static final double CLASS_GAIN = 0.01; // weight of one answer in what a class takes longer
   private static final double FADE = 1000; // evidence counts half after this or after some sends to one
   private static final double SENDS_KEPT = 3; // cache, as many as this,
   private static final double LONGEST_FADE = 8000; // up to this
@@ -61,8 +58,6 @@
   private final Map<String, Node> nodes = new TreeMap<>();
   private final Map<Long, Request> requests = new HashMap<>();
   private final Map<Long, List<Request>> fetches = new HashMap<>(); // by key: who waits for its fetch
-  private final Map<Long, Attempt> orphans = new HashMap<>(); // still out though their request has ended
-  private List<Kind> kinds = List.of(); // of requests, as the settings number them
   private List<State.Usage> usages = List.of();
   private double quotas; // of all tenants together
   private double now;
@@ -79,7 +74,6 @@
   public List<Action> handle(double time, Event event) {
     now = time;
     startedAt = Math.min(startedAt, time);
-    roomSince = Double.isNaN(roomSince) ? time : roomSince;
     out.clear();
     if (event instanceof ListReceived e) {
       onList(e);
@@ -104,17 +98,10 @@
     return List.copyOf(out);
   }
 
-  /** What was learnt goes with its class or tenant; open requests keep the rules they were taken with. */
+  /** What was learnt goes with its tenant; open requests keep the rules they were taken with. */
   private void onSettings(SettingsChanged e) {
-    List<Kind> nextKinds = new ArrayList<>();
-    for (int i = 0; i < e.formerClasses().size(); i++) {
-      int former = e.formerClasses().get(i);
-      double extraTime = former < 0 ? 0 : kinds.get(former).extraTime;
-      nextKinds.add(new Kind(e.settings().classes().get(i), extraTime));
-    }
     List<State.Usage> nextUsages = new ArrayList<>();
     e.formerTenants().forEach(former -> nextUsages.add(former < 0 ? new State.Usage() : usages.get(former)));
-    kinds = nextKinds;
     usages = nextUsages;
     settings = e.settings();
     quotas = settings.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
@@ -179,9 +166,8 @@
     // Guards against refusals in a fleet with room, where a key's two caches are behind for a moment.
     Node sooner = second == null || expectedTime(primary) <= expectedTime(second) ? primary : second;
     double shortest = settings.classes().stream().mapToDouble(RequestClass::aim).min().orElse(0);
-    double usual = caches.stream().mapToDouble(n -> Math.log(expectedTime(n))).average().orElse(0);
-    boolean mayWait = !r.overShare && Math.exp(usual) <= shortest;
-    return mayWait && fits(sooner, r.kind, r.aimAt - now) ? sooner : null;
+    boolean mayWait = !r.overShare && fleetTime() <= shortest;
+    return mayWait && expectedTime(sooner) <= r.aimAt - now ? sooner : null;
   }
 
   /**
@@ -227,11 +213,11 @@
     return null;
   }
 
-  private double roomSince = Double.NaN; // when the origin began to have room, less what strains took back
+  private double roomSince = Double.NEGATIVE_INFINITY; // when the origin began to have room, less what strains took back
 
   /** Crossing zones costs, but so do misses: buckets have a place in each zone as long as the origin has room. */
   private double nearPart() {
-    roomSince = Math.max(roomSince, now - NEAR_RAMP);
+    roomSince = Math.max(Math.max(startedAt, now - NEAR_RAMP), roomSince);
     return zones > 1 && settings.prices().crossZone() > 0 ? (now - roomSince) / NEAR_RAMP : 0;
   }
 
@@ -252,20 +238,11 @@
   private final Mean pool = new Mean(); // logarithms of times at all caches
   private final Mean taken = new Mean(); // requests
 
-  /** Guards against queues whose answers come too late, and lesser work that makes worthier work late. */
+  /** Guards against queues whose answers come too late. */
   private boolean hasRoom(Node node, Request r) {
     double left = (r.type.lateWorth() > 0 && now > r.aimAt ? r.deadline : r.aimAt) - now;
     double part = r.overShare ? 1 - busy.value(now, FADE, 1, PRIOR) * (1 - OVER_SHARE_PART) : 1;
-    boolean room = fits(node, r.kind, left * part * (node.origin ? 1 : CACHE_PART));
-    for (Kind other : kinds) {
-      double aim = other.rules.aim() * part * YIELD_PART;
-      room &= other.rules.worth() <= r.type.worth() || fits(node, other, aim);
-    }
-    return room;
-  }
-
-  private boolean fits(Node node, Kind kind, double time) {
-    return expectedTime(node) + (node.origin ? 0 : kind.extraTime) <= time;
+    return expectedTime(node) <= left * part * (node.origin ? 1 : CACHE_PART);
   }
 
   /**
@@ -318,13 +295,9 @@
 
   private void observe(Attempt attempt, double elapsed, Result result) {
     Node node = attempt.node;
-    if (result == Result.OK && !node.origin) {
-      double extra = elapsed - fleetTime();
-      attempt.kind.extraTime += CLASS_GAIN * (extra - attempt.kind.extraTime);
-    }
     if (result == Result.OK || result == Result.TIMEOUT || result == Result.FULL) {
       // A full queue answers at once and would look quick: it counts as the aim, by which it would be late.
-      double least = result == Result.FULL ? attempt.kind.rules.aim() : elapsed;
+      double least = result == Result.FULL ? attempt.type.aim() : elapsed;
       double seen = Math.log(Math.max(least, result == Result.OK ? 1 : expectedTime(node)));
       node.time.add(now, memory(), seen);
       node.depth.add(now, memory(), attempt.depth);
@@ -463,10 +436,10 @@
     List<Request> waiting = leader.fetching ? fetches.remove(leader.key) : new ArrayList<>();
     leader.fetching = false;
     for (Request r : waiting) {
-      if (requests.containsKey(r.id) && stored) {
+      if (!r.over && stored) {
         r.tried.clear();
         dispatch(r);
-      } else if (requests.containsKey(r.id)) {
+      } else if (!r.over) {
         onMiss(r);
       }
     }
@@ -477,7 +450,7 @@
   private double retryBudget = 1;
 
   private void onRequest(RequestReceived e) {
-    Request r = new Request(e, kinds.get(e.requestClass()), settings.limits().maxAttempts(), now,
+    Request r = new Request(e, settings.classes().get(e.requestClass()), settings.limits().maxAttempts(), now,
         random.nextDouble());
     r.bucket = (int) Long.remainderUnsigned(Hash.of(e.key() >= 0 ? e.key() : ~e.id()), BUCKETS);
     r.overShare = e.tenant() < usages.size() && countUsage(e.tenant());
@@ -523,11 +496,11 @@
       return;
     }
     r.asked = null;
-    r.attempts++;
-    r.current = new Attempt(node, now, ++node.inFlight, r.kind);
+    Attempt attempt = new Attempt(node, now, ++node.inFlight, r.type, r.attempts++);
+    r.out.add(attempt);
     outAtCaches += node.origin ? 0 : 1;
     outSince += node.origin ? 0 : now;
-    node.flights.add(r.current);
+    node.flights.add(attempt);
     node.uses.add(now, HEAT_FADE, 1);
     node.freeAt = warmth(node) >= 1 ? now : Math.max(now, node.freeAt) + coldGap(node);
     out.add(new Send(r.id, node.entry.id(), 0));
@@ -535,26 +508,22 @@
 
   private void onAttemptEnded(AttemptEnded e) {
     Request r = requests.get(e.id());
-    if (r == null || r.current == null || r.attempts - 1 != e.attempt()) {
-      Attempt orphan = orphans.remove(e.id());
-      if (orphan != null) {
-        land(orphan, e);
-      }
+    Attempt attempt = r == null ? null : r.attempt(e.attempt());
+    if (attempt == null) {
       return;
     }
-    Attempt attempt = r.current;
-    r.current = null;
+    r.out.remove(attempt);
     land(attempt, e);
     if (!e.result().neverRan && r.mayHaveRunAt == null) {
       r.mayHaveRunAt = attempt.node;
       r.mayHaveRunSince = attempt.sentAt;
     }
-    if (e.done()) {
+    if (r.over || e.done()) {
       finish(r);
-    } else if (e.result() == Result.MISS) {
+    } else if (r.out.isEmpty() && e.result() == Result.MISS) {
       r.tried.add(attempt.node);
       onMiss(r);
-    } else {
+    } else if (r.out.isEmpty()) {
       onFailure(r, attempt.node, e.result());
     }
   }
@@ -571,7 +540,7 @@
     attempt.node.refusedAt = e.result() == Result.CONNECT_FAILED ? now : attempt.node.refusedAt;
     observe(attempt, e.elapsed(), e.result());
     if (attempt.node.origin) {
-      strain(e.result() != Result.OK ? 1 : e.elapsed() > NEAR_STRAIN * attempt.kind.rules.aim() ? NEAR_STEP : 0);
+      strain(e.result() != Result.OK ? 1 : e.elapsed() > NEAR_STRAIN * attempt.type.aim() ? NEAR_STEP : 0);
     }
     if (e.load() != null && !attempt.node.origin) {
       onLoad(e.load());
@@ -589,11 +558,11 @@
     Prices prices = settings.prices();
     double rate = taken.rate(now, LONGEST_FADE);
     double all = 1000 * rate * settings.siblings();
-    double fleetRate = quotas > 0 ? Math.min(all, quotas) : all;
     double hold = 100_000 * caches.size() * prices.handshake();
     // As many uses as an even share brings stand in for what was not seen yet.
     double seen = (1 - Math.pow(0.5, (now - startedAt) / HEAT_FADE)) * HEAT_FADE / Math.log(2);
     double uses = (PRIOR + node.uses.count(now, HEAT_FADE)) / (PRIOR * caches.size() / rate + seen);
+    double fleetRate = Math.min(all, quotas > 0 ? quotas : all);
     return now - node.refusedAt > memory() && uses * hold >= prices.connection() * fleetRate;
   }
 
@@ -639,13 +608,18 @@
     finish(r);
   }
 
+  /** A request is kept until its last attempt has landed. */
   private void finish(Request r) {
-    if (r != null && requests.remove(r.id) != null) {
+    if (r == null) {
+      return;
+    }
+    if (!r.over) {
+      r.over = true;
       r.asked = null;
-      if (r.current != null) {
-        orphans.put(r.id, r.current);
-      }
-      endFetch(r, r.current == null);
+      endFetch(r, r.out.isEmpty());
+    }
+    if (r.out.isEmpty()) {
+      requests.remove(r.id);
     }
   }
 
@@ -655,7 +629,7 @@
       followList();
     } else if (r != null && r.asked != null) {
       spillAsker(r);
-    } else if (r != null && r.current == null && now + 1 >= Math.min(r.aimAt, r.deadline)) {
+    } else if (r != null && !r.over && r.out.isEmpty() && now + 1 >= Math.min(r.aimAt, r.deadline)) {
       giveUp(r);
     }
   }
--- a/src/main/java/beampoint/State.java
+++ b/src/main/java/beampoint/State.java
@@ -89,22 +89,24 @@
     final Node node;
     final double sentAt;
     final int depth;
-    final Kind kind;
+    final RequestClass type;
+    /** Which one of its request's. */
+    final int number;
     /** The outcome is known. */
     boolean over;
 
-    Attempt(Node node, double sentAt, int depth, Kind kind) {
+    Attempt(Node node, double sentAt, int depth, RequestClass type, int number) {
       this.node = node;
       this.sentAt = sentAt;
       this.depth = depth;
-      this.kind = kind;
+      this.type = type;
+      this.number = number;
     }
   }
 
-  /** A request that owes its final answer. */
+  /** A request that owes its final answer, or has attempts out still. */
   static final class Request {
     final long id;
-    final Kind kind;
     final RequestClass type;
     final int maxAttempts;
     final double aimAt;
@@ -118,16 +120,23 @@
     int attempts;
     /** The cache that was probed for it. */
     Node asked;
-    Attempt current;
+    /** Attempts without an outcome. */
+    final List<Attempt> out = new ArrayList<>();
+    /** It has had its final answer, or its client has left. */
+    boolean over;
     boolean fetching;
     Node mayHaveRunAt;
     double mayHaveRunSince;
     final List<Node> tried = new ArrayList<>();
 
-    Request(RequestReceived event, Kind kind, int maxAttempts, double now, double luck) {
+    /** The attempt of that number, or null where none is out. */
+    Attempt attempt(int number) {
+      return out.stream().filter(a -> a.number == number).findFirst().orElse(null);
+    }
+
+    Request(RequestReceived event, RequestClass type, int maxAttempts, double now, double luck) {
       this.id = event.id();
-      this.kind = kind;
-      this.type = kind.rules;
+      this.type = type;
       this.maxAttempts = maxAttempts;
       this.aimAt = now + type.aim();
       this.deadline = event.notAfter();
@@ -137,18 +146,6 @@
     }
   }
 
-  /** A class of requests as the settings have it, and what was learnt of it. */
-  static final class Kind {
-    final RequestClass rules;
-    /** By how much it takes longer than others, or less. */
-    double extraTime;
-
-    Kind(RequestClass rules, double extraTime) {
-      this.rules = rules;
-      this.extraTime = extraTime;
-    }
-  }
-
   /** A tenant's recent requests, and what is left of its share. */
   static final class Usage {
     final Mean requests = new Mean();
