An origin that refuses a connection is asked again after a pause, not at once

Line at fault: Logic.onFailure sends again at once.

The pause is a random part of what the origin takes; where it would end after the aim or the client's time, the answer goes out at once.

--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -14,11 +14,9 @@
 import java.util.TreeMap;
 
 /**
- * Every decision of a balancer. The interface (settings, events, actions) is in Balancer.java.
- *
- * <p>Ordinary path (C2DN paper, sections 2 and 4, appendix on bucket assignment): keys hash into buckets on a
- * weighted consistent hash ring that all balancers build alike; a bucket goes to its first distinct cache
- * clockwise and spills, when that is busy, to the next. What departs from it says what it guards against.
+ * Every decision of a balancer. Ordinary path (C2DN paper, sections 2 and 4, appendix on bucket assignment):
+ * keys hash into buckets on a weighted consistent hash ring that all balancers build alike; a bucket goes to
+ * its first distinct cache clockwise and spills, when that is busy, to the next. What departs says why.
  */
 public final class Logic implements Balancer {
 
@@ -81,7 +79,7 @@
       onRequest(e);
     } else if (event instanceof AttemptEnded e) {
       onAttemptEnded(e);
-    } else if (event instanceof RequestGone e) {
+    } else if (event instanceof RequestGone e && requests.containsKey(e.id())) {
       finish(requests.get(e.id()));
     } else if (event instanceof ProbeEnded e) {
       onProbeEnded(e);
@@ -115,8 +113,7 @@
 
   /**
    * Puts every running cache on the ring with points by weight. A warming cache has only the first points of
-   * its sequence, in step with the stated warm-up: its full share would push it over. All balancers agree;
-   * only its buckets move. Steps are the clock's: caches that warm together cost one change of the ring.
+   * its sequence, or its full share would push it over. Steps are the clock's: all balancers agree.
    */
   private void updateRing() {
     double step = Math.max(1, settings.rules().warmUp() / WARM_STEPS);
@@ -170,10 +167,7 @@
     return mayWait && expectedTime(sooner) <= r.aimAt - now ? sooner : null;
   }
 
-  /**
-   * The next distinct ready cache clockwise from the bucket after so many, without those already tried. Near
-   * buckets have a place in the own zone before all others.
-   */
+  /** The next distinct ready cache clockwise after so many, without those tried; near buckets begin near. */
   private Node nextReady(Request r, int skip) {
     int start = ring.after(Hash.of(~(long) r.bucket));
     List<Node> passed = new ArrayList<>(r.tried);
@@ -202,7 +196,7 @@
     return now >= node.pausedUntil && mayRunAt(r, node);
   }
 
-  /** The first warm cache of the own zone clockwise, or null: a cold one has all it can bear from its part. */
+  /** The first warm cache of the own zone clockwise, or null: a cold one has all it can bear already. */
   private Node nearPlace(int start) {
     for (int i = 0; i < ring.size(); i++) {
       Node node = ring.owner(start + i);
@@ -213,9 +207,9 @@
     return null;
   }
 
-  private double roomSince = Double.NEGATIVE_INFINITY; // when the origin began to have room, less what strains took back
+  private double roomSince = Double.NEGATIVE_INFINITY; // at the origin, less what strains took back
 
-  /** Crossing zones costs, but so do misses: buckets have a place in each zone as long as the origin has room. */
+  /** Crossing zones costs, but so do misses: buckets have near places while the origin has room. */
   private double nearPart() {
     roomSince = Math.max(Math.max(startedAt, now - NEAR_RAMP), roomSince);
     return zones > 1 && settings.prices().crossZone() > 0 ? (now - roomSince) / NEAR_RAMP : 0;
@@ -246,9 +240,8 @@
   }
 
   /**
-   * The time one more attempt would take: the recent time, scaled by how much more is out now than then. Of
-   * hundreds of balancers one sends too seldom to a cache to know it: the rest is taken from all caches, by
-   * load that the list tells. Means are of logarithms, lest one heavy request make a whole fleet look full.
+   * The time one more attempt would take: the recent time, scaled by how much more is out now than then; what
+   * is not known of one cache is taken from all. Logarithms, lest one heavy request make a fleet look full.
    */
   private double expectedTime(Node node) {
     double usual = node.origin ? 0 : Math.log(Math.max(1, fleetTime() * node.load / meanLoad));
@@ -373,7 +366,7 @@
   /** A probe that is late means a busy cache: the request spills to the next distinct one. */
   private void spillAsker(Request r) {
     Node first = nextReady(r, copy(r));
-    Node other = first == r.asked ? nextReady(r, copy(r) + 1) : first;
+    Node other = nextReady(r, copy(r) + (first == r.asked ? 1 : 0));
     sendOrGiveUp(r, other == null ? first : other);
   }
 
@@ -541,8 +534,7 @@
     observe(attempt, e.elapsed(), e.result());
     if (attempt.node.origin) {
       strain(e.result() != Result.OK ? 1 : e.elapsed() > NEAR_STRAIN * attempt.type.aim() ? NEAR_STEP : 0);
-    }
-    if (e.load() != null && !attempt.node.origin) {
+    } else if (e.load() != null) {
       onLoad(e.load());
     }
   }
@@ -550,9 +542,8 @@
   private final List<Node> idle = new ArrayList<>(); // endpoints with perhaps an idle connection
 
   /**
-   * Held while it is used more often than once in the time in which holding it costs a new one: of hundreds
-   * of balancers most use a cache too seldom for that. Not held while connects are refused: what some hold
-   * idle, others lack.
+   * Held while it is used more often than once in the time in which holding it costs a new one, and not while
+   * connects are refused: what some hold idle, others lack.
    */
   private boolean worthHolding(Node node) {
     Prices prices = settings.prices();
@@ -577,13 +568,21 @@
 
   private void onFailure(Request r, Node node, Result result) {
     endFetch(r, false);
-    boolean useful = result != Result.NOT_SENT && now < (r.type.lateWorth() > 0 ? r.deadline : r.aimAt);
+    // An origin without a free connection is asked after a pause: at once, all attempts would be gone.
+    boolean full = node.origin && result == Result.CONNECT_FAILED;
+    double next = now + (full ? random.nextDouble() * expectedTime(node) : 0);
+    double last = r.type.lateWorth() > 0 ? r.deadline : Math.min(r.aimAt, r.deadline);
     double price = result == Result.CONNECT_FAILED ? 0 : 1;
-    if (!useful || retryBudget < price || r.attempts >= r.maxAttempts) {
+    if (result == Result.NOT_SENT || next >= last || retryBudget < price || r.attempts >= r.maxAttempts) {
       giveUp(r);
       return;
     }
     retryBudget -= price;
+    if (full) {
+      r.retryAt = next;
+      out.add(new SetTimer(next - now, r.id));
+      return;
+    }
     if (!node.origin) {
       r.tried.add(node);
     }
@@ -610,9 +609,6 @@
 
   /** A request is kept until its last attempt has landed. */
   private void finish(Request r) {
-    if (r == null) {
-      return;
-    }
     if (!r.over) {
       r.over = true;
       r.asked = null;
@@ -629,6 +625,9 @@
       followList();
     } else if (r != null && r.asked != null) {
       spillAsker(r);
+    } else if (r != null && !r.over && now + 1 >= r.retryAt) {
+      r.retryAt = Double.POSITIVE_INFINITY;
+      sendOrGiveUp(r, openOrigin(r));
     } else if (r != null && !r.over && r.out.isEmpty() && now + 1 >= Math.min(r.aimAt, r.deadline)) {
       giveUp(r);
     }
--- a/src/main/java/beampoint/State.java
+++ b/src/main/java/beampoint/State.java
@@ -125,6 +125,8 @@
     /** It has had its final answer, or its client has left. */
     boolean over;
     boolean fetching;
+    /** When the origin is to be asked again. */
+    double retryAt = Double.POSITIVE_INFINITY;
     Node mayHaveRunAt;
     double mayHaveRunSince;
     final List<Node> tried = new ArrayList<>();
