--- a/src/main/java/beampoint/Balancer.java
+++ b/src/main/java/beampoint/Balancer.java
@@ -131,14 +131,8 @@
   /** A timer set earlier is due. */
   record TimerFired(long token) implements Event {}
 
-  /** A probe's outcome; the load is null where none was reported. */
-  record ProbeEnded(String endpoint, Result result, double elapsed, Load load) implements Event {
-
-    /** From a host that gets no reports. */
-    public ProbeEnded(String endpoint, Result result, double elapsed) {
-      this(endpoint, result, elapsed, null);
-    }
-  }
+  /** A probe's outcome. */
+  record ProbeEnded(String endpoint, Result result, double elapsed) implements Event {}
 
   /** Operators took an endpoint out at the given time, whatever the list says, or use it again. */
   record BanChanged(String endpoint, boolean out, double at) implements Event {}
--- a/src/main/java/beampoint/memcache/ReplyReader.java
+++ b/src/main/java/beampoint/memcache/ReplyReader.java
@@ -2,6 +2,7 @@
 
 import beampoint.buffer.Collector;
 import beampoint.memcache.Reply.Kind;
+import java.nio.charset.StandardCharsets;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
@@ -9,8 +10,11 @@
 /** Reads the answers on one connection; keeps what has come of a value that is held until it is whole. */
 final class ReplyReader {
 
+  private static final int MAX_LOAD = 200; // of a report; a longer one is none
+
   private final MemoryManager<?> memory;
   private Buffer id; // of the value that is collected
+  private String load; // that came with it
   private Collector value;
   private int streams; // bytes of a long value that have not come, with the line's end behind it
 
@@ -23,6 +27,28 @@
     return streams > 0 ? part(in) : value != null ? collect(in) : begin(in);
   }
 
+  /** What the words behind an answer's kind tell; an id that stands there twice names nothing. */
+  private record Tail(Buffer id, Buffer receipt, String load) {
+
+    static Tail of(Words words) {
+      Buffer id = null;
+      Buffer receipt = null;
+      String load = null;
+      int ids = 0;
+      while (words.next()) {
+        if (words.first() == 'O') {
+          id = words.slice(1);
+          ids++;
+        } else if (words.first() == 'c') {
+          receipt = words.slice(1);
+        } else if (words.first() == 'L' && words.length() <= MAX_LOAD) {
+          load = words.slice(1).toStringContent(StandardCharsets.ISO_8859_1);
+        }
+      }
+      return new Tail(ids == 1 ? id : null, receipt, load);
+    }
+  }
+
   private Reply begin(Buffer in) {
     Words words = Words.line(in);
     if (words == null && in.remaining() <= CommandFilter.MAX_LINE) {
@@ -37,23 +63,25 @@
       return length < 0 || length > ReplyFilter.MAX_VALUE ? bad(in) : value(in, words, length);
     }
     in.position(after);
-    if (words.is("HD")) {
-      return receipt(words, in.hasRemaining());
-    }
-    if (words.is("EN")) {
-      return new Reply(Kind.MISS, id(words), null, in.hasRemaining());
+    if (words.is("HD") || words.is("EN")) {
+      Kind said = words.is("HD") ? Kind.RECEIPT : Kind.MISS;
+      Tail tail = Tail.of(words);
+      return new Reply(said, tail.id, said == Kind.MISS ? null : tail.receipt, in.hasRemaining(), tail.load);
     }
     Kind kind = words.is("MN") ? Kind.ALIVE : words.is("ERROR") || words.is("CLIENT_ERROR") ? Kind.FAILED
         : !words.is("SERVER_ERROR") ? Kind.BAD : words.next() && words.is("busy") ? Kind.BUSY : Kind.FAILED;
-    return kind == Kind.BAD ? bad(in) : new Reply(kind, null, null, in.hasRemaining());
+    return kind == Kind.BAD ? bad(in)
+        : new Reply(kind, null, null, in.hasRemaining(), Tail.of(words).load);
   }
 
   private Reply value(Buffer in, Words words, int length) {
-    Buffer own = id(words);
+    Tail tail = Tail.of(words);
+    Buffer own = tail.id;
+    load = tail.load;
     in.position(words.after());
     if (length > ReplyFilter.WHOLE_VALUE) {
       streams = length + 2;
-      return new Reply(Kind.VALUE, own == null ? null : Collector.copy(memory, own), null, false, length);
+      return new Reply(Kind.VALUE, own == null ? null : Collector.copy(memory, own), null, false, length, load);
     }
     if (in.remaining() >= length + 2) {
       int from = in.position();
@@ -75,13 +103,13 @@
     return whole(id, whole, in);
   }
 
-  private static Reply whole(Buffer id, Buffer value, Buffer in) {
+  private Reply whole(Buffer id, Buffer value, Buffer in) {
     int from = value.position();
     int end = value.limit() - 2;
     if (value.get(end) != '\r' || value.get(end + 1) != '\n') {
       return bad(in);
     }
-    return new Reply(Kind.VALUE, id, value.slice(from, end), in.hasRemaining());
+    return new Reply(Kind.VALUE, id, value.slice(from, end), in.hasRemaining(), load);
   }
 
   private Object part(Buffer in) {
@@ -103,34 +131,8 @@
     return streams > 0 ? null : new ReplyPart(Buffers.EMPTY_BUFFER, true, in.hasRemaining());
   }
 
-  private static Reply receipt(Words words, boolean surplus) {
-    Buffer id = null;
-    Buffer receipt = null;
-    while (words.next()) {
-      if (words.first() == 'O') {
-        id = words.slice(1);
-      } else if (words.first() == 'c') {
-        receipt = words.slice(1);
-      }
-    }
-    return new Reply(Kind.RECEIPT, id, receipt, surplus);
-  }
-
-  /** The id that an answer names; null where it names none, or two. */
-  private static Buffer id(Words words) {
-    Buffer id = null;
-    int count = 0;
-    while (words.next()) {
-      if (words.first() == 'O') {
-        id = words.slice(1);
-        count++;
-      }
-    }
-    return count == 1 ? id : null;
-  }
-
   private static Reply bad(Buffer in) {
     in.position(in.limit());
-    return new Reply(Kind.BAD, null, null, false);
+    return new Reply(Kind.BAD, null, null, false, null);
   }
 }
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -406,13 +406,14 @@
 
   @Override
   public void ended(Exchange exchange, int attempt, String endpoint, double elapsed, Result result,
-      Answer answer) {
+      Answer answer, String load) {
     exchange.endAttempt();
     if (answer != null) {
       close(exchange, answer);
     }
     forget(exchange);
-    give(new AttemptEnded(exchange.id(), attempt, endpoint, elapsed, result, exchange.isOver()));
+    give(new AttemptEnded(exchange.id(), attempt, endpoint, elapsed, result, exchange.isOver(),
+        directory.names().loads().named(load)));
   }
 
   @Override
@@ -526,7 +527,7 @@
     checkInUse(a.endpoint());
     int attempt = exchange.beginAttempt();
     if (exchange.isOver() || now >= last || attempt >= exchange.maxAttempts()) {
-      loop.execute(() -> ended(exchange, attempt, a.endpoint(), 0, Result.NOT_SENT, null));
+      loop.execute(() -> ended(exchange, attempt, a.endpoint(), 0, Result.NOT_SENT, null, null));
     } else {
       upstreams.send(exchange, attempt, a.endpoint(), a.limit() > 0 ? Math.min(last, now + a.limit()) : last);
     }
--- a/src/main/java/beampoint/serve/WarmUp.java
+++ b/src/main/java/beampoint/serve/WarmUp.java
@@ -90,7 +90,7 @@
 
   @Override
   public void ended(Exchange exchange, int attempt, String endpoint, double elapsed, Result result,
-      Answer answer) {
+      Answer answer, String load) {
     throw new IllegalStateException("no attempt is made here");
   }
 }
--- a/src/main/java/beampoint/settings/SettingsReader.java
+++ b/src/main/java/beampoint/settings/SettingsReader.java
@@ -45,11 +45,19 @@
         new Balancer.Rules(m.number("rules.drain-grace-ms", 0), m.number("rules.fall-multiple", 1),
             m.number("rules.tip-after-ms", 1000), m.number("rules.cold-from", 1),
             m.number("rules.cold-ms", 0), m.number("rules.ask-every-ms", 10_000)),
-        new Balancer.Prices(m.number("prices.connection", 0), m.number("prices.handshake", 0),
-            m.number("prices.probe", 0), m.number("prices.cross-zone", 0)),
+        new Balancer.Prices(price(m, "connection"), price(m, "handshake"),
+            price(m, "probe"), price(m, "cross-zone")),
         List.copyOf(classes), List.copyOf(tenants));
   }
 
+  private static double price(Fields m, String name) throws InputException {
+    double price = m.number("prices." + name, 0);
+    if (price < 0) {
+      throw m.malformed("prices." + name, "below 0: " + price);
+    }
+    return price;
+  }
+
   private static Idempotency idempotency(Fields m, String field) throws InputException {
     return switch (m.text(field)) {
       case "safe" -> Idempotency.SAFE;
--- a/src/main/java/beampoint/settings/Transition.java
+++ b/src/main/java/beampoint/settings/Transition.java
@@ -25,7 +25,7 @@
             old.originKind(), now.overShareWorth(), now.limits(), now.rules(), now.prices(), now.classes(),
             now.tenants()),
         new SocketSettings(next.names().classes(), next.names().tenants(), present.names().zones(),
-            present.names().kinds(), next.names().connectionIdle()));
+            present.names().kinds(), next.names().connectionIdle(), next.names().loads()));
   }
 
   /**
@@ -52,7 +52,7 @@
         new Settings(s.seed(), s.siblings(), s.zone(), s.listPushed(), s.weightSource(), s.originKind(),
             s.overShareWorth(), s.limits(), s.rules(), s.prices(), List.copyOf(classes), s.tenants()),
         new SocketSettings(List.copyOf(names), next.names().tenants(), next.names().zones(),
-            next.names().kinds(), next.names().connectionIdle()));
+            next.names().kinds(), next.names().connectionIdle(), next.names().loads()));
   }
 
   private static RequestClass stricter(RequestClass old, RequestClass next) {
--- a/src/main/java/beampoint/sim/Codec.java
+++ b/src/main/java/beampoint/sim/Codec.java
@@ -54,8 +54,7 @@
           columns.parse(m.text("pressure", null)));
       case "vanished" -> new RequestGone(m.whole("rid"));
       case "timer" -> new TimerFired(m.whole("name"));
-      case "echo" -> new ProbeEnded(m.text("node"), result(m), m.number("duration-ms", 0),
-          columns.parse(m.text("pressure", null)));
+      case "echo" -> new ProbeEnded(m.text("node"), result(m), m.number("duration-ms", 0));
       default -> null;
     };
   }
--- a/src/main/java/beampoint/upstream/Flight.java
+++ b/src/main/java/beampoint/upstream/Flight.java
@@ -14,6 +14,8 @@
   Link link;
   Future<?> timer;
   boolean over;
+  /** The report of load that came with its answer, or null. */
+  String load;
 
   Flight(Exchange exchange, int number, String endpoint, double startedAt, double endsAt) {
     this.exchange = exchange;
--- a/src/main/java/beampoint/upstream/Reports.java
+++ b/src/main/java/beampoint/upstream/Reports.java
@@ -10,8 +10,12 @@
  */
 public interface Reports {
 
-  /** An attempt's one outcome; the answer is null unless the request was served. */
-  void ended(Exchange exchange, int attempt, String endpoint, double elapsed, Result result, Answer answer);
+  /**
+   * An attempt's one outcome; the answer is null unless the request was served, the load, as it was worded,
+   * unless one was reported.
+   */
+  void ended(Exchange exchange, int attempt, String endpoint, double elapsed, Result result, Answer answer,
+      String load);
 
   void probed(String endpoint, double elapsed, Result result);
 }
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -411,6 +411,7 @@
       bad(link, "an answer that does not fit: " + reply.kind());
       return;
     }
+    flight.load = reply.load();
     if (reply.isStreamed()) {
       stream(link, flight, reply.length());
       return;
@@ -526,7 +527,7 @@
     }
     counters.add(COUNTERS.get(result));
     loop.execute(() ->
-        reports.ended(flight.exchange, flight.number, flight.endpoint, elapsed, result, answer));
+        reports.ended(flight.exchange, flight.number, flight.endpoint, elapsed, result, answer, flight.load));
   }
 
   // ---- Connections ----------------------------------------------------------------------------------------
--- a/src/test/java/beampoint/serve/ConfigTest.java
+++ b/src/test/java/beampoint/serve/ConfigTest.java
@@ -51,6 +51,21 @@
     assertEquals(1, new Directory(config.socketSettings()).endpoint(config.known().hosts().get(0)).kind());
   }
 
+  /** What the new shape added: absent, it leaves a proxy of the old shape as it was. */
+  @Test
+  void crossingZonesIsFreeAndNoReportComesUnlessTheSettingsSaySo() throws Exception {
+    Config config = Config.read("config.json", good());
+    assertEquals(0, config.settings().prices().crossZone());
+    assertEquals(List.of(), config.socketSettings().loads().names());
+    JsonObject json = good();
+    json.getAsJsonObject("settings").add("prices", JsonParser.parseString("{\"cross-zone\":0.03}"));
+    json.getAsJsonObject("settings").add("telemetry",
+        JsonParser.parseString("{\"source\":\"inline\",\"columns\":[\"depth\"]}"));
+    Config moved = Config.read("config.json", json);
+    assertEquals(0.03, moved.settings().prices().crossZone());
+    assertEquals(List.of("depth"), moved.socketSettings().loads().names());
+  }
+
   /** Guards against a host of a kind that the settings don't know, taken for an origin that is not there. */
   @Test
   void anUnknownKindIsNoOrigin() throws Exception {
@@ -79,6 +94,12 @@
     json = good();
     json.getAsJsonObject("settings").getAsJsonArray("lanes").get(0).getAsJsonObject().remove("target-ms");
     assertTrue(problem(json).contains("lanes.0.target-ms"), problem(json));
+    json = good();
+    json.getAsJsonObject("settings").add("prices", JsonParser.parseString("{\"cross-zone\":-0.01}"));
+    assertTrue(problem(json).contains("'prices.cross-zone': below 0"), problem(json));
+    json = good();
+    json.getAsJsonObject("settings").add("telemetry", JsonParser.parseString("{\"columns\":{\"count\":\"x\"}}"));
+    assertTrue(problem(json).contains("telemetry.columns.count"), problem(json));
     Path file = dir.resolve("config.json");
     assertThrows(InputException.class, () -> Config.read(file));
     for (String text : new String[] {"", "[]", "{", "{\"name\":\"n0\"}", "{\"known\":{\"hosts\":3}}"}) {
--- a/src/test/java/beampoint/settings/LoadColumnsTest.java
+++ b/src/test/java/beampoint/settings/LoadColumnsTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Balancer.Load;
-import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -43,6 +43,31 @@
   void columnsThatThisVersionDoesNotKnowArePassedOver() {
     Load load = new LoadColumns(List.of("warp", "depth")).parse("much,2");
     assertEquals(2, load.queue());
-    assertNull(LoadColumns.read(new JsonFields("test", new JsonObject())).parse("1,2"));
+  }
+
+  private static LoadColumns read(String json) throws InputException {
+    return LoadColumns.read(new JsonFields("test", JsonParser.parseString(json).getAsJsonObject()));
+  }
+
+  @Test
+  void theConfigurationNamesThemAsAListOrInOneTextAndByDefaultNoneComes() throws InputException {
+    String list = "{\"telemetry\":{\"source\":\"inline\",\"columns\":[\"depth\",\"x1\"]}}";
+    assertEquals(List.of("depth", "x1"), read(list).names());
+    assertEquals(List.of("depth", "x1"), read(list.replace("[\"depth\",\"x1\"]", "\"depth,x1\"")).names());
+    assertNull(read("{}").parse("1,2"));
+    assertNull(read("{}").named("queue=1"));
+    assertNull(read(list.replace("inline", "on_probe")).named("queue=1"));
+  }
+
+  @Test
+  void aReportOfACacheNodeNamesItsValues() throws InputException {
+    LoadColumns inline = new LoadColumns(List.of("depth", "load_share"));
+    assertEquals(new Load(2, 0.61), inline.named("inflight=7,queue=2,util=0.61"));
+    assertEquals(new Load(2, 0.61), inline.named("load_share=0.61,depth=2"));
+    assertTrue(Double.isNaN(inline.named("queue=2").utilisation()));
+    for (String odd : List.of("", ",", "=", "queue", "queue=", "=2", "queue=-1,util=x")) {
+      assertTrue(Double.isNaN(inline.named(odd).queue()), odd);
+    }
+    assertNull(inline.named(null));
   }
 }
