--- a/src/main/java/beampoint/memcache/ReplyReader.java
+++ b/src/main/java/beampoint/memcache/ReplyReader.java
@@ -81,7 +81,8 @@
     in.position(words.after());
     if (length > ReplyFilter.WHOLE_VALUE) {
       streams = length + 2;
-      return new Reply(Kind.VALUE, own == null ? null : Collector.copy(memory, own), null, false, length, load);
+      Buffer copy = own == null ? null : Collector.copy(memory, own);
+      return new Reply(Kind.VALUE, copy, null, false, length, load);
     }
     if (in.remaining() >= length + 2) {
       int from = in.position();
--- a/src/main/java/beampoint/settings/SocketSettings.java
+++ b/src/main/java/beampoint/settings/SocketSettings.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * What only the sockets need of the settings: names by number, after how many ms peers close, and which values
- * come with answers.
+ * What only the sockets need of the settings: names by number, after how many ms peers close, and which
+ * values come with answers.
  */
 public record SocketSettings(List<String> classes, List<String> tenants, List<String> zones,
     List<String> kinds, double connectionIdle, LoadColumns loads) {
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -517,7 +517,8 @@
 
   /** One of so many balancers before four caches; a hundred connections a cache cost what a new one does. */
   private static Fixture priced(int balancers) {
-    Settings s = Fixture.settings(List.of(), true, false, new Balancer.Prices(0.05, 0.05, 0, 0), Fixture.READ);
+    Balancer.Prices prices = new Balancer.Prices(0.05, 0.05, 0, 0);
+    Settings s = Fixture.settings(List.of(), true, false, prices, Fixture.READ);
     return new Fixture(new Settings(s.seed(), balancers, s.zone(), s.listPushed(), s.weightSource(),
         s.originKind(), s.overShareWorth(), s.limits(), s.rules(), s.prices(), s.classes(), s.tenants()))
         .withFleet(4);
@@ -548,7 +549,8 @@
   void aConnectionIsClosedOnceOthersAreUsedInItsPlace() {
     Fixture lookUp = priced(60);
     String endpoint = lookUp.served(5);
-    List<Long> keys = LongStream.range(10, 400).filter(k -> !lookUp.served(k).equals(endpoint)).boxed().toList();
+    List<Long> keys = LongStream.range(10, 400).filter(k -> !lookUp.served(k).equals(endpoint)).boxed()
+        .toList();
     Fixture f = priced(60);
     assertEquals(endpoint, f.served(5));
     int closes = 0;
--- a/src/test/java/beampoint/RetuneTest.java
+++ b/src/test/java/beampoint/RetuneTest.java
@@ -1,7 +1,5 @@
 package beampoint;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Balancer.DedupGroup;
--- a/src/test/java/beampoint/serve/ConfigTest.java
+++ b/src/test/java/beampoint/serve/ConfigTest.java
@@ -98,7 +98,8 @@
     json.getAsJsonObject("settings").add("prices", JsonParser.parseString("{\"cross-zone\":-0.01}"));
     assertTrue(problem(json).contains("'prices.cross-zone': below 0"), problem(json));
     json = good();
-    json.getAsJsonObject("settings").add("telemetry", JsonParser.parseString("{\"columns\":{\"count\":\"x\"}}"));
+    json.getAsJsonObject("settings").add("telemetry",
+        JsonParser.parseString("{\"columns\":{\"count\":\"x\"}}"));
     assertTrue(problem(json).contains("telemetry.columns.count"), problem(json));
     Path file = dir.resolve("config.json");
     assertThrows(InputException.class, () -> Config.read(file));
