A proxy that was started with SIGHUP ignored reads its configuration again when the file changes

Probe: a Java program under nohup that handles HUP gets SIG_IGN back as the handler before and never hears a HUP; without nohup it does. Cause: an ignored SIGHUP is inherited over exec, and Java then installs no handler. 63 proxies stayed with a discovery that had moved. Lines at fault: cli.Hangup.handle took the registration for granted.

Now the program tells that SIGHUP is ignored and looks at the file four times a second in its place; a file that was read half written is read again when whole. Where SIGHUP is heard nothing changes.

--- a/src/main/java/beampoint/cli/Hangup.java
+++ b/src/main/java/beampoint/cli/Hangup.java
@@ -10,8 +10,11 @@
 
   private Hangup() {}
 
-  /** Has a task run at each SIGHUP, on a thread of its own. */
-  static void handle(Runnable task) {
+  /**
+   * Has a task run at each SIGHUP, on a thread of its own. False where whoever started this process has the
+   * signal ignored, as nohup does: that is inherited, and Java then never hears of one.
+   */
+  static boolean handle(Runnable task) {
     try {
       Class<?> signal = Class.forName("sun.misc.Signal");
       Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -20,8 +23,9 @@
             task.run();
             return null;
           });
-      signal.getMethod("handle", signal, handler)
+      Object before = signal.getMethod("handle", signal, handler)
           .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), handling);
+      return before != handler.getField("SIG_IGN").get(null);
     } catch (ReflectiveOperationException e) {
       throw new IllegalStateException("SIGHUP can't be handled", e);
     }
--- a/src/main/java/beampoint/cli/Main.java
+++ b/src/main/java/beampoint/cli/Main.java
@@ -70,6 +70,7 @@
   static final class ServeCommand implements Callable<Integer> {
 
     static final int SERVING = -1;
+    private static final long LOOK_MS = 250;
     private static final Log LOG = Log.of("serve");
 
     @Option(names = "--config", paramLabel = "FILE",
@@ -88,8 +89,14 @@
       }
       Log.takeOverLibraries();
       try {
+        FileChanges changes = new FileChanges(config); // before it is read: no change is missed
         Proxy proxy = new Proxy(Config.read(config), Logic::new);
-        Hangup.handle(() -> reload(proxy));
+        if (!Hangup.handle(() -> reload(proxy))) {
+          LOG.warn("SIGHUP is ignored since before the start: " + config + " is read again when it changes");
+          Thread watch = new Thread(() -> follow(proxy, changes), "configuration");
+          watch.setDaemon(true);
+          watch.start();
+        }
         return start(proxy);
       } catch (InputException e) {
         LOG.error("bad configuration: " + e.getMessage());
@@ -97,6 +104,20 @@
       }
     }
 
+    /** In place of a signal that never comes; a file that was read half written is read again when whole. */
+    private void follow(Proxy proxy, FileChanges changes) {
+      try {
+        while (true) {
+          Thread.sleep(LOOK_MS);
+          if (changes.changed()) {
+            reload(proxy);
+          }
+        }
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
     /** Reads the file again, once at a time; one that can't be used leaves all as it was. */
     private synchronized void reload(Proxy proxy) {
       try {
--- a/src/test/java/beampoint/cli/MainTest.java
+++ b/src/test/java/beampoint/cli/MainTest.java
@@ -113,6 +113,30 @@
     }
   }
 
+  /** Guards against a proxy under nohup that stays with an old discovery, and sends to what drains. */
+  @Test
+  void whereSighupIsIgnoredSinceBeforeTheStartAChangedConfigurationIsReadAgain(@TempDir Path dir)
+      throws Exception {
+    try (Stub first = new Stub(Stub.Peer::beSilent); Stub second = new Stub(Stub.Peer::beSilent)) {
+      ProcessBuilder builder = java("-cp", CLASSES, Main.class.getName(), "serve", "--config",
+          writeConfig(dir, first.address()).toString());
+      builder.command().addAll(0, List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+      Process process = builder.start();
+      try (BufferedReader log = process.inputReader()) {
+        await(log, "SIGHUP is ignored");
+        await(log, "n0 listens on");
+        Files.writeString(dir.resolve("config.json"), "{\"name\":");
+        await(log, "the old one stays");
+        writeConfig(dir, second.address());
+        hangUp(process); // which goes unheard and must not end it
+        await(log, "discovery moves to /" + second.address());
+        assertTrue(process.isAlive());
+      } finally {
+        process.destroyForcibly();
+      }
+    }
+  }
+
   private static void hangUp(Process process) throws Exception {
     assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
   }
