What is a cold cache's keeps its shared place alone, or the cold cache would starve

Seen: a new test of 14 instances with near places and one cold cache sends that cache nothing in four seconds, where 12 or more requests are due to it. Cause: the near place is the first warm cache of the zone and comes before the shared place, so a bucket of a cold cache never reached it; it would have stood idle for its warm-up and then come in empty. Ruled out: the cold budget (the same test without near places passes). Line at fault: Logic.nextReady, nearPlace.

Now such a bucket has no near place: the cold cache gets its points' part of all zones, as before near places. Beside it tests of a fleet that shrinks to a third while requests wait for fetches, and of one instance with half of the traffic.

--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -196,12 +196,13 @@
     return now >= node.pausedUntil && mayRunAt(r, node);
   }
 
-  /** The first warm cache of the own zone clockwise, or null: a cold one has all it can bear already. */
+  /** The first warm cache of the own zone clockwise; none for what is a cold cache's, or it would starve. */
   private Node nearPlace(int start) {
     for (int i = 0; i < ring.size(); i++) {
       Node node = ring.owner(start + i);
-      if (node.entry.zone() == settings.zone() && warmth(node) >= 1) {
-        return node;
+      boolean cold = warmth(node) < 1;
+      if (cold ? i == 0 : node.entry.zone() == settings.zone()) {
+        return cold ? null : node;
       }
     }
     return null;
--- a/src/test/java/beampoint/FleetTest.java
+++ b/src/test/java/beampoint/FleetTest.java
@@ -38,11 +38,16 @@
   private final Map<String, Integer> total = new HashMap<>();
   private double now = 100_000;
   private int most; // to one cold cache in any window
+  private double busyPart; // of the requests, that the first instance gets beside its even part
 
   private static Fixture fresh(long seed) {
-    return new Fixture(new Settings(seed, INSTANCES, 0, true, WeightSource.NOMINAL, Fixture.ORIGIN, 0.05,
+    return fresh(seed, 0, 0);
+  }
+
+  private static Fixture fresh(long seed, int zone, double crossZone) {
+    return new Fixture(new Settings(seed, INSTANCES, zone, true, WeightSource.NOMINAL, Fixture.ORIGIN, 0.05,
         new Limits(3, false, false, true, 400, 50), new Rules(500, 3, WINDOW, COLD_FROM, 20_000, 10_000),
-        new Prices(0, 0, 0, 0), List.of(Fixture.READ), List.of(new Tenant(RATE * 1_000))));
+        new Prices(0, 0, 0, crossZone), List.of(Fixture.READ), List.of(new Tenant(RATE * 1_000))));
   }
 
   private static List<Endpoint> caches(int cold, double startedAt) {
@@ -72,7 +77,8 @@
   private void run(int cold, double time) {
     for (double end = now + time; now < end; ) {
       now += -Math.log(1 - random.nextDouble()) / RATE;
-      Fixture f = fleet.get(random.nextInt(INSTANCES));
+      boolean toTheBusy = random.nextDouble() < busyPart;
+      Fixture f = fleet.get(toTheBusy ? 0 : random.nextInt(INSTANCES));
       f.now = now;
       long id = f.nextId();
       String endpoint = Fixture.sentTo(f.read(random.nextInt(1 << 20)));
@@ -157,6 +163,69 @@
     assertFair(30, 4_000);
   }
 
+  /** Guards against budgets that take an even part for granted: clients may have a proxy each. */
+  @Test
+  void aColdCacheIsNeitherPushedOverNorStarvedWhereOneInstanceHasHalfOfTheTraffic() {
+    busyPart = 0.5;
+    begin(0);
+    run(0, 4_000);
+    list(1);
+    run(1, 4_000);
+    assertFair(1, 4_000);
+  }
+
+  /** Guards against near places that send a cold cache a whole zone's part. */
+  @Test
+  void aColdCacheIsNeitherPushedOverNorStarvedBesideNearPlaces() {
+    for (int i = 0; i < INSTANCES; i++) {
+      fleet.add(fresh(i, i % 2, 0.03));
+    }
+    list(0);
+    run(0, 12_000);
+    list(1);
+    run(1, 4_000);
+    assertFair(1, 4_000);
+  }
+
+  /** A fleet shrinks to a third under requests that are out, probe or wait for a fetch. */
+  @Test
+  void nothingNewGoesToCachesThatDrainWhileRequestsWait() {
+    begin(0);
+    List<Endpoint> shrunk = new ArrayList<>();
+    for (int i = 0; i < CACHES; i++) {
+      shrunk.add(Fixture.cache(i, i < CACHES / 3 ? EndpointState.RUNNING : EndpointState.DRAINING, 0));
+    }
+    shrunk.add(Fixture.originEndpoint());
+    for (Fixture f : fleet) {
+      Map<Long, String> out = new HashMap<>();
+      for (int i = 0; i < 30; i++) { // ten keys, thrice each: of a miss one fetches, two wait
+        long id = f.nextId();
+        out.put(id, Fixture.sentTo(f.read(i % 10)));
+      }
+      List<Long> fetching = new ArrayList<>();
+      out.forEach((id, endpoint) -> {
+        if (endpoint != null && "origin".equals(Fixture.sentTo(f.end(id, 0, endpoint, 20, Result.MISS)))) {
+          fetching.add(id);
+        }
+      });
+      assertTrue(!fetching.isEmpty());
+      f.list(ListKind.CHANGES, shrunk);
+      for (long id : fetching) {
+        for (Balancer.Action action : f.end(id, 1, "origin", 100, Result.OK)) {
+          assertTrue(!(action instanceof Balancer.Send send) || isRunning(send.endpoint()), "sent: " + action);
+        }
+      }
+      for (long key = 0; key < 300; key++) {
+        assertTrue(isRunning(f.served(key)));
+      }
+    }
+  }
+
+  private static boolean isRunning(String endpoint) {
+    return endpoint == null || "origin".equals(endpoint)
+        || Integer.parseInt(endpoint.substring(6)) < CACHES / 3;
+  }
+
   /** Guards against a proxy that restarts in a roll and goes on sending to what was there. */
   @Test
   void nothingIsSentToWhatAnOldRememberedListNamesOnceTheInstanceWasTold() {
