--- a/src/test/java/beampoint/FleetTest.java
+++ b/src/test/java/beampoint/FleetTest.java
@@ -212,7 +212,8 @@
       f.list(ListKind.CHANGES, shrunk);
       for (long id : fetching) {
         for (Balancer.Action action : f.end(id, 1, "origin", 100, Result.OK)) {
-          assertTrue(!(action instanceof Balancer.Send send) || isRunning(send.endpoint()), "sent: " + action);
+          String sentTo = action instanceof Balancer.Send send ? send.endpoint() : null;
+          assertTrue(isRunning(sentTo), "sent to " + sentTo);
         }
       }
       for (long key = 0; key < 300; key++) {
