--- a/src/test/java/beampoint/serve/ProxyFixture.java
+++ b/src/test/java/beampoint/serve/ProxyFixture.java
@@ -2,6 +2,7 @@
 
 import beampoint.Balancer;
 import beampoint.Stub;
+import beampoint.count.Counter;
 import com.google.gson.JsonParser;
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -159,6 +160,13 @@
     };
   }
 
+  /** Waits until the proxy has accepted so many connections of clients, since its start. */
+  void awaitClients(long count) {
+    while (proxy.counters().get(Counter.CLIENT_CONNECTIONS) < count) {
+      Thread.onSpinWait();
+    }
+  }
+
   Balancer.AttemptEnded ended() throws InterruptedException {
     return module.next(Balancer.AttemptEnded.class);
   }
--- a/src/test/java/beampoint/serve/ProxyTest.java
+++ b/src/test/java/beampoint/serve/ProxyTest.java
@@ -518,16 +518,15 @@
       for (int i = 0; i < 11; i++) {
         crowd.add(new Client(proxy));
       }
-      assertEquals("MN", other.ask("mn\r\n"));
+      proxy.awaitClients(13); // who is accepted later would have moved later than the slow one
+      assertEquals("MN", other.ask("mn\r\n"), "by now all that were accepted are known");
       slow.say(READ.substring(10, 20));
       assertEquals("MN", other.ask("mn\r\n"));
       assertEquals("MN", other.ask("mn\r\n"), "by now what the slow one wrote is read");
       for (int i = 11; i < 41; i++) {
         crowd.add(new Client(proxy));
       }
-      while (proxy.proxy.counters().get(Counter.CLIENT_CONNECTIONS) < 43) {
-        Thread.onSpinWait();
-      }
+      proxy.awaitClients(43);
       assertEquals("MN", other.ask("mn\r\n"), "by now all that were accepted are known");
       assertNull(crowd.get(0).line(), "who has moved nothing for longest made room");
       assertEquals("SERVER_ERROR busy", slow.ask(READ.substring(20)));
