The load that a live list tells no longer scales one cache's expected time

Cause: Logic.expectedTime took the list's weight of a cache, against the most listed for its kind, for its load. The greatest weight listed still stands for a machine's size on the ring.

--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -245,7 +245,7 @@
    * is not known of one cache is taken from all. Logarithms, lest one heavy request make a fleet look full.
    */
   private double expectedTime(Node node) {
-    double usual = node.origin ? 0 : Math.log(Math.max(1, fleetTime() * node.load / meanLoad));
+    double usual = node.origin ? 0 : Math.log(Math.max(1, fleetTime()));
     double time = Math.exp(node.time.value(now, memory(), usual, node.origin ? PRIOR / 8 : PRIOR));
     double depth = node.depth.value(now, memory(), 1, PRIOR);
     return Math.max(time * Math.max(1, (node.inFlight + 1) / depth), node.silence(now));
@@ -639,7 +639,6 @@
   private final Map<Integer, Double> sizes = new HashMap<>(); // the greatest weight listed for each kind
   private final List<Node> caches = new ArrayList<>(); // that run
   private int zones; // in which they run
-  private double meanLoad = 1; // as the list tells it
   private int outAtCaches; // attempts, and the sum of the times when they were sent
   private double outSince;
   private Node origin;
@@ -690,24 +689,20 @@
     }
   }
 
-  /** Live weights fall late with load: buckets would wander. The most listed is the size, the rest load. */
+  /** Live weights fall late with load: buckets would wander. The most listed is the size. */
   private void summarise() {
     boolean live = settings.weightSource() == WeightSource.LIVE;
     caches.clear();
     origin = null;
-    double logLoad = 0;
     for (Node node : nodes.values()) {
       node.weight = live ? sizes.get(node.entry.kind()) : Math.max(0, node.entry.weight());
       if (node.isCache()) {
         caches.add(node);
-        node.load = live ? Math.max(1, node.weight / Math.max(1e-9, node.entry.weight())) : 1;
-        logLoad += Math.log(node.load);
       } else if (origin == null && node.origin && node.entry.state() == EndpointState.RUNNING) {
         origin = node;
       }
     }
     zones = (int) caches.stream().mapToInt(n -> n.entry.zone()).distinct().count();
-    meanLoad = Math.exp(logLoad / Math.max(1, caches.size()));
   }
 
   /** Where the list must be asked for, subscribes, and asks again after a refusal or a silence. */
--- a/src/main/java/beampoint/State.java
+++ b/src/main/java/beampoint/State.java
@@ -36,8 +36,6 @@
     Mean time = new Mean();
     final Mean depth = new Mean();
     Mean errors = new Mean();
-    /** How much more it holds than when idle, as far as the list tells. */
-    double load = 1;
     double pausedUntil;
     Ban ban = Ban.NONE;
 
