A read is given up at its aim, where a late answer earns nothing, not at the client's deadline

Logic.sendOrGiveUp gave every attempt until the client's deadline. Writes are awaited until the client gives up: their clients learn how they ended.

--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -235,7 +235,7 @@
 
   /** Guards against queues whose answers come too late. */
   private boolean hasRoom(Node node, Request r) {
-    double left = (r.type.lateWorth() > 0 && now > r.aimAt ? r.deadline : r.aimAt) - now;
+    double left = (now > r.aimAt ? r.usefulUntil : r.aimAt) - now;
     double part = r.overShare ? 1 - busy.value(now, FADE, 1, PRIOR) * (1 - OVER_SHARE_PART) : 1;
     return expectedTime(node) <= left * part * (node.origin ? 1 : CACHE_PART);
   }
@@ -497,7 +497,9 @@
     node.flights.add(attempt);
     node.uses.add(now, HEAT_FADE, 1);
     node.freeAt = warmth(node) >= 1 ? now : Math.max(now, node.freeAt) + coldGap(node);
-    out.add(new Send(r.id, node.entry.id(), 0));
+    // A late read earns nothing: its end frees a place in a queue, and tells of a jam. A write's is awaited.
+    boolean read = r.type.idempotency() == Idempotency.SAFE;
+    out.add(new Send(r.id, node.entry.id(), read ? Math.max(1, r.usefulUntil - now) : 0));
   }
 
   private void onAttemptEnded(AttemptEnded e) {
@@ -572,9 +574,8 @@
     // An origin without a free connection is asked after a pause: at once, all attempts would be gone.
     boolean full = node.origin && result == Result.CONNECT_FAILED;
     double next = now + (full ? random.nextDouble() * expectedTime(node) : 0);
-    double last = r.type.lateWorth() > 0 ? r.deadline : Math.min(r.aimAt, r.deadline);
     double price = result == Result.CONNECT_FAILED ? 0 : 1;
-    if (result == Result.NOT_SENT || next >= last || retryBudget < price || r.attempts >= r.maxAttempts) {
+    if (result == Result.NOT_SENT || next >= r.usefulUntil || retryBudget < price || r.attempts >= r.maxAttempts) {
       giveUp(r);
       return;
     }
--- a/src/main/java/beampoint/State.java
+++ b/src/main/java/beampoint/State.java
@@ -109,6 +109,8 @@
     final int maxAttempts;
     final double aimAt;
     final double deadline;
+    /** When an answer begins to earn nothing. */
+    final double usefulUntil;
     final long key;
     final boolean write;
     /** Between 0 and 1: drawn once, so that asking twice gives one answer. */
@@ -140,6 +142,7 @@
       this.maxAttempts = maxAttempts;
       this.aimAt = now + type.aim();
       this.deadline = event.notAfter();
+      this.usefulUntil = type.lateWorth() > 0 ? deadline : Math.min(aimAt, deadline);
       this.key = event.key();
       this.write = event.write();
       this.luck = luck;
--- /dev/null
+++ b/src/test/java/beampoint/LateAnswerTest.java
@@ -0,0 +1,65 @@
+package beampoint;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.Action;
+import beampoint.Balancer.DedupGroup;
+import beampoint.Balancer.Idempotency;
+import beampoint.Balancer.RequestClass;
+import beampoint.Balancer.RequestReceived;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Send;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What is done about answers that come too late to earn anything. */
+class LateAnswerTest {
+
+  private static final RequestClass PART_WORTH =
+      new RequestClass(Idempotency.SAFE, DedupGroup.ALL, 2_000, 500, 1_500, 1, 0.3);
+
+  /** For how long the attempt that was just started is awaited; 0 stands for the client's time. */
+  private static double limit(List<Action> actions) {
+    return actions.stream().filter(Send.class::isInstance).map(a -> ((Send) a).limit()).findFirst()
+        .orElseThrow();
+  }
+
+  /** Guards against caches that go on to carry out reads that nobody can use any more. */
+  @Test
+  void aReadIsAwaitedForAsLongAsItsAnswerEarnsAnything() {
+    Fixture f = new Fixture(Fixture.READ, PART_WORTH).withFleet(6);
+    assertEquals(500, limit(f.read(5)));
+    assertEquals(1_000, limit(f.request(1, 0, 5, false)), "worth a part until the client gives up");
+    assertEquals(200, limit(f.balancer.handle(f.now, new RequestReceived(99, f.now + 200, 0, 0, 5, false))),
+        "the client gives up before the aim");
+  }
+
+  @Test
+  void aFurtherAttemptHasWhatIsLeftOfTheTime() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(6);
+    long id = f.nextId();
+    String first = Fixture.sentTo(f.read(5));
+    f.now += 120;
+    assertEquals(380, limit(f.end(id, 0, first, 120, Result.MISS)));
+  }
+
+  /** Guards against a client that is not told how its write ended, though that was known a moment later. */
+  @Test
+  void aWriteIsAwaitedUntilTheClientGivesUp() {
+    for (Idempotency effect : List.of(Idempotency.KEYED, Idempotency.UNSAFE)) {
+      Fixture f = new Fixture(Fixture.type(effect, DedupGroup.ALL)).withFleet(6);
+      assertEquals(0, limit(f.request(0, 0, 5, true)), effect.toString());
+    }
+  }
+
+  /** Giving up is answered at once, with when to come back. */
+  @Test
+  void aReadThatIsLateIsRefusedAtItsAimAndNotSentAgain() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(6);
+    long id = f.nextId();
+    String endpoint = Fixture.sentTo(f.read(5));
+    f.now += 500;
+    assertTrue(f.end(id, 0, endpoint, 500, Result.TIMEOUT).contains(new Balancer.Refuse(id, 400)));
+  }
+}
