Less is admitted to caches while attempts run out of time; 0.5 of the time to the aim, not 0.6

Caches that hold much grow slow, so what was admitted upholds the jam. Change: Logic.punctuality, the share of attempts at caches that ran out of time in the last second, lowers room by three times itself, by half at most.

--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -32,7 +32,9 @@
   private static final double NEAR_RAMP = 8_000; // in which all buckets get places in each zone
   private static final double NEAR_STRAIN = 0.5; // of the aim: an origin that takes longer is strained
   private static final double NEAR_STEP = 0.1; // of the near places that one such answer takes back
-  private static final double CACHE_PART = 0.6; // of the time to the aim at a cache: a miss comes on top
+  private static final double CACHE_PART = 0.5; // of the time to the aim at a cache: a miss comes on top
+  private static final double LATE_COST = 3; // parts of it that each part of late attempts takes away
+  private static final double LEAST_ROOM = 0.5; // that is left of it
   private static final double OVER_SHARE_PART = 0.4; // of that, for traffic beyond a share at busy caches
   private static final double FADE = 1000; // evidence counts half after this or after some sends to one
   private static final double SENDS_KEPT = 3; // cache, as many as this,
@@ -162,9 +164,7 @@
     }
     // Guards against refusals in a fleet with room, where a key's two caches are behind for a moment.
     Node sooner = second == null || expectedTime(primary) <= expectedTime(second) ? primary : second;
-    double shortest = settings.classes().stream().mapToDouble(RequestClass::aim).min().orElse(0);
-    boolean mayWait = !r.overShare && fleetTime() <= shortest;
-    return mayWait && expectedTime(sooner) <= r.aimAt - now ? sooner : null;
+    return !r.overShare && expectedTime(sooner) <= (r.aimAt - now) * punctuality() ? sooner : null;
   }
 
   /** The next distinct ready cache clockwise after so many, without those tried; near buckets begin near. */
@@ -237,7 +237,14 @@
   private boolean hasRoom(Node node, Request r) {
     double left = (now > r.aimAt ? r.usefulUntil : r.aimAt) - now;
     double part = r.overShare ? 1 - busy.value(now, FADE, 1, PRIOR) * (1 - OVER_SHARE_PART) : 1;
-    return expectedTime(node) <= left * part * (node.origin ? 1 : CACHE_PART);
+    return expectedTime(node) <= left * part * (node.origin ? 1 : CACHE_PART * punctuality());
+  }
+
+  private final Mean late = new Mean(); // attempts at caches whose time ran out, of all
+
+  /** Guards against a jam that upholds itself: where much comes late, what is expected is too little. */
+  private double punctuality() {
+    return Math.max(LEAST_ROOM, 1 - LATE_COST * late.value(now, FADE, 0, PRIOR));
   }
 
   /**
@@ -300,6 +307,7 @@
       }
     }
     if (!node.origin) {
+      late.add(now, FADE, result == Result.TIMEOUT ? 1 : 0);
       bad.add(now, LONGEST_FADE, result == Result.OK || result == Result.MISS ? 0 : 1);
     }
     served.add(now, LONGEST_FADE, result == Result.OK ? 1 : 0);
@@ -549,15 +557,13 @@
    * connects are refused: what some hold idle, others lack.
    */
   private boolean worthHolding(Node node) {
-    Prices prices = settings.prices();
     double rate = taken.rate(now, LONGEST_FADE);
-    double all = 1000 * rate * settings.siblings();
-    double hold = 100_000 * caches.size() * prices.handshake();
+    double hold = 100_000 * caches.size() * settings.prices().handshake();
     // As many uses as an even share brings stand in for what was not seen yet.
     double seen = (1 - Math.pow(0.5, (now - startedAt) / HEAT_FADE)) * HEAT_FADE / Math.log(2);
     double uses = (PRIOR + node.uses.count(now, HEAT_FADE)) / (PRIOR * caches.size() / rate + seen);
-    double fleetRate = Math.min(all, quotas > 0 ? quotas : all);
-    return now - node.refusedAt > memory() && uses * hold >= prices.connection() * fleetRate;
+    double all = Math.min(1000 * rate * settings.siblings(), quotas > 0 ? quotas : Double.MAX_VALUE);
+    return now - node.refusedAt > memory() && uses * hold >= settings.prices().connection() * all;
   }
 
   private void closeIdle() {
--- a/src/test/java/beampoint/LateAnswerTest.java
+++ b/src/test/java/beampoint/LateAnswerTest.java
@@ -10,7 +10,9 @@
 import beampoint.Balancer.RequestReceived;
 import beampoint.Balancer.Result;
 import beampoint.Balancer.Send;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** What is done about answers that come too late to earn anything. */
@@ -62,4 +64,80 @@
     f.now += 500;
     assertTrue(f.end(id, 0, endpoint, 500, Result.TIMEOUT).contains(new Balancer.Refuse(id, 400)));
   }
+
+  /**
+   * Reads to ten caches that answer in 0.46 of the aim, of which every so manieth comes late; how many are
+   * refused of the last 400.
+   */
+  private static int refused(int lateEvery) {
+    Fixture f = new Fixture(Fixture.READ).withFleet(10);
+    int refused = 0;
+    for (int i = 0; i < 600; i++) {
+      boolean late = i % lateEvery == lateEvery - 1;
+      f.now += 10;
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(1_000 + i));
+      refused += endpoint == null && i >= 200 ? 1 : 0;
+      if (endpoint != null) {
+        f.now += late ? 500 : 0;
+        f.end(id, 0, endpoint, late ? 500 : 230, late ? Result.TIMEOUT : Result.OK);
+      }
+    }
+    return refused;
+  }
+
+  /** Guards against a jam that upholds itself: the times of those in time look good, and much is late. */
+  @Test
+  void lessIsAdmittedWhereMuchOfItComesLateAndAllWhereHardlyAnyDoes() {
+    assertEquals(0, refused(1_000));
+    assertEquals(0, refused(20));
+    assertTrue(refused(3) > 40, "refused: " + refused(3));
+  }
+
+  /** Guards against a fleet that refuses because it refused: late answers are forgotten within seconds. */
+  @Test
+  void whatCameLateIsForgottenSoonThoughAllWasRefused() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(10);
+    for (int i = 0; i < 100; i++) {
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(1_000 + i));
+      if (endpoint != null) {
+        f.end(id, 0, endpoint, 500, Result.TIMEOUT);
+      }
+    }
+    f.now += 20_000;
+    int sent = 0;
+    for (int i = 0; i < 20; i++) {
+      f.now += 10;
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(2_000 + i));
+      sent += endpoint == null ? 0 : 1;
+      f.end(id, 0, endpoint, 175, Result.OK);
+    }
+    assertEquals(20, sent);
+  }
+
+  /** Guards against a few silent caches that close the door to all the others. */
+  @Test
+  void cachesThatAnswerQuicklyTakeAllThoughAFifthOfTheFleetIsSilent() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(10);
+    Map<Long, String> open = new HashMap<>();
+    int refused = 0;
+    for (int i = 0; i < 3_000; i++) {
+      f.now += 5;
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(1_000 + i));
+      refused += endpoint == null ? 1 : 0;
+      if (endpoint != null && (endpoint.equals("cache-1") || endpoint.equals("cache-2"))) {
+        open.put(id, endpoint);
+      } else if (endpoint != null) {
+        f.end(id, 0, endpoint, 40, Result.OK);
+      }
+      String late = open.remove(id - 100);
+      if (late != null) {
+        f.end(id - 100, 0, late, 500, Result.TIMEOUT);
+      }
+    }
+    assertTrue(refused < 90, "refused: " + refused);
+  }
 }
