What is asked again after its aim yields like traffic beyond a share, where caches are not free

Logic.onRequest took each try for a first one. Logic.comesLate takes under 0.8 of the usual for a repeat; where marks are seen, only what is marked. Such a request gets the room of traffic beyond a share, so it is served while there is room. The mark reaches the module from both hosts (resent, r=1). A test now holds that messages of peers, whatever they hold, are passed over.

--- a/src/main/java/beampoint/Balancer.java
+++ b/src/main/java/beampoint/Balancer.java
@@ -105,9 +105,18 @@
   /** The endpoint list, whole or in part. */
   record ListReceived(ListKind kind, List<Endpoint> endpoints) implements Event {}
 
-  /** A client's request; one final answer is owed before notAfter. A key below 0 means that it has none. */
-  record RequestReceived(long id, double notAfter, int tenant, int requestClass, long key, boolean write)
-      implements Event {}
+  /**
+   * A client's request; one final answer is owed before notAfter. A key below 0 means that it has none. Again
+   * tells that its client marked it as asked before; many clients mark none.
+   */
+  record RequestReceived(long id, double notAfter, int tenant, int requestClass, long key, boolean write,
+      boolean again) implements Event {
+
+    /** From a client that marks nothing. */
+    public RequestReceived(long id, double notAfter, int tenant, int requestClass, long key, boolean write) {
+      this(id, notAfter, tenant, requestClass, key, write, false);
+    }
+  }
 
   /** A streamed answer has begun; the attempt belongs to the client from here on. */
   record AttemptStarted(long id, int attempt) implements Event {}
--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -43,6 +43,7 @@
   private static final double PROBE_PART = 0.1; // of the time left that a probe may take
   private static final double PROBE_GAIN = 0.5; // of a request's worth that a probe saves, where one is bad
   private static final double BAD_SHARE = 0.1; // of attempts and probes, before any are known
+  private static final double SHORT_WAIT = 0.8; // of the usual: shorter is what is left of a client's time
   private static final double ERROR_LIMIT = 0.3; // share of errors at which a cache is skipped
   private static final double MUTE_PART = 0.25; // of what is remembered: a cache that answered later is alive
   private static final double RETRY_SHARE = 0.2; // further attempts after a failure, of requests
@@ -64,7 +65,6 @@
   private double startedAt = Double.POSITIVE_INFINITY;
 
   public Logic(Settings settings) {
-    this.settings = settings;
     this.random = new Random(settings.seed());
     onSettings(new SettingsChanged(settings, Collections.nCopies(settings.classes().size(), -1),
         Collections.nCopies(settings.tenants().size(), -1)));
@@ -100,10 +100,9 @@
 
   /** What was learnt goes with its tenant; open requests keep the rules they were taken with. */
   private void onSettings(SettingsChanged e) {
-    List<State.Usage> nextUsages = new ArrayList<>();
-    e.formerTenants().forEach(former -> nextUsages.add(former < 0 ? new State.Usage() : usages.get(former)));
-    usages = nextUsages;
+    usages = e.formerTenants().stream().map(n -> n < 0 ? new State.Usage() : usages.get(n)).toList();
     settings = e.settings();
+    patience.keySet().retainAll(settings.classes());
     quotas = settings.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
     updateRing();
   }
@@ -164,7 +163,7 @@
     }
     // Guards against refusals in a fleet with room, where a key's two caches are behind for a moment.
     Node sooner = second == null || expectedTime(primary) <= expectedTime(second) ? primary : second;
-    return !r.overShare && expectedTime(sooner) <= (r.aimAt - now) * punctuality() ? sooner : null;
+    return !r.yields && expectedTime(sooner) <= (r.aimAt - now) * punctuality() ? sooner : null;
   }
 
   /** The next distinct ready cache clockwise after so many, without those tried; near buckets begin near. */
@@ -236,7 +235,7 @@
   /** Guards against queues whose answers come too late. */
   private boolean hasRoom(Node node, Request r) {
     double left = (now > r.aimAt ? r.usefulUntil : r.aimAt) - now;
-    double part = r.overShare ? 1 - busy.value(now, FADE, 1, PRIOR) * (1 - OVER_SHARE_PART) : 1;
+    double part = r.yields ? 1 - busy.value(now, FADE, 1, PRIOR) * (1 - OVER_SHARE_PART) : 1;
     return expectedTime(node) <= left * part * (node.origin ? 1 : CACHE_PART * punctuality());
   }
 
@@ -263,7 +262,7 @@
    * the longer none is asked: else refusals, which end the evidence, would uphold what they rest on.
    */
   private double fleetTime() {
-    double silence = outAtCaches > 0 ? 0 : pool.count(now, FADE) * pool.age(now) / memoryOf(1);
+    double silence = outAtCaches > 0 ? 0 : pool.count(now, FADE) * pool.age(now) / memory();
     double answered = pool.value(now, FADE, 0, PRIOR / 8 + silence);
     double age = outAtCaches == 0 ? 0 : Math.log(Math.max(1, now - outSince / outAtCaches));
     double known = (age * outAtCaches + answered * PRIOR) / (outAtCaches + PRIOR);
@@ -272,12 +271,8 @@
 
   /** How long evidence on one cache is kept: if for one send, each send would find it out anew. */
   private double memory() {
-    return memoryOf(SENDS_KEPT);
-  }
-
-  private double memoryOf(double sends) {
     double gap = caches.size() / Math.max(1e-9, taken.rate(now, LONGEST_FADE));
-    return Math.min(LONGEST_FADE, Math.max(FADE, sends * gap));
+    return Math.min(LONGEST_FADE, Math.max(FADE, SENDS_KEPT * gap));
   }
 
   // ---- Load reports ---------------------------------------------------------------------------------------
@@ -325,9 +320,8 @@
   private void pause(Node node) {
     long paused = caches.stream().filter(n -> now < n.pausedUntil).count();
     if (!node.origin && now >= node.pausedUntil && paused < caches.size() / 2) {
-      double length = memory();
-      node.pausedUntil = now + length;
-      out.add(new Log("ejected " + node.entry.id() + " for " + Math.round(length) + " ms"));
+      node.pausedUntil = now + memory();
+      out.add(new Log("ejected " + node.entry.id() + " for " + Math.round(memory()) + " ms"));
     }
   }
 
@@ -372,13 +366,6 @@
     }
   }
 
-  /** A probe that is late means a busy cache: the request spills to the next distinct one. */
-  private void spillAsker(Request r) {
-    Node first = nextReady(r, copy(r));
-    Node other = nextReady(r, copy(r) + (first == r.asked ? 1 : 0));
-    sendOrGiveUp(r, other == null ? first : other);
-  }
-
   // ---- Warm-up budget -------------------------------------------------------------------------------------
 
   private final Mean served = new Mean();
@@ -455,7 +442,7 @@
     Request r = new Request(e, settings.classes().get(e.requestClass()), settings.limits().maxAttempts(), now,
         random.nextDouble());
     r.bucket = (int) Long.remainderUnsigned(Hash.of(e.key() >= 0 ? e.key() : ~e.id()), BUCKETS);
-    r.overShare = e.tenant() < usages.size() && countUsage(e.tenant());
+    r.yields = comesLate(e, r) | (e.tenant() < usages.size() && countUsage(e.tenant()));
     requests.put(r.id, r);
     heat.add(now, r.bucket);
     taken.add(now, LONGEST_FADE, 1);
@@ -463,6 +450,20 @@
     dispatch(r);
   }
 
+  private final Map<RequestClass, Mean> patience = new HashMap<>(); // of a class's time
+  private boolean marks; // clients mark what they ask again
+
+  /** Guards against room for what can earn nothing: who waits less than others has asked before. */
+  private boolean comesLate(RequestReceived e, Request r) {
+    double left = (r.deadline - now) / r.type.deadline();
+    Mean usual = patience.computeIfAbsent(r.type, type -> new Mean());
+    boolean shorter = left < SHORT_WAIT * usual.value(now, HEAT_FADE, left, PRIOR);
+    usual.add(now, HEAT_FADE, left);
+    marks |= e.again();
+    double aim = r.type.lateWorth() > 0 ? 1 : r.type.aim() / r.type.deadline();
+    return shorter && marks == e.again() && 1 - left > aim;
+  }
+
   /** True beyond a tenant's share: what it surely uses is over the tenants' median use of their quotas. */
   private boolean countUsage(int tenant) {
     State.Usage usage = usages.get(tenant);
@@ -552,10 +553,7 @@
 
   private final List<Node> idle = new ArrayList<>(); // endpoints with perhaps an idle connection
 
-  /**
-   * Held while it is used more often than once in the time in which holding it costs a new one, and not while
-   * connects are refused: what some hold idle, others lack.
-   */
+  /** Held while used often enough for its price; not while connects are refused: others may lack it. */
   private boolean worthHolding(Node node) {
     double rate = taken.rate(now, LONGEST_FADE);
     double hold = 100_000 * caches.size() * settings.prices().handshake();
@@ -581,7 +579,8 @@
     boolean full = node.origin && result == Result.CONNECT_FAILED;
     double next = now + (full ? random.nextDouble() * expectedTime(node) : 0);
     double price = result == Result.CONNECT_FAILED ? 0 : 1;
-    if (result == Result.NOT_SENT || next >= r.usefulUntil || retryBudget < price || r.attempts >= r.maxAttempts) {
+    if (result == Result.NOT_SENT || next >= r.usefulUntil
+        || retryBudget < price || r.attempts >= r.maxAttempts) {
       giveUp(r);
       return;
     }
@@ -591,9 +590,7 @@
       out.add(new SetTimer(next - now, r.id));
       return;
     }
-    if (!node.origin) {
-      r.tried.add(node);
-    }
+    r.tried.add(node);
     sendOrGiveUp(r, node.origin ? openOrigin(r) : pick(r));
   }
 
@@ -632,7 +629,10 @@
     if (token == LIST_TIMER + listCall && !listAnswered) {
       followList();
     } else if (r != null && r.asked != null) {
-      spillAsker(r);
+      // A probe that is late means a busy cache: the request spills to the next distinct one.
+      Node first = nextReady(r, copy(r));
+      Node other = nextReady(r, copy(r) + (first == r.asked ? 1 : 0));
+      sendOrGiveUp(r, other == null ? first : other);
     } else if (r != null && !r.over && now + 1 >= r.retryAt) {
       r.retryAt = Double.POSITIVE_INFINITY;
       sendOrGiveUp(r, openOrigin(r));
--- a/src/main/java/beampoint/State.java
+++ b/src/main/java/beampoint/State.java
@@ -115,7 +115,8 @@
     final boolean write;
     /** Between 0 and 1: drawn once, so that asking twice gives one answer. */
     final double luck;
-    boolean overShare;
+    /** It is worth little: beyond its tenant's share, or asked again after its aim. */
+    boolean yields;
     int bucket;
     int attempts;
     /** The cache that was probed for it. */
@@ -129,6 +130,7 @@
     double retryAt = Double.POSITIVE_INFINITY;
     Node mayHaveRunAt;
     double mayHaveRunSince;
+    /** Who missed or failed it. */
     final List<Node> tried = new ArrayList<>();
 
     /** The attempt of that number, or null where none is out. */
--- a/src/main/java/beampoint/memcache/CommandReader.java
+++ b/src/main/java/beampoint/memcache/CommandReader.java
@@ -193,6 +193,7 @@
     String tenant = null;
     int waitFrom = 0;
     int waitTo = 0;
+    boolean again = false;
     boolean good = true;
     int from = list.position();
     while (good && from <= list.limit()) {
@@ -207,6 +208,8 @@
       } else if (good && name.equals("d")) {
         waitFrom = equals + 1;
         waitTo = to;
+      } else if (good && name.equals("r")) {
+        again = Words.text(list, equals + 1, to).equals("1");
       }
       from = to + 1;
     }
@@ -214,7 +217,8 @@
     if (!good || requestClass == null || wait < 0) {
       return Command.of(Kind.BAD, "CLIENT_ERROR class or time to wait missing");
     }
-    return new Command(kind, key, id, list, waitFrom, waitTo, null, requestClass, tenant, wait, null, null);
+    return new Command(kind, key, id, list, waitFrom, waitTo, null, requestClass, tenant, wait, again, null,
+        null);
   }
 
   private static int find(Buffer in, char sought, int from, int to) {
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -378,7 +378,7 @@
       long id = exchange.id(); // the timer outlasts the exchange and must not keep it
       after(notAfter + LATE_MS - now(), () -> failLate(id));
       give(new RequestReceived(exchange.id(), Math.min(notAfter, endsBy), directory.tenant(command),
-          requestClass, Directory.key(command.key()), command.kind() == Command.Kind.WRITE));
+          requestClass, Directory.key(command.key()), command.kind() == Command.Kind.WRITE, command.again()));
     });
     return exchange;
   }
--- a/src/main/java/beampoint/sim/Codec.java
+++ b/src/main/java/beampoint/sim/Codec.java
@@ -47,7 +47,8 @@
   static Event event(Message m, LoadColumns columns) throws InputException {
     return switch (m.name) {
       case "new_request" -> new RequestReceived(m.whole("rid"), m.number("not-after-ms"),
-          m.index("customer", 0), m.index("service", 0), m.whole("affinity", -1), m.flag("is-write", false));
+          m.index("customer", 0), m.index("service", 0), m.whole("affinity", -1), m.flag("is-write", false),
+          m.flag("resent", false));
       case "established" -> new AttemptStarted(m.whole("rid"), m.index("trial", 0));
       case "finished" -> new AttemptEnded(m.whole("rid"), m.index("trial", 0), m.text("node"),
           m.number("duration-ms", 0), result(m), m.flag("done-flag", false),
--- a/src/test/java/beampoint/LateAnswerTest.java
+++ b/src/test/java/beampoint/LateAnswerTest.java
@@ -1,6 +1,7 @@
 package beampoint;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Balancer.Action;
@@ -140,4 +141,63 @@
     }
     assertTrue(refused < 90, "refused: " + refused);
   }
+
+  /**
+   * True where a request of the class is served whose client waits so long, marked as asked before or not, by
+   * caches that need so long, among others whose clients wait for a second.
+   */
+  private static boolean serves(Fixture f, int type, double wait, boolean again, double took, boolean marks) {
+    for (int i = 0; i < 400; i++) {
+      f.now += 10;
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.request(i % 2, 0, 1_000 + i, false));
+      if (endpoint != null) {
+        f.end(id, 0, endpoint, took, Result.OK);
+      }
+    }
+    if (marks) {
+      f.balancer.handle(f.now, new RequestReceived(98_000, f.now + 1_000, 0, 0, 6, false, true));
+    }
+    return Fixture.sentTo(f.balancer.handle(f.now,
+        new RequestReceived(99_000, f.now + wait, 0, type, 5, false, again))) != null;
+  }
+
+  private static Fixture twoKinds() {
+    return new Fixture(Fixture.READ, PART_WORTH).withFleet(10);
+  }
+
+  /** Guards against caches that are kept busy with what was refused before and can earn nothing any more. */
+  @Test
+  void whatIsAskedAgainAfterItsAimYieldsWhereCachesAreNotFree() {
+    assertFalse(serves(twoKinds(), 0, 400, false, 130, false));
+    assertTrue(serves(twoKinds(), 0, 400, false, 20, false), "there is room");
+    assertTrue(serves(twoKinds(), 0, 1_000, false, 130, false), "asked for the first time");
+    assertTrue(serves(twoKinds(), 0, 1_400, false, 130, false), "a client that waits longer than others");
+    assertTrue(serves(twoKinds(), 1, 400, false, 130, false), "worth a part until its client gives up");
+  }
+
+  /** Guards against clients of little patience that are taken for others, where those mark repeats. */
+  @Test
+  void whereClientsMarkWhatTheyAskAgainOnlyThatYields() {
+    assertFalse(serves(twoKinds(), 0, 400, true, 130, true));
+    assertTrue(serves(twoKinds(), 0, 400, false, 130, true));
+    assertTrue(serves(twoKinds(), 0, 1_000, true, 130, true), "asked again at once, with all the time left");
+  }
+
+  /** Guards against a class all of whose clients wait for a small part of its time. */
+  @Test
+  void whatClientsOfAClassAlwaysWaitIsNoSignOfARepeat() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(10);
+    int refused = 0;
+    for (int i = 0; i < 400; i++) {
+      f.now += 10;
+      String endpoint = Fixture.sentTo(
+          f.balancer.handle(f.now, new RequestReceived(i, f.now + 400, 0, 0, 1_000 + i, false)));
+      refused += endpoint == null ? 1 : 0;
+      if (endpoint != null) {
+        f.end(i, 0, endpoint, 130, Result.OK);
+      }
+    }
+    assertEquals(0, refused);
+  }
 }
--- a/src/test/java/beampoint/memcache/CommandFilterTest.java
+++ b/src/test/java/beampoint/memcache/CommandFilterTest.java
@@ -59,6 +59,14 @@
     assertEquals(480, command.waitMs());
   }
 
+  @Test
+  void aClientMayMarkWhatItAsksAgain() {
+    assertFalse(parse(READ).again());
+    assertTrue(parse(READ.replace("d=480", "d=480,r=1")).again());
+    assertFalse(parse(READ.replace("d=480", "d=480,r=0")).again());
+    assertTrue(parse(WRITE.replace("k=", "r=1,k=")).again());
+  }
+
   @Test
   void aWriteGoesOnUnchangedButForTheTimeToWait() {
     Command command = parse(WRITE);
--- a/src/test/java/beampoint/serve/ProxyTest.java
+++ b/src/test/java/beampoint/serve/ProxyTest.java
@@ -102,6 +102,19 @@
     }
   }
 
+  @Test
+  void theModuleIsToldWhatAClientMarksAsAskedAgain() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.module.script = event -> event instanceof RequestReceived e
+          ? List.of(new Refuse(e.id(), 0)) : List.of();
+      client.ask(READ);
+      assertFalse(proxy.module.next(RequestReceived.class).again());
+      client.ask(READ.replace("O9b", "O9c").replace("d=4000", "d=4000,r=1"));
+      assertTrue(proxy.module.next(RequestReceived.class).again());
+    }
+  }
+
   @Test
   void aSecondRequestUsesTheSameConnection() throws Exception {
     try (Stub cache = cache("VA 0 O9b\r\n\r\n");
--- a/src/test/java/beampoint/sim/DrillTest.java
+++ b/src/test/java/beampoint/sim/DrillTest.java
@@ -4,12 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beampoint.Balancer.RequestReceived;
 import beampoint.Logic;
 import beampoint.settings.InputException;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** The wire's reading and writing, and the plain messages on malformed input. */
@@ -40,7 +43,7 @@
   void aRequestIsSentAndUnknownMessagesAndKeysAreSkipped() throws Exception {
     String reply = run(START + "novelty\ta=b\nnew_request\trid=5\tnot-after-ms=200\tservice=0\taffinity=9\n"
         + "commit\n");
-    assertEquals("from\tproxy-id=proxy/0\ncall_out\trid=5\tnode=10.0.0.1:80\ndone\n", reply);
+    assertEquals("from\tproxy-id=proxy/0\ncall_out\trid=5\tnode=10.0.0.1:80\tlimit-ms=100.0\ndone\n", reply);
   }
 
   @Test
@@ -55,6 +58,31 @@
     assertTrue(reply.contains("fault\tbody-text=") && reply.contains("OutOfBoundsException"), reply);
   }
 
+  @Test
+  void whatAClientMarksAsAskedAgainIsToldToTheModule() throws Exception {
+    List<Boolean> marks = new ArrayList<>();
+    String input = START + "new_request\trid=5\tnot-after-ms=200\tservice=0\taffinity=9\n"
+        + "new_request\trid=6\tnot-after-ms=200\tservice=0\taffinity=9\tresent=1\ncommit\n";
+    new Drill(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)),
+        new PrintStream(new ByteArrayOutputStream()), settings -> (now, event) -> {
+          if (event instanceof RequestReceived e) {
+            marks.add(e.again());
+          }
+          return List.of();
+        }).run();
+    assertEquals(List.of(false, true), marks);
+  }
+
+  /** Guards against a peer of another version, or a message cut off on its way, that ends this instance. */
+  @Test
+  void whatPeersSayIsPassedOverWhateverItIs() throws Exception {
+    String said = "inbox\tneighbour=2\tdata=aGkgNw==\n" + "inbox\tneighbour=2\tdata=aGkgNw==\n"
+        + "inbox\tneighbour=999999\tdata=" + "QUJD".repeat(500) + "\n" + "inbox\tneighbour=-1\tdata=%%%\n"
+        + "inbox\tdata=\n" + "inbox\tneighbour=x\tdata=aGk\tversion=9\n";
+    String request = "new_request\trid=5\tnot-after-ms=200\tservice=0\taffinity=9\ncommit\n";
+    assertEquals(run(START + request), run(START + said + request));
+  }
+
   @Test
   void malformedInputIsNamedWithLineAndField() {
     String missing = problem(START + "new_request\trid=5\ncommit\n");
