--- a/src/main/java/beampoint/handover/BanFile.java
+++ b/src/main/java/beampoint/handover/BanFile.java
@@ -1,5 +1,6 @@
 package beampoint.handover;
 
+import beampoint.files.FileStamp;
 import beampoint.log.Log;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
@@ -16,7 +17,6 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
-import java.nio.file.attribute.BasicFileAttributes;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -45,7 +45,7 @@
   private final String proxy;
   private final Map<String, Ban> bans = new TreeMap<>();
   private FileChannel lockFile;
-  private Object seen; // tells one state of the file from the next
+  private FileStamp seen; // of the file, when it was last read or written
 
   public BanFile(Path path, String proxy) {
     this.path = path;
@@ -80,7 +80,7 @@
 
   /** Takes over what another process has stored since; returns what is new. */
   public List<Ban> refresh() {
-    Object state = state();
+    FileStamp state = FileStamp.of(path);
     if (Objects.equals(state, seen)) {
       return List.of();
     }
@@ -96,7 +96,7 @@
       Path next = path.resolveSibling(path.getFileName() + "." + ProcessHandle.current().pid());
       Files.writeString(next, json());
       Files.move(next, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-      seen = state();
+      seen = FileStamp.of(path);
       return changed;
     } finally {
       if (lock != null) {
@@ -128,15 +128,6 @@
     return null;
   }
 
-  private Object state() {
-    try {
-      BasicFileAttributes a = Files.readAttributes(path, BasicFileAttributes.class);
-      return List.of(a.lastModifiedTime(), a.size(), String.valueOf(a.fileKey()));
-    } catch (IOException e) {
-      return null;
-    }
-  }
-
   private List<Ban> merge(List<Ban> others) {
     List<Ban> changed = new ArrayList<>();
     for (Ban other : others) {
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -23,6 +23,7 @@
 import beampoint.Balancer.SetTimer;
 import beampoint.Balancer.Settings;
 import beampoint.Balancer.TimerFired;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -524,25 +525,32 @@
         .withFleet(4);
   }
 
-  /** Serves reads of ever other keys, one in so many ms; how many times a connection was closed. */
-  private static int closes(Fixture f, double gap) {
-    int closes = 0;
-    for (int i = 0; i < 200; i++) {
+  /** Serves a read of each key, one in so many ms; how often connections to each cache were closed. */
+  private static Map<String, Integer> closes(Fixture f, double gap, LongStream keys) {
+    Map<String, Integer> closes = new HashMap<>();
+    keys.forEach(key -> {
       f.now += gap;
       long id = f.nextId();
-      String endpoint = Fixture.sentTo(f.read(i));
-      closes += f.end(id, 0, endpoint, 10, Result.OK).contains(new CloseIdle(endpoint)) ? 1 : 0;
-    }
+      List<Action> actions = new ArrayList<>(f.read(key));
+      actions.addAll(f.end(id, 0, Fixture.sentTo(actions), 10, Result.OK));
+      actions.stream().filter(CloseIdle.class::isInstance)
+          .forEach(a -> closes.merge(((CloseIdle) a).endpoint(), 1, Integer::sum));
+    });
     return closes;
   }
 
+  /** The same for ever other keys, over all caches. */
+  private static int closes(int balancers, double gap) {
+    return closes(priced(balancers), gap, LongStream.range(0, 200)).values().stream().mapToInt(n -> n).sum();
+  }
+
   /** However often one balancer sends: the more of them there are, the more connections a cache holds. */
   @Test
   void connectionsAreHeldWhereTheyAreUsedOftenForTheLoadOfTheFleet() {
-    assertTrue(closes(priced(20), 100) < 5);
-    assertTrue(closes(priced(20), 1_000) < 5);
-    assertTrue(closes(priced(400), 100) > 150);
-    assertTrue(closes(priced(400), 1_000) > 150);
+    assertTrue(closes(20, 100) < 5);
+    assertTrue(closes(20, 1_000) < 5);
+    assertTrue(closes(400, 100) > 150);
+    assertTrue(closes(400, 1_000) > 150);
   }
 
   @Test
@@ -553,15 +561,8 @@
         .toList();
     Fixture f = priced(60);
     assertEquals(endpoint, f.served(5));
-    int closes = 0;
-    for (int i = 0; i < 2_000; i++) {
-      f.now += 100;
-      long id = f.nextId();
-      List<Action> actions = f.read(keys.get(i % keys.size()));
-      closes += actions.contains(new CloseIdle(endpoint)) ? 1 : 0;
-      f.end(id, 0, Fixture.sentTo(actions), 10, Result.OK);
-    }
-    assertEquals(1, closes);
+    assertEquals(1, closes(f, 100, LongStream.range(0, 2_000).map(i -> keys.get((int) i % keys.size())))
+        .get(endpoint));
   }
 
   /** Guards against attempts that are all gone within a moment, and against a request parked till its end. */
