--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -33,8 +33,8 @@
   private static final double NEAR_STRAIN = 0.5; // of the aim: an origin that takes longer is strained
   private static final double NEAR_STEP = 0.1; // of the near places that one such answer takes back
   private static final double CACHE_PART = 0.5; // of the time to the aim at a cache: a miss comes on top
-  private static final double LATE_COST = 3; // parts of it that each part of late attempts takes away
-  private static final double LEAST_ROOM = 0.5; // that is left of it
+  private static final double LATE_COST = 3; // parts of the room that each part of late attempts takes away
+  private static final double MIN_ROOM = 0.5; // that is left of it
   private static final double OVER_SHARE_PART = 0.4; // of that, for traffic beyond a share at busy caches
   private static final double FADE = 1000; // evidence counts half after this or after some sends to one
   private static final double SENDS_KEPT = 3; // cache, as many as this,
@@ -163,7 +163,7 @@
     }
     // Guards against refusals in a fleet with room, where a key's two caches are behind for a moment.
     Node sooner = second == null || expectedTime(primary) <= expectedTime(second) ? primary : second;
-    return !r.yields && expectedTime(sooner) <= (r.aimAt - now) * punctuality() ? sooner : null;
+    return !r.yields && expectedTime(sooner) <= (r.aimAt - now) * punctuality(sooner) ? sooner : null;
   }
 
   /** The next distinct ready cache clockwise after so many, without those tried; near buckets begin near. */
@@ -181,8 +181,7 @@
       Node node = ring.owner(start + i);
       if (!passed.contains(node)) {
         // A cold cache takes its own buckets only, not what its neighbours spill.
-        boolean open = i == 0 ? mayTake(node) : warmth(node) >= 1;
-        if (open && isReady(node, r) && skip-- == 0) {
+        if ((i == 0 ? mayTake(node) : warmth(node) >= 1) && isReady(node, r) && skip-- == 0) {
           return node;
         }
         passed.add(node);
@@ -236,14 +235,15 @@
   private boolean hasRoom(Node node, Request r) {
     double left = (now > r.aimAt ? r.usefulUntil : r.aimAt) - now;
     double part = r.yields ? 1 - busy.value(now, FADE, 1, PRIOR) * (1 - OVER_SHARE_PART) : 1;
-    return expectedTime(node) <= left * part * (node.origin ? 1 : CACHE_PART * punctuality());
+    return expectedTime(node) <= left * part * punctuality(node) * (node.origin ? 1 : CACHE_PART);
   }
 
   private final Mean late = new Mean(); // attempts at caches whose time ran out, of all
+  private final Mean lateOrigin = new Mean(); // the same at the origin
 
   /** Guards against a jam that upholds itself: where much comes late, what is expected is too little. */
-  private double punctuality() {
-    return Math.max(LEAST_ROOM, 1 - LATE_COST * late.value(now, FADE, 0, PRIOR));
+  private double punctuality(Node node) {
+    return Math.max(MIN_ROOM, 1 - LATE_COST * (node.origin ? lateOrigin : late).value(now, FADE, 0, PRIOR));
   }
 
   /**
@@ -301,8 +301,8 @@
         pool.add(now, FADE, seen);
       }
     }
+    (node.origin ? lateOrigin : late).add(now, FADE, result == Result.TIMEOUT ? 1 : 0);
     if (!node.origin) {
-      late.add(now, FADE, result == Result.TIMEOUT ? 1 : 0);
       bad.add(now, LONGEST_FADE, result == Result.OK || result == Result.MISS ? 0 : 1);
     }
     served.add(now, LONGEST_FADE, result == Result.OK ? 1 : 0);
--- a/src/test/java/beampoint/LateAnswerTest.java
+++ b/src/test/java/beampoint/LateAnswerTest.java
@@ -95,6 +95,38 @@
     assertTrue(refused(3) > 40, "refused: " + refused(3));
   }
 
+  /** Reads that miss, fetched in 0.6 of the time left, every so manieth late; how many are refused. */
+  private static int refusedFetches(int lateEvery) {
+    Fixture f = new Fixture(Fixture.READ).withFleet(10);
+    int refused = 0;
+    for (int i = 0; i < 600; i++) {
+      boolean late = i % lateEvery == lateEvery - 1;
+      f.now += 10;
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(1_000 + i));
+      int attempt = 0;
+      for (; endpoint != null && !endpoint.equals("origin"); attempt++) {
+        f.now += 10;
+        endpoint = Fixture.sentTo(f.end(id, attempt, endpoint, 10, Result.MISS));
+      }
+      refused += endpoint == null && i >= 200 ? 1 : 0;
+      if (endpoint != null) {
+        double left = 500 - 10 * attempt;
+        f.now += late ? left : 0;
+        f.end(id, attempt, endpoint, late ? left : 300, late ? Result.TIMEOUT : Result.OK);
+      }
+    }
+    return refused;
+  }
+
+  /** Guards against an origin that all keep busy with fetches for which nobody waits any more. */
+  @Test
+  void lessIsFetchedWhereManyFetchesComeLate() {
+    assertEquals(0, refusedFetches(1_000));
+    assertEquals(0, refusedFetches(20));
+    assertTrue(refusedFetches(3) > 40, "refused: " + refusedFetches(3));
+  }
+
   /** Guards against a fleet that refuses because it refused: late answers are forgotten within seconds. */
   @Test
   void whatCameLateIsForgottenSoonThoughAllWasRefused() {
