An attempt that was turned away without being run costs none of the retries

Logic.onFailure priced all but refused connects alike. Ruled out: dead caches (connects are refused until 0:09 only), the origin (0.3% unanswered), near places. Now what never ran is free, within the attempts that the site allows.

--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -578,7 +578,7 @@
     // An origin without a free connection is asked after a pause: at once, all attempts would be gone.
     boolean full = node.origin && result == Result.CONNECT_FAILED;
     double next = now + (full ? random.nextDouble() * expectedTime(node) : 0);
-    double price = result == Result.CONNECT_FAILED ? 0 : 1;
+    double price = result.neverRan ? 0 : 1; // what was turned away at once cost nobody work
     if (result == Result.NOT_SENT || next >= r.usefulUntil
         || retryBudget < price || r.attempts >= r.maxAttempts) {
       giveUp(r);
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/LogicTest.java
@@ -455,13 +455,18 @@
   }
 
   @Test
-  void aRefusedConnectDoesNotUseUpTheRetries() {
+  void whatNeverRanDoesNotUseUpTheRetries() {
+    everyFirstAttemptEnds(Result.CONNECT_FAILED);
+    everyFirstAttemptEnds(Result.FULL);
+  }
+
+  private static void everyFirstAttemptEnds(Result result) {
     Fixture f = busy(6);
     for (long key = 0; key < 20; key++) {
       long id = f.nextId();
       String endpoint = Fixture.sentTo(f.read(key));
-      String next = Fixture.sentTo(f.end(id, 0, endpoint, 1, Result.CONNECT_FAILED));
-      assertNotNull(next, "request " + key);
+      String next = Fixture.sentTo(f.end(id, 0, endpoint, 1, result));
+      assertNotNull(next, result + ", request " + key);
       f.end(id, 1, next, 10, Result.OK);
       f.now += 2_000;
     }
