Test: an origin asked for too much, which works on what was given up, serves most of what it can

Two hundred instances in virtual time before one origin with a queue of three seconds, asked for twice its capacity.

--- /dev/null
+++ b/src/test/java/beampoint/OriginJamTest.java
@@ -0,0 +1,120 @@
+package beampoint;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.Action;
+import beampoint.Balancer.AttemptEnded;
+import beampoint.Balancer.Limits;
+import beampoint.Balancer.Prices;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Rules;
+import beampoint.Balancer.Send;
+import beampoint.Balancer.SetTimer;
+import beampoint.Balancer.Settings;
+import beampoint.Balancer.Tenant;
+import beampoint.Balancer.TimerFired;
+import beampoint.Balancer.WeightSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Many instances before one origin that works in turn on all that it was sent, also on fetches for which
+ * nobody waits any more, and can do less than the misses there are.
+ */
+class OriginJamTest {
+
+  private static final int INSTANCES = 200;
+  private static final double CAPACITY = 0.2; // fetches a millisecond
+  private static final double LONGEST_QUEUE = 3_000;
+  private static final double MISS = 60; // what a cache takes to say so
+
+  private record Task(double at, long order, Runnable what) {}
+
+  private final PriorityQueue<Task> tasks = new PriorityQueue<>((a, b) ->
+      a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
+  private final List<Fixture> fleet = new ArrayList<>();
+  private final Map<String, Integer> attempts = new HashMap<>(); // by instance and request
+  private final Random random = new Random(11);
+  private double now = 50_000;
+  private double busyUntil;
+  private long order;
+  private int served;
+
+  private void at(double time, Runnable what) {
+    tasks.add(new Task(time, order++, what));
+  }
+
+  private void carryOut(int instance, List<Action> actions) {
+    for (Action action : actions) {
+      if (action instanceof SetTimer a) {
+        at(now + a.delay(), () -> give(instance, new TimerFired(a.token())));
+      } else if (action instanceof Send a) {
+        int number = attempts.merge(instance + "/" + a.id(), 1, Integer::sum) - 1;
+        double sentAt = now;
+        double limit = a.limit() > 0 ? a.limit() : 800;
+        if (!a.endpoint().equals("origin")) {
+          at(now + MISS, () -> end(instance, a, number, sentAt, Result.MISS));
+        } else if (busyUntil > now + LONGEST_QUEUE) {
+          at(now + 1, () -> end(instance, a, number, sentAt, Result.FULL));
+        } else {
+          busyUntil = Math.max(now, busyUntil) + 1 / CAPACITY;
+          boolean inTime = busyUntil <= now + limit;
+          at(inTime ? busyUntil : now + limit,
+              () -> end(instance, a, number, sentAt, inTime ? Result.OK : Result.TIMEOUT));
+        }
+      }
+    }
+  }
+
+  private void end(int instance, Send send, int number, double sentAt, Result result) {
+    served += result == Result.OK ? 1 : 0;
+    give(instance,
+        new AttemptEnded(send.id(), number, send.endpoint(), now - sentAt, result, result == Result.OK));
+  }
+
+  private void give(int instance, Balancer.Event event) {
+    fleet.get(instance).now = now;
+    carryOut(instance, fleet.get(instance).balancer.handle(now, event));
+  }
+
+  private void arrive(double rate, double end) {
+    int instance = random.nextInt(INSTANCES);
+    fleet.get(instance).now = now;
+    carryOut(instance, fleet.get(instance).read(order + 1_000));
+    double next = now - Math.log(1 - random.nextDouble()) / rate;
+    if (next < end) {
+      at(next, () -> arrive(rate, end));
+    }
+  }
+
+  private void run(double time) {
+    double end = now + time;
+    while (!tasks.isEmpty() && tasks.peek().at < end) {
+      Task task = tasks.poll();
+      now = task.at;
+      task.what.run();
+    }
+    now = end;
+  }
+
+  /** Guards against a fleet that keeps an origin at work on what nobody waits for: nothing is served. */
+  @Test
+  void anOriginThatIsAskedForTooMuchServesMostOfWhatItCan() {
+    for (int i = 0; i < INSTANCES; i++) {
+      fleet.add(new Fixture(new Settings(i, INSTANCES, i % 2, true, WeightSource.NOMINAL, Fixture.ORIGIN, 0.1,
+          new Limits(3, false, false, true, 400, 50), new Rules(500, 3, 2_000, 0.25, 8_000, 10_000),
+          new Prices(0, 0, 0, 0.02), List.of(Fixture.READ), List.of(new Tenant(1_000)))).withFleet(20));
+    }
+    arrive(2 * CAPACITY, now + 30_000);
+    run(15_000);
+    served = 0;
+    run(15_000);
+    double part = served / (CAPACITY * 15_000);
+    assertTrue(part > 0.5, "served of what the origin can: " + part);
+  }
+}
