--- a/src/main/java/beampoint/Logic.java
+++ b/src/main/java/beampoint/Logic.java
@@ -30,8 +30,6 @@
   private static final double COPY_PART = 0.5; // of a cache's fair share that one bucket may draw there
   private static final double HEAT_FADE = 30_000; // what a bucket draws or a connection is used counts half
   private static final double NEAR_RAMP = 8_000; // in which all buckets get places in each zone
-  private static final double NEAR_STRAIN = 0.5; // of the aim: an origin that takes longer is strained
-  private static final double NEAR_STEP = 0.1; // of the near places that one such answer takes back
   private static final double CACHE_PART = 0.5; // of the time to the aim at a cache: a miss comes on top
   private static final double LATE_COST = 3; // parts of the room that each part of late attempts takes away
   private static final double MIN_ROOM = 0.5; // that is left of it
@@ -206,7 +204,7 @@
     return null;
   }
 
-  private double roomSince = Double.NEGATIVE_INFINITY; // at the origin, less what strains took back
+  private double roomSince = Double.NEGATIVE_INFINITY; // at the origin
 
   /** Crossing zones costs, but so do misses: buckets have near places while the origin has room. */
   private double nearPart() {
@@ -214,10 +212,9 @@
     return zones > 1 && settings.prices().crossZone() > 0 ? (now - roomSince) / NEAR_RAMP : 0;
   }
 
-  /** A slow fetch may be a heavy one and takes a part of the near places back; one that failed takes all. */
-  private void strain(double part) {
-    nearPart();
-    roomSince = Math.min(now, roomSince + part * NEAR_RAMP);
+  /** A fetch that failed takes all near places back: misses at the shared places are fewer. */
+  private void strain() {
+    roomSince = now;
   }
 
   /** A bucket has as many primaries as its traffic fills: a key hotter than two caches would sink them. */
@@ -258,15 +255,12 @@
   }
 
   /**
-   * The recent time at all caches and the age of what is out, as a jam gives no answers. It fades, the sooner
-   * the longer none is asked: else refusals, which end the evidence, would uphold what they rest on.
+   * The recent time at all caches. It fades, the sooner the longer none is asked: else refusals, which end
+   * the evidence, would uphold what they rest on.
    */
   private double fleetTime() {
     double silence = outAtCaches > 0 ? 0 : pool.count(now, FADE) * pool.age(now) / memory();
-    double answered = pool.value(now, FADE, 0, PRIOR / 8 + silence);
-    double age = outAtCaches == 0 ? 0 : Math.log(Math.max(1, now - outSince / outAtCaches));
-    double known = (age * outAtCaches + answered * PRIOR) / (outAtCaches + PRIOR);
-    return Math.exp(age <= answered ? answered : pool.value(now, FADE, known, outAtCaches + PRIOR));
+    return Math.exp(pool.value(now, FADE, 0, PRIOR / 8 + silence));
   }
 
   /** How long evidence on one cache is kept: if for one send, each send would find it out anew. */
@@ -397,11 +391,13 @@
 
   private Node openOrigin(Request r) {
     boolean room = origin != null && hasRoom(origin, r);
-    strain(room ? 0 : 1);
+    if (!room) {
+      strain();
+    }
     return room && mayRunAt(r, origin) ? origin : null;
   }
 
-  /** A miss is fetched, once a key at a time; if the origin has no room, the second cache may hold it. */
+  /** A miss is fetched, once a key at a time. */
   private void onMiss(Request r) {
     List<Request> waiting = r.key < 0 ? null : fetches.get(r.key);
     int attemptsLeft = r.maxAttempts - r.attempts;
@@ -416,7 +412,7 @@
       }
       sendOrGiveUp(r, open);
     } else {
-      sendOrGiveUp(r, r.tried.size() < 2 && attemptsLeft >= 2 ? pick(r) : null);
+      giveUp(r);
     }
   }
 
@@ -502,7 +498,6 @@
     Attempt attempt = new Attempt(node, now, ++node.inFlight, r.type, r.attempts++);
     r.out.add(attempt);
     outAtCaches += node.origin ? 0 : 1;
-    outSince += node.origin ? 0 : now;
     node.flights.add(attempt);
     node.uses.add(now, HEAT_FADE, 1);
     node.freeAt = warmth(node) >= 1 ? now : Math.max(now, node.freeAt) + coldGap(node);
@@ -537,23 +532,21 @@
     attempt.over = true;
     attempt.node.inFlight--;
     outAtCaches -= attempt.node.origin ? 0 : 1;
-    outSince -= attempt.node.origin ? 0 : attempt.sentAt;
     boolean answered = e.result() == Result.OK || e.result() == Result.MISS;
     attempt.node.answeredAt = answered ? now : attempt.node.answeredAt;
     idle.remove(attempt.node);
     idle.add(attempt.node);
-    attempt.node.refusedAt = e.result() == Result.CONNECT_FAILED ? now : attempt.node.refusedAt;
     observe(attempt, e.elapsed(), e.result());
-    if (attempt.node.origin) {
-      strain(e.result() != Result.OK ? 1 : e.elapsed() > NEAR_STRAIN * attempt.type.aim() ? NEAR_STEP : 0);
-    } else if (e.load() != null) {
+    if (attempt.node.origin && e.result() != Result.OK) {
+      strain();
+    } else if (!attempt.node.origin && e.load() != null) {
       onLoad(e.load());
     }
   }
 
   private final List<Node> idle = new ArrayList<>(); // endpoints with perhaps an idle connection
 
-  /** Held while used often enough for its price; not while connects are refused: others may lack it. */
+  /** Held while used often enough for its price. */
   private boolean worthHolding(Node node) {
     double rate = taken.rate(now, LONGEST_FADE);
     double hold = 100_000 * caches.size() * settings.prices().handshake();
@@ -561,7 +554,7 @@
     double seen = (1 - Math.pow(0.5, (now - startedAt) / HEAT_FADE)) * HEAT_FADE / Math.log(2);
     double uses = (PRIOR + node.uses.count(now, HEAT_FADE)) / (PRIOR * caches.size() / rate + seen);
     double all = Math.min(1000 * rate * settings.siblings(), quotas > 0 ? quotas : Double.MAX_VALUE);
-    return now - node.refusedAt > memory() && uses * hold >= settings.prices().connection() * all;
+    return uses * hold >= settings.prices().connection() * all;
   }
 
   private void closeIdle() {
@@ -646,8 +639,7 @@
   private final Map<Integer, Double> sizes = new HashMap<>(); // the greatest weight listed for each kind
   private final List<Node> caches = new ArrayList<>(); // that run
   private int zones; // in which they run
-  private int outAtCaches; // attempts, and the sum of the times when they were sent
-  private double outSince;
+  private int outAtCaches; // attempts
   private Node origin;
   private long listCall;
   private boolean listAnswered;
--- a/src/main/java/beampoint/State.java
+++ b/src/main/java/beampoint/State.java
@@ -29,8 +29,6 @@
     final Mean uses = new Mean();
     /** When it last gave an answer that shows it at work. */
     double answeredAt;
-    /** When it last refused a connection. */
-    double refusedAt = Double.NEGATIVE_INFINITY;
     /** When a cold cache may be sent more. */
     double freeAt = -1;
     Mean time = new Mean();
