The decision module is a package: one file for each part that decides

Logic.java held all decisions and their state in 600 lines. ArchUnit: the module uses nothing but its interface, itself and the JDK's java.lang and java.util, and its parts have no cycles.

--- a/src/main/java/beampoint/cli/EmulateCommand.java
+++ b/src/main/java/beampoint/cli/EmulateCommand.java
@@ -1,6 +1,6 @@
 package beampoint.cli;
 
-import beampoint.Logic;
+import beampoint.policy.Logic;
 import beampoint.emulator.Emulation;
 import beampoint.emulator.Loopback;
 import beampoint.emulator.Report;
--- a/src/main/java/beampoint/cli/ExperimentCommand.java
+++ b/src/main/java/beampoint/cli/ExperimentCommand.java
@@ -1,6 +1,6 @@
 package beampoint.cli;
 
-import beampoint.Logic;
+import beampoint.policy.Logic;
 import beampoint.experiment.Experiment;
 import beampoint.experiment.Plan;
 import beampoint.experiment.Results;
--- a/src/main/java/beampoint/cli/Main.java
+++ b/src/main/java/beampoint/cli/Main.java
@@ -1,6 +1,6 @@
 package beampoint.cli;
 
-import beampoint.Logic;
+import beampoint.policy.Logic;
 import beampoint.log.Log;
 import beampoint.serve.Config;
 import beampoint.serve.Proxy;
--- a/src/main/java/beampoint/Heat.java
+++ b/src/main/java/beampoint/policy/state/Heat.java
@@ -1,21 +1,21 @@
-package beampoint;
+package beampoint.policy.state;
 
 import java.util.Arrays;
 
 /** How often each bucket was asked for of late; it holds counts and decides nothing. */
-final class Heat {
+public final class Heat {
 
   private final double[] counts;
   private final double halfLife;
   private double total;
   private double halvedAt;
 
-  Heat(int buckets, double halfLife) {
+  public Heat(int buckets, double halfLife) {
     this.counts = new double[buckets];
     this.halfLife = halfLife;
   }
 
-  void add(double now, int bucket) {
+  public void add(double now, int bucket) {
     if (now - halvedAt >= halfLife) {
       Arrays.setAll(counts, i -> counts[i] / 2);
       total /= 2;
@@ -25,11 +25,11 @@
     total++;
   }
 
-  double of(int bucket) {
+  public double of(int bucket) {
     return counts[bucket];
   }
 
-  double total() {
+  public double total() {
     return total;
   }
 }
--- a/src/main/java/beampoint/Mean.java
+++ b/src/main/java/beampoint/policy/state/Mean.java
@@ -1,14 +1,14 @@
-package beampoint;
+package beampoint.policy.state;
 
 /** A mean of observations that count half after a time; it holds figures and decides nothing. */
-final class Mean {
+public final class Mean {
 
   private double sum;
   private double count;
   private double at;
   private double addedAt;
 
-  void add(double now, double halfLife, double value) {
+  public void add(double now, double halfLife, double value) {
     fade(now, halfLife);
     addedAt = now;
     sum += value;
@@ -16,29 +16,29 @@
   }
 
   /** The mean, with a prior value that counts like so many observations. */
-  double value(double now, double halfLife, double prior, double weight) {
+  public double value(double now, double halfLife, double prior, double weight) {
     fade(now, halfLife);
     return (sum + prior * weight) / (count + weight);
   }
 
   /** What is left of the observations' number. */
-  double count(double now, double halfLife) {
+  public double count(double now, double halfLife) {
     fade(now, halfLife);
     return count;
   }
 
   /** How long ago the last observation was. */
-  double age(double now) {
+  public double age(double now) {
     return now - addedAt;
   }
 
   /** Observations a millisecond. */
-  double rate(double now, double halfLife) {
+  public double rate(double now, double halfLife) {
     return count(now, halfLife) * Math.log(2) / halfLife;
   }
 
   /** What is left of the observations' sum, as of the last one. */
-  double sum() {
+  public double sum() {
     return sum;
   }
 
--- a/src/main/java/beampoint/RingPoints.java
+++ b/src/main/java/beampoint/policy/state/RingPoints.java
@@ -1,12 +1,11 @@
-package beampoint;
+package beampoint.policy.state;
 
-import beampoint.State.Node;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 
 /** The points of a ring in order, each with its owner: a container; who has how many is decided elsewhere. */
-final class RingPoints {
+public final class RingPoints {
 
   /** Owners that can be told apart at one time. */
   private static final long MOST_SLOTS = 1 << 16;
@@ -16,28 +15,28 @@
   private final List<Node> slots = new ArrayList<>();
   private int changes;
 
-  int size() {
+  public int size() {
     return points.length;
   }
 
   /** How often points were changed. */
-  int changes() {
+  public int changes() {
     return changes;
   }
 
   /** The place of the first point clockwise from a hash. */
-  int after(long hash) {
+  public int after(long hash) {
     int found = Arrays.binarySearch(points, hash & -MOST_SLOTS);
     return found >= 0 ? found : -found - 1;
   }
 
   /** The owner of the point so many places on. */
-  Node owner(int place) {
+  public Node owner(int place) {
     return slots.get((int) (points[place % points.length] & MOST_SLOTS - 1));
   }
 
   /** Replaces all points of these owners by as many as each now has; those of the others stay. */
-  void replace(List<Node> owners) {
+  public void replace(List<Node> owners) {
     if (owners.isEmpty()) {
       return;
     }
--- a/src/test/java/beampoint/PackagesTest.java
+++ b/src/test/java/beampoint/PackagesTest.java
@@ -15,6 +15,10 @@
   @ArchTest
   static final ArchRule NO_CIRCLES = slices().matching("beampoint.(*)..").should().beFreeOfCycles();
 
+  @ArchTest
+  static final ArchRule NO_CIRCLES_IN_THE_MODULE = slices().matching("beampoint.policy.(*)..").should()
+      .beFreeOfCycles();
+
   @ArchTest
   static final ArchRule CLIENT_SIDE_KNOWS_NO_UPSTREAM = noClasses().that()
       .resideInAPackage("beampoint.client..").should().dependOnClassesThat()
@@ -27,10 +31,12 @@
 
   @ArchTest
   static final ArchRule ONLY_THE_SERVICE_CALLS_THE_MODULE = noClasses().that()
-      .resideOutsideOfPackages("beampoint", "beampoint.cli..", "beampoint.sim..", "beampoint.serve..")
+      .resideOutsideOfPackages("beampoint.policy..", "beampoint.cli..", "beampoint.sim..",
+          "beampoint.serve..")
       .should().dependOnClassesThat().haveSimpleName("Logic");
 
   @ArchTest
-  static final ArchRule THE_MODULE_KNOWS_NO_SOCKETS = noClasses().that().resideInAPackage("beampoint")
-      .should().dependOnClassesThat().resideInAnyPackage("beampoint.*..", "java.net..", "org.glassfish..");
+  static final ArchRule THE_MODULE_KNOWS_ITS_INTERFACE_AND_ITSELF = noClasses().that()
+      .resideInAnyPackage("beampoint", "beampoint.policy..").should().dependOnClassesThat()
+      .resideOutsideOfPackages("beampoint", "beampoint.policy..", "java.lang..", "java.util..");
 }
--- a/src/test/java/beampoint/emulator/ChaosTest.java
+++ b/src/test/java/beampoint/emulator/ChaosTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import beampoint.Logic;
+import beampoint.policy.Logic;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
--- a/src/test/java/beampoint/emulator/EmulationTest.java
+++ b/src/test/java/beampoint/emulator/EmulationTest.java
@@ -12,7 +12,7 @@
 import beampoint.Balancer.RequestReceived;
 import beampoint.Balancer.Result;
 import beampoint.Balancer.Send;
-import beampoint.Logic;
+import beampoint.policy.Logic;
 import beampoint.settings.InputException;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/test/java/beampoint/emulator/LoopbackTest.java
+++ b/src/test/java/beampoint/emulator/LoopbackTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import beampoint.Logic;
+import beampoint.policy.Logic;
 import beampoint.cli.Main;
 import java.nio.file.Path;
 import java.util.List;
--- a/src/test/java/beampoint/experiment/ExperimentTest.java
+++ b/src/test/java/beampoint/experiment/ExperimentTest.java
@@ -8,7 +8,7 @@
 
 import beampoint.Balancer;
 import beampoint.Balancer.Settings;
-import beampoint.Logic;
+import beampoint.policy.Logic;
 import beampoint.emulator.Emulation;
 import beampoint.emulator.Scenario;
 import beampoint.settings.InputException;
--- a/src/test/java/beampoint/BanTest.java
+++ b/src/test/java/beampoint/policy/BanTest.java
@@ -1,10 +1,11 @@
-package beampoint;
+package beampoint.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beampoint.Balancer;
 import beampoint.Balancer.Action;
 import beampoint.Balancer.BanChanged;
 import beampoint.Balancer.CloseIdle;
--- a/src/test/java/beampoint/Fixture.java
+++ b/src/test/java/beampoint/policy/Fixture.java
@@ -1,5 +1,6 @@
-package beampoint;
+package beampoint.policy;
 
+import beampoint.Balancer;
 import beampoint.Balancer.Action;
 import beampoint.Balancer.AttemptEnded;
 import beampoint.Balancer.DedupGroup;
--- a/src/test/java/beampoint/FleetTest.java
+++ b/src/test/java/beampoint/policy/FleetTest.java
@@ -1,7 +1,8 @@
-package beampoint;
+package beampoint.policy;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beampoint.Balancer;
 import beampoint.Balancer.Endpoint;
 import beampoint.Balancer.EndpointState;
 import beampoint.Balancer.Limits;
--- a/src/test/java/beampoint/LateAnswerTest.java
+++ b/src/test/java/beampoint/policy/LateAnswerTest.java
@@ -1,9 +1,10 @@
-package beampoint;
+package beampoint.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beampoint.Balancer;
 import beampoint.Balancer.Action;
 import beampoint.Balancer.DedupGroup;
 import beampoint.Balancer.Idempotency;
--- a/src/test/java/beampoint/LoadReportTest.java
+++ b/src/test/java/beampoint/policy/LoadReportTest.java
@@ -1,8 +1,9 @@
-package beampoint;
+package beampoint.policy;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beampoint.Balancer;
 import beampoint.Balancer.Load;
 import beampoint.Balancer.Refuse;
 import beampoint.Balancer.Result;
--- a/src/test/java/beampoint/LogicTest.java
+++ b/src/test/java/beampoint/policy/LogicTest.java
@@ -1,4 +1,4 @@
-package beampoint;
+package beampoint.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beampoint.Balancer;
 import beampoint.Balancer.Action;
 import beampoint.Balancer.CloseIdle;
 import beampoint.Balancer.DedupGroup;
@@ -379,12 +380,12 @@
   void aListThatMovesNoPointsCostsNoRing() {
     Fixture f = new Fixture(Fixture.READ).withFleet(8);
     Logic logic = (Logic) f.balancer;
-    int before = logic.ring.changes();
+    int before = logic.facts.points.changes();
     f.list(ListKind.FULL, Fixture.fleet(8));
     f.list(ListKind.CHANGES, List.of(Fixture.cache(3)));
-    assertEquals(before, logic.ring.changes());
+    assertEquals(before, logic.facts.points.changes());
     f.list(ListKind.CHANGES, List.of(Fixture.cache(3, EndpointState.DRAINING, 0)));
-    assertEquals(before + 1, logic.ring.changes());
+    assertEquals(before + 1, logic.facts.points.changes());
   }
 
   @Test
--- a/src/test/java/beampoint/NearPlaceTest.java
+++ b/src/test/java/beampoint/policy/NearPlaceTest.java
@@ -1,4 +1,4 @@
-package beampoint;
+package beampoint.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
--- a/src/test/java/beampoint/OriginJamTest.java
+++ b/src/test/java/beampoint/policy/OriginJamTest.java
@@ -1,7 +1,8 @@
-package beampoint;
+package beampoint.policy;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beampoint.Balancer;
 import beampoint.Balancer.Action;
 import beampoint.Balancer.AttemptEnded;
 import beampoint.Balancer.Limits;
--- a/src/test/java/beampoint/serve/MigrationTest.java
+++ b/src/test/java/beampoint/serve/MigrationTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Balancer;
-import beampoint.Logic;
+import beampoint.policy.Logic;
 import beampoint.Stub;
 import java.io.IOException;
 import java.util.ArrayList;
--- a/src/test/java/beampoint/sim/DrillTest.java
+++ b/src/test/java/beampoint/sim/DrillTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Balancer.RequestReceived;
-import beampoint.Logic;
+import beampoint.policy.Logic;
 import beampoint.settings.InputException;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
