Lists may come indented, and a watch that breaks in quiet is asked for as soon each time

Watch.take cut what a watch brings at every line end, so an indented list was read as broken JSON, the watch ended, and the next one brought the same again: no list was ever taken. ListText finds the end of an object over lines; an empty line within one tells that the rest won't come. Watch.line reset the wait before the next call only by a list: after some breaks in a quiet hour it stood at up to 1.5 s on top of 5 s of silence, past the 6 s after which what was missed counts as told. An empty line resets it now, as it shows that discovery answers.

--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -11,9 +11,7 @@
 import beampoint.settings.Address;
 import beampoint.transport.PeerFilter;
 import com.google.gson.JsonParseException;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.Random;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
@@ -41,7 +39,7 @@
   public static final long SILENCE_MS = 5000;
   private static final long FIRST_WAIT_MS = 100;
   private static final long LONGEST_WAIT_MS = 1000; // what is told counts from when it could be heard
-  private static final int MAX_LINE = 8 * 1024 * 1024;
+  private static final int MAX_TEXT = 8 * 1024 * 1024;
 
   private final ScheduledExecutorService loop;
   private final Counters counters;
@@ -65,7 +63,7 @@
     private boolean heard; // a list, or the empty line that stands for no change
     private Future<?> connecting;
     private Future<?> silence;
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final ListText text = new ListText();
 
     Call(InetSocketAddress address) {
       this.address = address;
@@ -156,7 +154,7 @@
     return true;
   }
 
-  /** Asks again after a while; every wait without a list between is longer. */
+  /** Asks again after a while; every wait without a word between is longer. */
   public void followLater() {
     long scattered = wait / 2 + (long) (random.nextDouble() * wait);
     wait = Math.min(LONGEST_WAIT_MS, wait * 2);
@@ -199,16 +197,13 @@
 
   private void take(Call own, Buffer bytes) {
     for (int i = bytes.position(); i < bytes.limit() && isOpen(own); i++) {
-      if (bytes.get(i) != '\n') {
-        own.line.write(bytes.get(i));
-      } else {
-        String text = own.line.toString(StandardCharsets.UTF_8).trim();
-        own.line.reset();
+      String text = own.text.take(bytes.get(i));
+      if (text != null) {
         line(own, text);
       }
     }
-    if (own.line.size() > MAX_LINE) {
-      end(own, "line too long");
+    if (own.text.length() > MAX_TEXT) {
+      end(own, "list too long");
     }
   }
 
@@ -222,12 +217,13 @@
       return;
     }
     own.heard = true;
+    // Guards against a watch that falls silent again and is asked for too late: its address answers.
+    wait = FIRST_WAIT_MS;
     if (own == call) {
       drop(before);
     }
     if (list != null) {
       version = list.version();
-      wait = FIRST_WAIT_MS;
       counters.add(Counter.LISTS_RECEIVED);
       listed.accept(list);
     }
--- a/src/test/java/beampoint/discovery/WatchTest.java
+++ b/src/test/java/beampoint/discovery/WatchTest.java
@@ -8,12 +8,16 @@
 import beampoint.count.Counter;
 import beampoint.count.Counters;
 import beampoint.settings.Address;
+import com.google.gson.GsonBuilder;
 import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -32,8 +36,17 @@
   private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
   private final TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance().build();
+  private final List<Long> waits = Collections.synchronizedList(new ArrayList<>());
   private final ScheduledExecutorService loop =
-      new ScheduledThreadPoolExecutor(1, new ThreadPoolExecutor.DiscardPolicy());
+      new ScheduledThreadPoolExecutor(1, new ThreadPoolExecutor.DiscardPolicy()) {
+        @Override
+        public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
+          if (unit == TimeUnit.MILLISECONDS && delay > 0 && delay != Watch.SILENCE_MS) {
+            waits.add(delay);
+          }
+          return super.schedule(task, delay, unit);
+        }
+      };
   private final LinkedBlockingQueue<HostList> lists = new LinkedBlockingQueue<>();
   private final Counters counters = new Counters();
   private Watch watch;
@@ -90,6 +103,46 @@
     }
   }
 
+  /** What a silent watch misses counts as told 6 s after: each break in a quiet hour is mended as soon. */
+  @Test
+  void aWatchThatBreaksAgainAndAgainWithoutAChangeBetweenIsAskedForAsSoonEachTime() throws Exception {
+    try (Stub discovery = new Stub(peer -> {
+      peer.head();
+      peer.say(HEAD + chunk(peer.stub().connections() < 7 ? "\n" : list(44, true, "")));
+      if (peer.stub().connections() == 7) {
+        peer.beSilent();
+      }
+    })) {
+      follow(discovery, Watch.SILENCE_MS);
+      assertEquals(44, next().version());
+      assertEquals(6, waits.size());
+      assertTrue(Collections.max(waits) + Watch.SILENCE_MS < 6000, "waits: " + waits);
+      assertTrue(Collections.max(waits) <= 150, "waits: " + waits);
+    }
+  }
+
+  /** Lists may come indented, and one that breaks off must not swallow those after it. */
+  @Test
+  void aListMayBeIndentedAndOneThatBreaksOffBringsTheWholeListAgain() throws Exception {
+    String odd = "{\"host\":\"s-\\\\\\\"}{\",\"health\":\"Gone\"}";
+    String indented = new GsonBuilder().setPrettyPrinting().create()
+        .toJson(JsonParser.parseString(list(42, true, odd)));
+    assertTrue(indented.lines().count() > 8);
+    try (Stub discovery = new Stub(peer -> {
+      boolean again = peer.head().contains("from=0 ");
+      peer.say(HEAD);
+      for (int i = 0; !again && i < indented.length(); i += 7) {
+        peer.say(chunk(indented.substring(i, Math.min(indented.length(), i + 7))));
+      }
+      peer.say(again ? chunk(list(44, true, "")) : chunk("\r\n\n{\n  \"seq\":\n\n"));
+      peer.beSilent();
+    })) {
+      follow(discovery, 5000);
+      assertEquals("s-\\\"}{", next().hosts().get(0).host());
+      assertEquals(44, next().version());
+    }
+  }
+
   /** Guards against a proxy that stays with an old list once its watch has ended, or misses a change. */
   @Test
   void aWatchThatEndsIsAskedForAgainFromTheLastVersion() throws Exception {
--- /dev/null
+++ b/src/test/java/beampoint/policy/ColdBudgetTest.java
@@ -0,0 +1,103 @@
+package beampoint.policy;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.EndpointState;
+import beampoint.Balancer.Limits;
+import beampoint.Balancer.ListKind;
+import beampoint.Balancer.Prices;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Rules;
+import beampoint.Balancer.Settings;
+import beampoint.Balancer.Tenant;
+import beampoint.Balancer.WeightSource;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+
+/** What a hundred instances that share nothing send a cold cache together, beside what it bears. */
+class ColdBudgetTest {
+
+  private static final int INSTANCES = 100;
+  private static final int CACHES = 150;
+  private static final double RATE = 2; // requests a millisecond, over all instances
+  private static final double CAPACITY = RATE / 0.6 / CACHES; // of one warm cache
+  private static final Rules RULES = new Rules(500, 3, 2_000, 0.15, 15_000, 10_000);
+
+  private final Map<String, Deque<Double>> sent = new HashMap<>(); // to cold caches, in the last window
+  private double worst = Double.NEGATIVE_INFINITY; // sends over what a cold cache bears
+  private long toCold;
+
+  /** N + 3 root of N + 3 requests of mean work, N being what the settings allow in the stated time. */
+  private static double bearable(double age) {
+    double allowed = RULES.fallMultiple() * RULES.warmth(age) * CAPACITY * RULES.fallWindow();
+    return allowed + 3 * Math.sqrt(allowed) + 3;
+  }
+
+  private void day(long seed, int cold, int busy) {
+    UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+    var keys = RejectionInversionZipfSampler.of(random, 40_000, 0.9);
+    double now = 100_000;
+    double begin = now;
+    List<Fixture> fleet = new ArrayList<>();
+    for (int i = 0; i < INSTANCES; i++) {
+      fleet.add(new Fixture(new Settings(seed + i, INSTANCES, i % 2, true, WeightSource.NOMINAL,
+          Fixture.ORIGIN, 0.05, new Limits(3, false, false, true, 400, 50), RULES,
+          new Prices(0.03, 0.03, 0.05, 0.03), List.of(Fixture.READ), List.of(new Tenant(RATE * 1_000)))));
+      fleet.get(i).now = now;
+      fleet.get(i).list(ListKind.FULL, Fixture.fleet(CACHES));
+    }
+    boolean told = false;
+    for (double end = now + 20_000; now < end; now += -Math.log(1 - random.nextDouble()) / RATE) {
+      if (!told && now > begin + 6_000) {
+        told = true;
+        begin = now;
+        List<Endpoint> started = new ArrayList<>();
+        for (int i = 0; i < cold; i++) {
+          started.add(Fixture.cache(i, EndpointState.RUNNING, now));
+        }
+        for (Fixture f : fleet) {
+          f.now = now;
+          f.list(ListKind.CHANGES, started);
+        }
+      }
+      // One instance in five has several times the even part.
+      int number = random.nextInt(random.nextDouble() < 0.5 ? INSTANCES : busy);
+      Fixture f = fleet.get(number);
+      f.now = now;
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(keys.sample()));
+      if (endpoint != null && told && Integer.parseInt(endpoint.substring(6)) < cold) {
+        Deque<Double> window = sent.computeIfAbsent(endpoint, e -> new ArrayDeque<>());
+        window.add(now);
+        while (window.peekFirst() < now - RULES.fallWindow()) {
+          window.pollFirst();
+        }
+        worst = Math.max(worst, window.size() - bearable(now - begin));
+        toCold++;
+      }
+      if (endpoint != null) {
+        f.end(id, 0, endpoint, 120, Result.OK);
+      }
+    }
+  }
+
+  @Test
+  void aHundredInstancesTogetherSendNoColdCacheMoreThanItBears() {
+    for (int cold : new int[] {1, 15, 90}) {
+      sent.clear();
+      toCold = 0;
+      day(cold, cold, 20);
+      assertTrue(worst <= 0, "over what a cold cache of " + cold + " bears: " + worst);
+      assertTrue(toCold > 30L * cold, "sent to " + cold + " cold caches: " + toCold);
+    }
+  }
+}
--- a/src/test/java/beampoint/serve/ProxyTest.java
+++ b/src/test/java/beampoint/serve/ProxyTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import beampoint.Balancer;
 import beampoint.Balancer.AttemptEnded;
 import beampoint.Balancer.Cancel;
 import beampoint.Balancer.Fail;
@@ -21,9 +20,12 @@
 import beampoint.Balancer.Send;
 import beampoint.Balancer.SetTimer;
 import beampoint.Balancer.TimerFired;
+import beampoint.Balancer;
 import beampoint.Stub;
 import beampoint.count.Counter;
+import beampoint.count.Counters;
 import beampoint.serve.ProxyFixture.Client;
+import java.io.IOException;
 import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -31,6 +33,9 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.logging.Handler;
@@ -828,6 +833,51 @@
     }
   }
 
+  /**
+   * After SIGTERM clients send on every connection that stays open: what is taken then is answered, and a
+   * connection that ends has brought whole answers only.
+   */
+  @Test
+  void clientsThatGoOnSendingAfterASigtermGetAnAnswerOrAnEndWithNothingTaken() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody())) {
+      proxy.module.script = event -> event instanceof RequestReceived e ? List.of(new Refuse(e.id(), 0))
+          : List.of();
+      AtomicInteger answers = new AtomicInteger();
+      ExecutorService clients = Executors.newFixedThreadPool(6);
+      List<Future<String>> ends = new ArrayList<>();
+      CountDownLatch sending = new CountDownLatch(6);
+      for (int i = 0; i < 6; i++) {
+        String prefix = "Oc" + i + "n";
+        Client client = new Client(proxy);
+        ends.add(clients.submit(() -> {
+          for (int n = 0; ; n++) {
+            String line;
+            try {
+              line = client.ask(READ.replace("O9b", prefix + n));
+            } catch (IOException e) {
+              return "end"; // the request crossed the end of its connection
+            }
+            if (!"SERVER_ERROR busy".equals(line)) {
+              client.close();
+              return line == null ? "end" : line;
+            }
+            answers.incrementAndGet();
+            sending.countDown();
+          }
+        }));
+      }
+      sending.await();
+      proxy.proxy.drain();
+      for (Future<String> end : ends) {
+        assertEquals("end", end.get(5, TimeUnit.SECONDS));
+      }
+      clients.shutdown();
+      Counters counters = proxy.proxy.counters();
+      assertEquals(answers.get(), counters.get(Counter.REQUESTS_TAKEN), "what was taken was answered");
+      assertEquals(0, counters.get(Counter.ANSWERS_OVERDUE));
+    }
+  }
+
   /** Guards against a request that is still open when the SIGKILL comes: its time is cut short. */
   @Test
   void whatNobodyAnswersIsFailedBeforeTheEnd() throws Exception {
