--- a/src/test/java/beampoint/policy/ColdBudgetTest.java
+++ b/src/test/java/beampoint/policy/ColdBudgetTest.java
@@ -30,7 +30,7 @@
   private static final int CACHES = 150;
   private static final double RATE = 2; // requests a millisecond, over all instances
   private static final double CAPACITY = RATE / 0.6 / CACHES; // of one warm cache
-  private static final Rules RULES = new Rules(500, 3, 2_000, 0.15, 15_000, 10_000);
+  private static final Rules RULES = new Rules(500, 1.3, 2_000, 0.15, 15_000, 10_000);
 
   private final Map<String, Deque<Double>> sent = new HashMap<>(); // to cold caches, in the last window
   private double worst = Double.NEGATIVE_INFINITY; // sends over what a cold cache bears
