--- /dev/null
+++ b/src/main/java/beampoint/serve/Decisions.java
@@ -0,0 +1,263 @@
+package beampoint.serve;
+
+import beampoint.Balancer;
+import beampoint.Balancer.Action;
+import beampoint.Balancer.AttemptEnded;
+import beampoint.Balancer.Event;
+import beampoint.Balancer.ProbeEnded;
+import beampoint.Balancer.RequestClass;
+import beampoint.Balancer.RequestGone;
+import beampoint.Balancer.RequestReceived;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Settings;
+import beampoint.Balancer.TimerFired;
+import beampoint.count.Counter;
+import beampoint.count.Counters;
+import beampoint.discovery.Watch;
+import beampoint.exchange.Answer;
+import beampoint.exchange.Exchange;
+import beampoint.exchange.Intake;
+import beampoint.log.Log;
+import beampoint.memcache.Command;
+import beampoint.upstream.Reports;
+import beampoint.upstream.Upstreams;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+/**
+ * Tells the decision module what happens and carries out what it decides, for every request that is open. It
+ * picks, repeats and refuses nothing itself. Belongs to the decision thread.
+ */
+final class Decisions implements Intake, Reports {
+
+  private static final Log LOG = Log.of("serve");
+  private static final double LATE_MS = 15; // after which the proxy itself fails what nobody answered
+
+  private final Balancer balancer;
+  private final Directory directory;
+  private final Counters counters;
+  private final Clock clock;
+  private final Loop loop;
+  private final BooleanSupplier ready;
+  private final Predicate<String> isOut; // by operators
+  private Settings settings; // in force; open requests may have been taken under others
+  private Upstreams upstreams;
+  private Watch watch;
+  private final Map<Long, Exchange> exchanges = new HashMap<>(); // open, or with an attempt out
+  private final Set<String> idsInUse = new HashSet<>(); // of these, as the clients word them
+  private long lastId;
+  private double endsBy = Double.POSITIVE_INFINITY;
+
+  Decisions(Balancer balancer, Settings settings, Directory directory, Counters counters, Clock clock,
+      Loop loop, BooleanSupplier ready, Predicate<String> isOut) {
+    this.balancer = balancer;
+    this.settings = settings;
+    this.directory = directory;
+    this.counters = counters;
+    this.clock = clock;
+    this.loop = loop;
+    this.ready = ready;
+    this.isOut = isOut;
+  }
+
+  /** Takes what carries out the decisions; before the first event. */
+  void carryOutWith(Upstreams attempts, Watch list) {
+    upstreams = attempts;
+    watch = list;
+  }
+
+  Settings settings() {
+    return settings;
+  }
+
+  /** New settings are in force from here on. */
+  void settings(Settings next) {
+    settings = next;
+  }
+
+  static double longestDeadline(Settings settings) {
+    return settings.classes().stream().mapToDouble(RequestClass::deadline).max().orElse(0);
+  }
+
+  @Override
+  public boolean isReady() {
+    return ready.getAsBoolean();
+  }
+
+  /** Guards against an id that stands for two requests at once: an answer names its request by it. */
+  @Override
+  public String problem(Command command) {
+    return directory.requestClass(command) < 0 ? "unknown class"
+        : !directory.knowsTenant(command) ? "unknown tenant"
+        : idsInUse.contains(id(command)) ? "id in use" : null;
+  }
+
+  private static String id(Command command) {
+    return command.id().toStringContent(StandardCharsets.ISO_8859_1);
+  }
+
+  @Override
+  public Exchange take(Command command, double readAt, Consumer<Answer> client) {
+    int requestClass = directory.requestClass(command);
+    double notAfter = readAt + command.waitMs();
+    Exchange exchange = new Exchange(++lastId, command, notAfter, settings.limits().maxAttempts(), client,
+        counters);
+    counters.add(Counter.REQUESTS_TAKEN);
+    exchanges.put(exchange.id(), exchange);
+    idsInUse.add(id(command));
+    // Queued, as its place in the order of answers must stand before the module may answer.
+    loop.execute(() -> {
+      if (exchange.isOver()) {
+        return; // the client has left: the module must not hear of its leaving first, and of it after that
+      }
+      long id = exchange.id(); // the timer outlasts the exchange and must not keep it
+      loop.after(notAfter + LATE_MS - clock.getAsDouble(), () -> failLate(id));
+      give(new RequestReceived(exchange.id(), Math.min(notAfter, endsBy), directory.tenant(command),
+          requestClass, Directory.key(command.key()), command.kind() == Command.Kind.WRITE, command.again()));
+    });
+    return exchange;
+  }
+
+  /** Guards against a request that the module forgot: whatever was taken is answered. */
+  private void failLate(long id) {
+    Exchange exchange = exchanges.get(id);
+    if (exchange == null || exchange.isOver()) {
+      return;
+    }
+    counters.add(Counter.ANSWERS_OVERDUE);
+    LOG.error("no answer in time for request " + id);
+    close(exchange, Answer.FAILED);
+    give(new RequestGone(id));
+  }
+
+  @Override
+  public void gone(Exchange exchange) {
+    if (exchange.abandon()) {
+      counters.add(Counter.REQUESTS_GONE);
+      forget(exchange);
+      give(new RequestGone(exchange.id()));
+    }
+  }
+
+  @Override
+  public void ended(Exchange exchange, int attempt, String endpoint, double elapsed, Result result,
+      Answer answer, String load) {
+    exchange.endAttempt();
+    if (answer != null) {
+      close(exchange, answer);
+    }
+    forget(exchange);
+    give(new AttemptEnded(exchange.id(), attempt, endpoint, elapsed, result, exchange.isOver(),
+        directory.names().loads().named(load)));
+  }
+
+  @Override
+  public void probed(String endpoint, double elapsed, Result result) {
+    give(new ProbeEnded(endpoint, result, elapsed));
+  }
+
+  /** Tells the module, and does what it says. */
+  void give(Event event) {
+    List<Action> actions;
+    try {
+      actions = balancer.handle(clock.getAsDouble(), event);
+    } catch (RuntimeException e) {
+      // Guards against a fault in the module: it costs the request at hand, not the proxy.
+      counters.add(Counter.LOGIC_EXCEPTIONS);
+      LOG.error("the decision module failed for " + event, e);
+      fail(event);
+      return;
+    }
+    actions.forEach(this::carryOut);
+  }
+
+  private void fail(Event event) {
+    long id = event instanceof RequestReceived e ? e.id() : event instanceof AttemptEnded e ? e.id()
+        : event instanceof TimerFired e ? e.token() : 0;
+    Exchange exchange = exchanges.get(id);
+    if (exchange != null) {
+      close(exchange, Answer.FAILED);
+    }
+  }
+
+  private void carryOut(Action action) {
+    if (action instanceof Balancer.Send a) {
+      send(a);
+    } else if (action instanceof Balancer.Refuse a) {
+      close(exchanges.get(a.id()), Answer.refused((long) Math.ceil(a.retryAfter())));
+    } else if (action instanceof Balancer.Fail a) {
+      close(exchanges.get(a.id()), Answer.FAILED);
+    } else if (action instanceof Balancer.Cancel a) {
+      upstreams.cancel(a.id(), a.attempt());
+    } else if (action instanceof Balancer.SetTimer a) {
+      loop.after(a.delay(), () -> give(new TimerFired(a.token())));
+    } else if (action instanceof Balancer.Probe a) {
+      checkInUse(a.endpoint());
+      upstreams.probe(a.endpoint());
+    } else if (action instanceof Balancer.CloseIdle a) {
+      upstreams.closeIdle(a.endpoint());
+    } else if (action instanceof Balancer.FollowList) {
+      watch.follow();
+    } else if (action instanceof Balancer.Log a) {
+      LOG.info(a.text());
+    }
+  }
+
+  private void send(Balancer.Send a) {
+    Exchange exchange = exchanges.get(a.id());
+    if (exchange == null) {
+      return;
+    }
+    double now = clock.getAsDouble();
+    double last = Math.min(exchange.notAfter(), endsBy);
+    counters.check(settings.limits().secondCopies() || exchange.attemptsOut() == 0,
+        "one attempt is out at a time");
+    checkInUse(a.endpoint());
+    int attempt = exchange.beginAttempt();
+    if (exchange.isOver() || now >= last || attempt >= exchange.maxAttempts()) {
+      loop.execute(() -> ended(exchange, attempt, a.endpoint(), 0, Result.NOT_SENT, null, null));
+    } else {
+      upstreams.send(exchange, attempt, a.endpoint(), a.limit() > 0 ? Math.min(last, now + a.limit()) : last);
+    }
+  }
+
+  private void checkInUse(String endpoint) {
+    counters.check(!isOut.test(endpoint), "nothing goes to a node that is out");
+  }
+
+  private void close(Exchange exchange, Answer answer) {
+    if (exchange != null && exchange.answer(answer)) {
+      forget(exchange);
+    }
+  }
+
+  private void forget(Exchange exchange) {
+    if (exchange.isOver() && exchange.attemptsOut() == 0) {
+      exchange.command().release();
+      exchanges.remove(exchange.id());
+      idsInUse.remove(id(exchange.command()));
+    }
+  }
+
+  /** Guards against a SIGKILL with requests still open: no attempt lasts beyond this. */
+  void endBy(double time) {
+    endsBy = time;
+  }
+
+  /** Ends all attempts: the module answers what is open, or else it is failed. */
+  void expireAll() {
+    for (Exchange exchange : List.copyOf(exchanges.values())) {
+      if (!exchange.isOver()) {
+        upstreams.expire(exchange.id());
+        loop.after(LATE_MS, () -> failLate(exchange.id()));
+      }
+    }
+  }
+}
--- a/src/main/java/beampoint/serve/Loop.java
+++ b/src/main/java/beampoint/serve/Loop.java
@@ -200,6 +200,11 @@
     return scheduleWithFixedDelay(task, first, period, unit);
   }
 
+  /** Runs a task after so many ms. */
+  void after(double delay, Runnable task) {
+    schedule(task, (long) Math.max(0, delay * 1000), TimeUnit.MICROSECONDS);
+  }
+
   @Override
   public <V> ScheduledFuture<V> schedule(Callable<V> task, long delay, TimeUnit unit) {
     return start(new Timer<>(task, unit.toNanos(delay), 0));
