Ground of the fleet's features: shared facts that merge one way, a lease of a majority

Moves and staged rules need facts that all proxies come to hold and one who may act.

Nothing of it is started by serve yet: no class of it is loaded.

--- /dev/null
+++ b/src/main/java/beampoint/fleet/lease/LeaseEvent.java
@@ -0,0 +1,19 @@
+package beampoint.fleet.lease;
+
+import beampoint.fleet.facts.Epoch;
+
+/** What a voter observes. */
+public sealed interface LeaseEvent {
+
+  /** Wants to act, or to go on acting. */
+  record Want() implements LeaseEvent {}
+
+  /** Does not want to act any longer. */
+  record Yield() implements LeaseEvent {}
+
+  /** A message has come. */
+  record Received(String from, LeaseMessage message) implements LeaseEvent {}
+
+  /** An epoch was seen elsewhere, as in an entry of the shared facts. */
+  record Seen(Epoch epoch) implements LeaseEvent {}
+}
