--- a/src/main/java/beampoint/fleet/facts/Facts.java
+++ b/src/main/java/beampoint/fleet/facts/Facts.java
@@ -10,9 +10,9 @@
 
 /**
  * What one member holds of the facts that all come to share: a map in which each key's greatest entry stands
- * (a state-based replicated data type after Shapiro and others, "Conflict-free Replicated Data Types", 2011).
- * Merging is commutative, associative and idempotent. Entries run out by this member's own clock. Not safe for
- * threads.
+ * (a state-based replicated data type after Shapiro and others, "Conflict-free Replicated Data Types",
+ * 2011). Merging is commutative, associative and idempotent. Entries run out by this member's own clock. Not
+ * safe for threads.
  */
 public final class Facts {
 
--- a/src/main/java/beampoint/fleet/lease/Lease.java
+++ b/src/main/java/beampoint/fleet/lease/Lease.java
@@ -15,8 +15,8 @@
 
 /**
  * One who may act, by the promises of a majority (after Gray and Cheriton, "Leases", 1989, with the epoch of
- * a promise as a fence). A pure function: a voter's state, a time and an event give the next state and what is
- * to be said.
+ * a promise as a fence). A pure function: a voter's state, a time and an event give the next state and what
+ * is to be said.
  */
 public final class Lease {
 
--- a/src/test/java/beampoint/fleet/lease/LeaseSearchTest.java
+++ b/src/test/java/beampoint/fleet/lease/LeaseSearchTest.java
@@ -20,8 +20,8 @@
 
 /**
  * Every run of three voters up to a depth, over the real step function: any message delivered late, repeated,
- * in any order or never, any voter crashed and started again without its memory, one that wants to act or gives
- * the lease back at any time, and clocks of two paces.
+ * in any order or never, any voter crashed and started again without its memory, one that wants to act or
+ * gives the lease back at any time, and clocks of two paces.
  */
 class LeaseSearchTest {
 
