Membership: SWIM with refutation, confirmed suspicions and own doubt, as a state machine

What a proxy knows of its siblings is a number in its settings. Membership is a state machine (time and event in, actions out): each step it probes its successor on the ring of names and one by turns, asks three others to try, suspects, asks a last time, declares dead; who is suspected hears so with the next probe and refutes. A member that stood still starts its suspicions anew; one that hears nobody refutes ahead under ever higher incarnations, says that it is deaf, and accuses nobody; nor does one whose last eight probes all failed. Those held for dead are asked again each second, so a cut-off zone heals without a seed. Messages are CBOR, read as a stream; anything else is a FormException.

A fuzz of 100,000 datagrams found that a name with half a character could be read and not written, which would have ended whoever passed it on: names are printable.

--- /dev/null
+++ b/src/main/java/beampoint/emulator/MemberFleet.java
@@ -0,0 +1,276 @@
+package beampoint.emulator;
+
+import beampoint.fleet.membership.MemberAction;
+import beampoint.fleet.membership.MemberAction.Changed;
+import beampoint.fleet.membership.MemberAction.Exchange;
+import beampoint.fleet.membership.MemberAction.Send;
+import beampoint.fleet.membership.MemberEvent;
+import beampoint.fleet.membership.MemberTerms;
+import beampoint.fleet.membership.Membership;
+import beampoint.fleet.message.Codec;
+import beampoint.fleet.message.FormException;
+import beampoint.fleet.message.Message;
+import beampoint.fleet.message.News;
+import beampoint.fleet.message.Status;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Members of a fleet in virtual time, each the state machine that serves, with a link of its own between each
+ * two of them: it may lose, delay, repeat and overtake, and be cut in one direction. Members may stand still,
+ * be killed and start again.
+ */
+public final class MemberFleet {
+
+  /** Who was declared dead, by whom, and when; {@code lived} tells that it was wrong. */
+  public record Death(double at, int of, int by, boolean lived) {}
+
+  private final class Host {
+    final int number;
+    Membership membership; // null while it is down
+    int life;
+    boolean paused;
+    final List<Runnable> waiting = new ArrayList<>(); // for the end of its pause
+
+    Host(int number) {
+      this.number = number;
+    }
+  }
+
+  private final Clock clock = new Clock(0);
+  private final MemberTerms terms;
+  private final UniformRandomProvider random;
+  private final UniformRandomProvider seeds;
+  private final Codec codec = new Codec("emulated");
+  private final List<Host> hosts = new ArrayList<>();
+  private final List<News> known = new ArrayList<>();
+  private final double[][] losses;
+  private final List<Death> deaths = new ArrayList<>();
+  private final Set<Integer> impaired = new HashSet<>(); // may rightly be held for dead by others
+  private double delay = 0.5;
+  private double jitter = 2;
+  private double repeats;
+  private long messages;
+  private long bytes;
+
+  /** So many members that all know each other's addresses. */
+  public MemberFleet(int members, MemberTerms terms, long seed) {
+    this.terms = terms;
+    this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+    this.seeds = RandomSource.SPLIT_MIX_64.create(seed);
+    this.losses = new double[members][members];
+    for (int i = 0; i < members; i++) {
+      known.add(new News(name(i), "10.0.0." + i + ":7946", Status.ALIVE, 0, false, name(i)));
+    }
+    for (int i = 0; i < members; i++) {
+      hosts.add(new Host(i));
+      start(i);
+    }
+  }
+
+  private static String name(int number) {
+    return String.format("n%04d", number);
+  }
+
+  private static int number(String name) {
+    return Integer.parseInt(name.substring(1));
+  }
+
+  /** Plays on to a time, in ms. */
+  public void runTo(double time) {
+    clock.runTo(time);
+  }
+
+  public double now() {
+    return clock.now();
+  }
+
+  /** Runs something at a time. */
+  public void at(double time, Runnable task) {
+    clock.at(time, task);
+  }
+
+  /** Starts a member, or one that is down again: it knows the addresses and nothing else. */
+  public void start(int member) {
+    Host host = hosts.get(member);
+    host.life++;
+    host.paused = false;
+    host.waiting.clear();
+    host.membership = new Membership(terms, name(member), known.get(member).address(), known,
+        RandomSource.XO_SHI_RO_256_PP.create(seeds.nextLong()), clock.now());
+    int life = host.life;
+    clock.after(random.nextDouble() * terms.step(), () -> tick(host, life));
+  }
+
+  public void kill(int member) {
+    hosts.get(member).membership = null;
+    hosts.get(member).life++;
+  }
+
+  /** Ends in order. */
+  public void leave(int member) {
+    give(hosts.get(member), new MemberEvent.Leave());
+    kill(member);
+  }
+
+  /** It stands still; what comes for it waits. */
+  public void pause(int member) {
+    hosts.get(member).paused = true;
+  }
+
+  public void resume(int member) {
+    Host host = hosts.get(member);
+    host.paused = false;
+    List<Runnable> waited = List.copyOf(host.waiting);
+    host.waiting.clear();
+    waited.forEach(Runnable::run);
+  }
+
+  /** Sets the part of the messages from one member to another that is lost; 1 cuts the link. */
+  public void lose(int from, int to, double part) {
+    losses[from][to] = part;
+  }
+
+  public void loseEverywhere(double part) {
+    Arrays.stream(losses).forEach(row -> Arrays.fill(row, part));
+  }
+
+  /** How late messages come: always so many ms, and up to so many more. */
+  public void delay(double always, double more, double repeated) {
+    delay = always;
+    jitter = more;
+    repeats = repeated;
+  }
+
+  /** It is cut off in some direction: to hold it for dead is no mistake. */
+  public void impaired(int member, boolean is) {
+    if (is) {
+      impaired.add(member);
+    } else {
+      impaired.remove(member);
+    }
+  }
+
+  /** How one member sees another; null where it does not know of it, or is down. */
+  public Status view(int of, int by) {
+    Membership membership = hosts.get(by).membership;
+    return membership == null ? null : membership.view().stream()
+        .filter(n -> n.member().equals(name(of))).map(News::status).findFirst().orElse(null);
+  }
+
+  /** The member's machine; null while it is down. */
+  public Membership membership(int member) {
+    return hosts.get(member).membership;
+  }
+
+  /** True where all that run see the same members live. */
+  public boolean isOfOneView() {
+    return hosts.stream().map(h -> h.membership).filter(Objects::nonNull).map(MemberFleet::living).distinct()
+        .count() <= 1;
+  }
+
+  private static Set<String> living(Membership membership) {
+    Set<String> names = new HashSet<>();
+    membership.view().stream().filter(n -> n.status() == Status.ALIVE || n.status() == Status.SUSPECT)
+        .forEach(n -> names.add(n.member()));
+    return names;
+  }
+
+  public List<Death> deaths() {
+    return deaths;
+  }
+
+  public long messages() {
+    return messages;
+  }
+
+  /** Of all messages together. */
+  public long bytes() {
+    return bytes;
+  }
+
+  private void tick(Host host, int life) {
+    if (host.life == life && host.membership != null) {
+      whenAwake(host, () -> give(host, new MemberEvent.Tick()));
+      clock.after(terms.step(), () -> tick(host, life));
+    }
+  }
+
+  private void whenAwake(Host host, Runnable task) {
+    if (!host.paused) {
+      task.run();
+    } else if (host.waiting.size() < 200) { // as a socket's buffer holds
+      int life = host.life;
+      host.waiting.add(() -> {
+        if (host.life == life) {
+          task.run();
+        }
+      });
+    }
+  }
+
+  private void give(Host host, MemberEvent event) {
+    if (host.membership != null) {
+      host.membership.handle(clock.now(), event).forEach(action -> carryOut(host, action));
+    }
+  }
+
+  private void carryOut(Host host, MemberAction action) {
+    if (action instanceof Send a) {
+      send(host, hosts.get(number(a.to().member())), a.message());
+    } else if (action instanceof Exchange a) {
+      exchange(host, hosts.get(number(a.with().member())));
+    } else if (action instanceof Changed a && a.now().status() == Status.DEAD) {
+      int of = number(a.now().member());
+      boolean lived = hosts.get(of).membership != null && !impaired.contains(of)
+          && !impaired.contains(host.number);
+      deaths.add(new Death(clock.now(), of, host.number, lived));
+    }
+  }
+
+  private void send(Host from, Host to, Message message) {
+    byte[] sent = codec.write(message);
+    messages++;
+    bytes += sent.length;
+    if (random.nextDouble() < losses[from.number][to.number]) {
+      return;
+    }
+    deliver(to, sent);
+    if (random.nextDouble() < repeats) {
+      deliver(to, sent);
+    }
+  }
+
+  private void deliver(Host to, byte[] sent) {
+    clock.after(delay + jitter * random.nextDouble(), () -> whenAwake(to, () -> {
+      try {
+        give(to, new MemberEvent.Received(codec.read(sent, sent.length)));
+      } catch (FormException e) {
+        throw new IllegalStateException(e);
+      }
+    }));
+  }
+
+  /** A connection: it stands where both directions do, and loses nothing. */
+  private void exchange(Host one, Host other) {
+    boolean stands = losses[one.number][other.number] < 1 && losses[other.number][one.number] < 1;
+    if (!stands || other.membership == null || other.paused) {
+      return;
+    }
+    List<News> asked = one.membership.view();
+    clock.after(3 * (delay + jitter), () -> {
+      if (other.membership != null) {
+        List<News> answer = other.membership.view();
+        give(other, new MemberEvent.ViewReceived(asked));
+        clock.after(delay + jitter,
+            () -> whenAwake(one, () -> give(one, new MemberEvent.ViewReceived(answer))));
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/fleet/membership/MemberTerms.java
@@ -0,0 +1,21 @@
+package beampoint.fleet.membership;
+
+/**
+ * The figures of membership, the same at every member; times in ms.
+ *
+ * @param step how often a member acts by itself
+ * @param probeEvery how often it probes: its successor and one drawn by turns
+ * @param answerWithin how long it waits for a direct answer before it asks others to try
+ * @param suspectFor how long a member is suspected, at the least, before it is declared dead
+ * @param stillAfter a pause between two of its own events after which it stood still
+ * @param deafAfter how long it may hear nobody before it holds itself for deaf
+ * @param mostMembers that it keeps in mind
+ */
+public record MemberTerms(double step, double probeEvery, double answerWithin, double suspectFor,
+    double stillAfter, double deafAfter, int mostMembers) {
+
+  /** A pause of 3 s is outlived, a crash known within 5 s. */
+  public static MemberTerms usual() {
+    return new MemberTerms(100, 400, 150, 3_400, 500, 1_200, 1_024);
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/fleet/message/Codec.java
@@ -0,0 +1,152 @@
+package beampoint.fleet.message;
+
+import beampoint.fleet.message.Message.Kind;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Messages in CBOR (RFC 8949): one array that begins with the cluster's name and the version of the form. Any
+ * bytes may come: what can't be read is a {@link FormException} and nothing else.
+ */
+public final class Codec {
+
+  /** The most bytes of a datagram: no usual network cuts it. */
+  public static final int MOST_BYTES = 1_400;
+
+  private static final int VERSION = 1;
+  private static final int MOST_NEWS = 32;
+  private static final int MOST_TEXT = 200;
+  private static final CBORFactory FORM = CBORFactory.builder()
+      .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(4).maxStringLength(MOST_TEXT)
+          .maxNumberLength(20).build())
+      .build();
+
+  private final String cluster;
+
+  public Codec(String cluster) {
+    this.cluster = cluster;
+  }
+
+  /** The bytes of a message; news that would make it too long for a datagram are left out. */
+  public byte[] write(Message message) {
+    for (int news = message.news().size(); ; news--) {
+      byte[] bytes = write(message, news);
+      if (bytes.length <= MOST_BYTES || news == 0) {
+        return bytes;
+      }
+    }
+  }
+
+  private byte[] write(Message message, int news) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (JsonGenerator out = FORM.createGenerator(bytes)) {
+      out.writeStartArray();
+      out.writeString(cluster);
+      out.writeNumber(VERSION);
+      out.writeNumber(message.kind().ordinal());
+      out.writeNumber(message.number());
+      out.writeString(message.about());
+      write(out, message.from());
+      for (News item : message.news().subList(0, news)) {
+        write(out, item);
+      }
+      out.writeEndArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("bytes in memory can't be written", e);
+    }
+    return bytes.toByteArray();
+  }
+
+  private static void write(JsonGenerator out, News news) throws IOException {
+    out.writeStartArray();
+    out.writeString(news.member());
+    out.writeString(news.address());
+    out.writeNumber(news.status().ordinal());
+    out.writeNumber(news.incarnation());
+    out.writeBoolean(news.deaf());
+    out.writeString(news.by());
+    out.writeEndArray();
+  }
+
+  /** Reads a message of this cluster. */
+  public Message read(byte[] bytes, int length) throws FormException {
+    if (length > MOST_BYTES) {
+      throw new FormException("longer than a datagram of members: " + length);
+    }
+    try (JsonParser in = FORM.createParser(bytes, 0, length)) {
+      expect(in, JsonToken.START_ARRAY);
+      if (!text(in).equals(cluster)) {
+        throw new FormException("of another cluster");
+      }
+      long version = number(in);
+      if (version != VERSION) {
+        throw new FormException("of an unknown version: " + version);
+      }
+      Kind kind = of(Kind.values(), number(in));
+      long number = number(in);
+      String about = text(in);
+      expect(in, JsonToken.START_ARRAY);
+      News from = news(in);
+      List<News> news = new ArrayList<>();
+      while (in.nextToken() == JsonToken.START_ARRAY && news.size() < MOST_NEWS) {
+        news.add(news(in));
+      }
+      if (in.currentToken() != JsonToken.END_ARRAY || in.nextToken() != null) {
+        throw new FormException("with more than a message");
+      }
+      return new Message(kind, number, from, about, List.copyOf(news));
+    } catch (IOException | RuntimeException e) {
+      throw new FormException("no message: " + e.getMessage());
+    }
+  }
+
+  private static News news(JsonParser in) throws IOException, FormException {
+    String member = text(in);
+    String address = text(in);
+    Status status = of(Status.values(), number(in));
+    long incarnation = number(in);
+    JsonToken deaf = in.nextToken();
+    boolean flag = deaf == JsonToken.VALUE_TRUE || deaf == JsonToken.VALUE_FALSE;
+    if (!flag || member.isEmpty() || incarnation < 0) {
+      throw new FormException("with odd news");
+    }
+    News news = new News(member, address, status, incarnation, deaf == JsonToken.VALUE_TRUE, text(in));
+    expect(in, JsonToken.END_ARRAY);
+    return news;
+  }
+
+  private static <T> T of(T[] values, long number) throws FormException {
+    if (number < 0 || number >= values.length) {
+      throw new FormException("with an unknown number: " + number);
+    }
+    return values[(int) number];
+  }
+
+  private static String text(JsonParser in) throws IOException, FormException {
+    expect(in, JsonToken.VALUE_STRING);
+    String text = in.getText();
+    // Guards against a name that can be read and not written, which who passes it on would fall over.
+    if (text.length() > MOST_TEXT || !text.chars().allMatch(c -> c >= ' ' && c <= '~')) {
+      throw new FormException("with a text that is no name");
+    }
+    return text;
+  }
+
+  private static long number(JsonParser in) throws IOException, FormException {
+    expect(in, JsonToken.VALUE_NUMBER_INT);
+    return in.getLongValue();
+  }
+
+  private static void expect(JsonParser in, JsonToken token) throws IOException, FormException {
+    if (in.nextToken() != token) {
+      throw new FormException("cut off, or of another form");
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/emulator/MemberFleetTest.java
@@ -0,0 +1,152 @@
+package beampoint.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.emulator.MemberFleet.Death;
+import beampoint.fleet.membership.MemberTerms;
+import beampoint.fleet.message.Status;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Members of a fleet in virtual time, under faults. */
+class MemberFleetTest {
+
+  private static MemberFleet fleet(int members, long seed) {
+    MemberFleet fleet = new MemberFleet(members, MemberTerms.usual(), seed);
+    fleet.runTo(5_000);
+    return fleet;
+  }
+
+  private static List<Death> wrong(MemberFleet fleet) {
+    return fleet.deaths().stream().filter(Death::lived).toList();
+  }
+
+  @Test
+  void aCrashIsKnownToAllWithinFiveSeconds() {
+    for (int members : new int[] {3, 14, 100}) {
+      MemberFleet fleet = fleet(members, members);
+      fleet.kill(1);
+      fleet.runTo(10_000);
+      assertEquals(members - 1, fleet.deaths().stream().filter(d -> d.of() == 1).count());
+      assertTrue(fleet.isOfOneView());
+      assertEquals(List.of(), wrong(fleet));
+    }
+  }
+
+  @Test
+  void whoStoodStillForThreeSecondsIsNotDeclaredDeadAndDeclaresNobodyDead() {
+    for (int members : new int[] {3, 14, 100}) {
+      MemberFleet fleet = fleet(members, members);
+      for (int i = 0; i < 10; i++) {
+        double at = fleet.now();
+        fleet.pause(i % members);
+        fleet.runTo(at + 3_000);
+        fleet.resume(i % members);
+        fleet.runTo(at + 9_000);
+      }
+      assertEquals(List.of(), fleet.deaths());
+    }
+  }
+
+  @Test
+  void lossPausesAndOneSidedCutsTogetherKillNobody() {
+    for (long seed = 1; seed <= 3; seed++) {
+      int members = 20;
+      MemberFleet fleet = fleet(members, seed);
+      Random random = new Random(seed);
+      fleet.loseEverywhere(0.05);
+      for (int i = 0; i < 60; i++) {
+        int one = random.nextInt(members);
+        int other = (one + 1 + random.nextInt(members - 1)) % members;
+        int still = random.nextInt(members);
+        double at = fleet.now();
+        fleet.lose(one, other, 1);
+        fleet.pause(still);
+        fleet.runTo(at + 500 + random.nextInt(2_500));
+        fleet.resume(still);
+        fleet.runTo(at + 10_000);
+        fleet.lose(one, other, 0.05);
+      }
+      assertEquals(List.of(), wrong(fleet));
+    }
+  }
+
+  @Test
+  void whoHearsNobodyStaysAliveInTheViewOfTheOthersAndAccusesNobody() {
+    for (int members : new int[] {3, 14, 60}) {
+      MemberFleet fleet = fleet(members, members);
+      IntStream.range(0, members).forEach(i -> fleet.lose(i, 2, 1));
+      fleet.runTo(60_000);
+      assertEquals(List.of(), fleet.deaths());
+      assertTrue(fleet.membership(2).self().deaf());
+      IntStream.range(0, members).forEach(i -> fleet.lose(i, 2, 0));
+      fleet.runTo(70_000);
+      assertTrue(!fleet.membership(2).self().deaf() && fleet.isOfOneView());
+    }
+  }
+
+  @Test
+  void whoIsHeardByNobodyPoisonsNobodysViewAndReturns() {
+    MemberFleet fleet = fleet(14, 9);
+    IntStream.range(0, 14).forEach(i -> fleet.lose(2, i, 1));
+    fleet.runTo(60_000);
+    assertTrue(fleet.deaths().stream().allMatch(d -> d.of() == 2), "only the mute one is held for dead");
+    assertTrue(fleet.membership(2).doubtsItself());
+    IntStream.range(0, 14).forEach(i -> fleet.lose(2, i, 0));
+    fleet.runTo(70_000);
+    assertTrue(fleet.isOfOneView());
+    assertEquals(14, fleet.membership(5).living());
+  }
+
+  @Test
+  void aZoneThatWasCutOffForAMinuteIsOfOneViewWithTheOthersWithinTenSeconds() {
+    MemberFleet fleet = fleet(30, 4);
+    for (int i = 0; i < 10; i++) {
+      for (int j = 10; j < 30; j++) {
+        fleet.lose(i, j, 1);
+        fleet.lose(j, i, 1);
+      }
+    }
+    fleet.runTo(65_000);
+    assertEquals(20, fleet.membership(15).living());
+    assertEquals(10, fleet.membership(5).living());
+    fleet.loseEverywhere(0);
+    double healed = 0;
+    for (double t = 65_100; t <= 75_000 && healed == 0; t += 100) {
+      fleet.runTo(t);
+      healed = fleet.isOfOneView() && fleet.membership(5).living() == 30 ? t - 65_000 : 0;
+    }
+    assertTrue(healed > 0);
+  }
+
+  @Test
+  void sevenInTenKilledAtOnceAndBackAgain() {
+    MemberFleet fleet = fleet(40, 5);
+    IntStream.range(0, 28).forEach(fleet::kill);
+    fleet.runTo(20_000);
+    assertEquals(12, fleet.membership(30).living());
+    assertEquals(List.of(), wrong(fleet));
+    IntStream.range(0, 28).forEach(fleet::start);
+    fleet.runTo(30_000);
+    assertEquals(40, fleet.membership(30).living());
+    assertTrue(fleet.isOfOneView());
+  }
+
+  @Test
+  void aRestartFasterThanTheDetectionAndAnOrderlyEndAreNoCrashes() {
+    MemberFleet fleet = fleet(14, 6);
+    fleet.kill(3);
+    fleet.runTo(5_600);
+    fleet.start(3);
+    fleet.runTo(15_000);
+    assertEquals(List.of(), fleet.deaths());
+    fleet.leave(4);
+    fleet.runTo(17_000);
+    assertEquals(Status.LEFT, fleet.view(4, 9));
+    assertEquals(List.of(), fleet.deaths());
+    assertEquals(13, fleet.membership(3).living());
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/fleet/message/CodecTest.java
@@ -0,0 +1,86 @@
+package beampoint.fleet.message;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.fleet.message.Message.Kind;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Messages as bytes, and bytes that are none. */
+class CodecTest {
+
+  private static final Codec CODEC = new Codec("north");
+  private static final News SELF = new News("n1", "10.0.0.1:7946", Status.ALIVE, 3, false, "n1");
+
+  private static Message message(int news) {
+    return new Message(Kind.RELAY, 1L << 40, SELF, "n2", IntStream.range(0, news)
+        .mapToObj(i -> new News("n" + i, "10.0.0.9:7946", Status.SUSPECT, i, i % 2 == 0, "n3")).toList());
+  }
+
+  @Test
+  void aMessageIsReadAsItWasWritten() throws FormException {
+    for (int news : new int[] {0, 1, 10}) {
+      byte[] bytes = CODEC.write(message(news));
+      assertEquals(message(news), CODEC.read(bytes, bytes.length));
+    }
+  }
+
+  @Test
+  void newsThatDoNotFitADatagramAreLeftOut() throws FormException {
+    Message long32 = new Message(Kind.GOSSIP, 0, SELF, "", IntStream.range(0, 30)
+        .mapToObj(i -> new News("x".repeat(150) + i, "10.0.0.9:7946", Status.ALIVE, i, false, "n3"))
+        .toList());
+    byte[] bytes = CODEC.write(long32);
+    assertTrue(bytes.length <= Codec.MOST_BYTES);
+    List<News> read = CODEC.read(bytes, bytes.length).news();
+    assertTrue(!read.isEmpty() && read.size() < 30);
+    assertEquals(long32.news().subList(0, read.size()), read);
+  }
+
+  @Test
+  void anotherClusterAnotherVersionOrWhatIsCutOffIsNoMessage() {
+    byte[] bytes = CODEC.write(message(2));
+    assertThrows(FormException.class, () -> new Codec("south").read(bytes, bytes.length));
+    for (int length = 0; length < bytes.length; length++) {
+      int cut = length;
+      assertThrows(FormException.class, () -> CODEC.read(bytes, cut), "cut to " + cut);
+    }
+    byte[] next = bytes.clone();
+    next[7] = 2; // the version, behind the array's start and the name
+    assertThrows(FormException.class, () -> CODEC.read(next, next.length));
+    byte[] longer = Arrays.copyOf(bytes, bytes.length + 1);
+    assertThrows(FormException.class, () -> CODEC.read(longer, longer.length));
+    assertThrows(FormException.class, () -> CODEC.read(new byte[2_000], 2_000));
+  }
+
+  /** Hostile datagrams cost themselves: nothing but a FormException comes of any bytes. */
+  @Test
+  void aHundredThousandOddDatagramsAreReadOrRefused() {
+    Random random = new Random(11);
+    byte[] whole = CODEC.write(message(6));
+    int refused = 0;
+    for (int i = 0; i < 100_000; i++) {
+      byte[] odd = whole.clone();
+      if (i % 3 == 0) {
+        odd = new byte[random.nextInt(Codec.MOST_BYTES)];
+        random.nextBytes(odd);
+      }
+      for (int changes = random.nextInt(4); changes >= 0 && odd.length > 0; changes--) {
+        odd[random.nextInt(odd.length)] = (byte) random.nextInt(256);
+      }
+      try {
+        Message read = CODEC.read(odd, random.nextInt(odd.length + 1));
+        byte[] again = CODEC.write(read);
+        assertEquals(read, CODEC.read(again, again.length));
+      } catch (FormException e) {
+        refused++;
+      }
+    }
+    assertTrue(refused > 90_000, "refused: " + refused);
+  }
+}
