--- a/src/main/java/beampoint/fleet/membership/MemberTerms.java
+++ b/src/main/java/beampoint/fleet/membership/MemberTerms.java
@@ -9,13 +9,20 @@
  * @param suspectFor how long a member is suspected, at the least, before it is declared dead
  * @param stillAfter a pause between two of its own events after which it stood still
  * @param deafAfter how long it may hear nobody before it holds itself for deaf
+ * @param failuresOfDoubt probes in a row without one answer after which it doubts itself
  * @param mostMembers that it keeps in mind
  */
 public record MemberTerms(double step, double probeEvery, double answerWithin, double suspectFor,
-    double stillAfter, double deafAfter, int mostMembers) {
+    double stillAfter, double deafAfter, int failuresOfDoubt, int mostMembers) {
+
+  /** The same without suspicion and own doubt, to compare with: who gives no answer is dead at once. */
+  public MemberTerms plain() {
+    double never = Double.POSITIVE_INFINITY;
+    return new MemberTerms(step, probeEvery, answerWithin, 0, never, never, Integer.MAX_VALUE, mostMembers);
+  }
 
   /** A pause of 3 s is outlived, a crash known within 5 s. */
   public static MemberTerms usual() {
-    return new MemberTerms(100, 400, 150, 3_400, 500, 1_200, 1_024);
+    return new MemberTerms(100, 400, 150, 3_400, 500, 1_200, 8, 1_024);
   }
 }
--- a/src/main/java/beampoint/fleet/membership/Membership.java
+++ b/src/main/java/beampoint/fleet/membership/Membership.java
@@ -33,7 +33,6 @@
   private static final int NEWS_IN_A_MESSAGE = 10;
   private static final int ENOUGH_ACCUSERS = 3; // after which a suspicion runs out soonest
   private static final double LONGEST_SUSPICION = 2; // times the least, with one accuser
-  private static final int FAILURES_OF_DOUBT = 8; // probes in a row without one answer
   private static final double REACH_OUT_EVERY = 1_000; // ms, to one that is held for dead
   private static final double EXCHANGE_EVERY = 30_000; // ms, with one that lives
   private static final double EXCHANGE_GAP = 500; // ms between two at the least
@@ -55,6 +54,7 @@
   private double exchangedAt = Double.NEGATIVE_INFINITY;
   private double raisedAt = Double.NEGATIVE_INFINITY;
   private int failuresInARow;
+  private boolean doubted;
   private boolean left;
 
   /** One member that knows the addresses of some others, which may be gone. */
@@ -115,7 +115,7 @@
 
   /** True while this member has reason to think that it is cut off, or that all others are gone. */
   public boolean doubtsItself() {
-    return self.deaf() || failuresInARow >= FAILURES_OF_DOUBT;
+    return self.deaf() || failuresInARow >= terms.failuresOfDoubt();
   }
 
   /** Guards against a process that stood still, and wakes to find that nobody has answered in its absence. */
@@ -125,7 +125,15 @@
     if (gap > terms.stillAfter()) {
       probes.clear();
       heardAt = now;
-      roster.all().forEach(p -> p.suspectedAt = p.news.status() == Status.SUSPECT ? now : 0);
+      suspectAnew();
+    }
+  }
+
+  /** What was not heard meanwhile tells nothing: who is suspected gets its whole time again. */
+  private void suspectAnew() {
+    for (Peer peer : roster.all()) {
+      peer.suspectedAt = now;
+      peer.askedLast = false;
     }
   }
 
@@ -165,6 +173,11 @@
     if (deaf && now - raisedAt >= 1_000 || !deaf && self.deaf()) {
       raise(self.incarnation() + 1, deaf);
     }
+    // Guards against suspicions that ran out in doubt, and would kill at the moment at which it ends.
+    if (doubted && !doubtsItself()) {
+      suspectAnew();
+    }
+    doubted = doubtsItself();
   }
 
   private void raise(long incarnation, boolean deaf) {
@@ -316,6 +329,8 @@
       if (news.status() != Status.ALIVE && news.incarnation() >= self.incarnation()
           || news.incarnation() > self.incarnation()) {
         raise(news.incarnation() + 1, self.deaf());
+      } else if (news.status() != Status.ALIVE) {
+        rumours.add(self); // it was refuted before, and not all have heard of that
       }
       return;
     }
@@ -389,6 +404,10 @@
     if (to.news.status() != Status.ALIVE || isBehind(to)) {
       news.add(to.news);
     }
+    Peer asked = roster.get(about); // who asked for it may hear nothing of that one by itself
+    if (asked != null) {
+      news.add(asked.news);
+    }
     news.addAll(rumours.next(NEWS_IN_A_MESSAGE - news.size(), living()));
     out.add(new Send(to.news, new Message(kind, number, self, about, news)));
   }
--- a/src/test/java/beampoint/emulator/MemberFleetTest.java
+++ b/src/test/java/beampoint/emulator/MemberFleetTest.java
@@ -88,6 +88,23 @@
     }
   }
 
+  /** Guards against suspicions that ran out while a member doubted itself, and kill as soon as that ends. */
+  @Test
+  void whoHearsAgainAfterItWasDeafGivesThoseItSuspectsTheirWholeTime() {
+    for (long seed = 0; seed < 10; seed++) {
+      MemberFleet fleet = fleet(3, seed);
+      fleet.lose(1, 0, 1); // n0 suspects n1, and only n2 could help
+      fleet.pause(2);
+      fleet.runTo(7_600);
+      fleet.lose(2, 0, 1); // before it hears of a refutation it hears nobody
+      fleet.resume(2);
+      fleet.runTo(14_000);
+      fleet.lose(2, 0, 0);
+      fleet.runTo(20_000);
+      assertEquals(List.of(), fleet.deaths());
+    }
+  }
+
   @Test
   void whoIsHeardByNobodyPoisonsNobodysViewAndReturns() {
     MemberFleet fleet = fleet(14, 9);
--- /dev/null
+++ b/src/test/java/beampoint/emulator/MemberStudy.java
@@ -0,0 +1,132 @@
+package beampoint.emulator;
+
+import beampoint.emulator.MemberFleet.Death;
+import beampoint.fleet.membership.MemberTerms;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The figures of docs/fleet/membership.md: mvn test -Dtest=MemberStudy -DargLine="-Dstudy.runs=1000". It
+ * takes minutes, and is no part of the build's tests.
+ */
+class MemberStudy {
+
+  private static final int RUNS = Integer.getInteger("study.runs", 100);
+  private static final MemberTerms USUAL = MemberTerms.usual();
+
+  private static String quantiles(List<Double> values) {
+    Collections.sort(values);
+    return String.format("p50 %.0f p99 %.0f most %.0f of %d", values.get(values.size() / 2),
+        values.get((int) Math.ceil(values.size() * 0.99) - 1), values.get(values.size() - 1), values.size());
+  }
+
+  /** From a crash until the last member knows it. */
+  @Test
+  void crashes() {
+    for (int members : new int[] {3, 14, 100, 400}) {
+      for (MemberTerms terms : List.of(USUAL, USUAL.plain())) {
+        List<Double> all = new ArrayList<>(IntStream.range(0, Math.min(RUNS, 40_000 / members)).parallel()
+            .mapToObj(seed -> {
+              MemberFleet fleet = new MemberFleet(members, terms, seed);
+              fleet.loseEverywhere(0.01);
+              fleet.runTo(5_000 + 37.0 * seed);
+              double at = fleet.now();
+              fleet.kill(seed % members);
+              fleet.runTo(at + 20_000);
+              long knowing = fleet.deaths().stream().filter(d -> d.of() == seed % members).map(Death::by)
+                  .distinct().count();
+              return knowing < members - 1 ? 99_999.0 : fleet.deaths().stream()
+                  .filter(d -> d.of() == seed % members).mapToDouble(Death::at).max().orElse(0) - at;
+            }).toList());
+        System.out.println("crash " + members + (terms == USUAL ? " usual " : " plain ") + quantiles(all));
+      }
+    }
+  }
+
+  /** Ten minutes of 5% loss with bursts, pauses of up to 3 s and one-sided cuts, all at once. */
+  private static MemberFleet troubles(int members, MemberTerms terms, long seed) {
+    MemberFleet fleet = new MemberFleet(members, terms, seed);
+    Random random = new Random(seed);
+    fleet.loseEverywhere(0.05);
+    fleet.runTo(5_000);
+    for (int i = 0; i < 60; i++) {
+      double at = fleet.now();
+      int one = random.nextInt(members);
+      int other = (one + 1 + random.nextInt(members - 1)) % members;
+      int still = random.nextInt(members);
+      fleet.lose(one, other, 1);
+      fleet.pause(still);
+      if (i % 6 == 0) {
+        fleet.loseEverywhere(0.3); // a burst
+        fleet.runTo(at + 500);
+        fleet.loseEverywhere(0.05);
+        fleet.lose(one, other, 1);
+      }
+      fleet.runTo(at + 500 + random.nextInt(2_500));
+      fleet.resume(still);
+      fleet.runTo(at + 10_000);
+      fleet.lose(one, other, 0.05);
+    }
+    return fleet;
+  }
+
+  @Test
+  void wronglyDead() {
+    for (int members : new int[] {3, 14}) {
+      for (MemberTerms terms : List.of(USUAL, USUAL.plain())) {
+        int runs = terms == USUAL ? RUNS : Math.min(RUNS, 20);
+        long wrong = IntStream.range(0, runs).parallel()
+            .mapToLong(seed -> troubles(members, terms, seed).deaths().stream().filter(Death::lived).count())
+            .sum();
+        System.out.println("wrong " + members + (terms == USUAL ? " usual " : " plain ") + wrong + " in "
+            + runs + " runs");
+      }
+    }
+  }
+
+  @Test
+  void heals() {
+    for (int members : new int[] {3, 14, 100, 400}) {
+      List<Double> all = new ArrayList<>(IntStream.range(0, Math.min(RUNS, 8_000 / members)).parallel()
+          .mapToObj(seed -> {
+            MemberFleet fleet = new MemberFleet(members, USUAL, seed);
+            for (int i = 0; i < members / 3; i++) {
+              for (int j = members / 3; j < members; j++) {
+                fleet.lose(i, j, 1);
+                fleet.lose(j, i, 1);
+              }
+            }
+            fleet.runTo(65_000);
+            fleet.loseEverywhere(0.01);
+            for (double time = 100; time <= 20_000; time += 100) {
+              fleet.runTo(65_000 + time);
+              if (fleet.isOfOneView() && fleet.membership(0).living() == members) {
+                return time;
+              }
+            }
+            return 99_999.0;
+          }).toList());
+      System.out.println("heal " + members + " " + quantiles(all));
+    }
+  }
+
+  @Test
+  void traffic() {
+    for (int members : new int[] {3, 14, 100, 400}) {
+      MemberFleet fleet = new MemberFleet(members, USUAL, 1);
+      fleet.loseEverywhere(0.01);
+      fleet.runTo(60_000);
+      long messages = fleet.messages();
+      long bytes = fleet.bytes();
+      long begin = System.nanoTime();
+      fleet.runTo(120_000);
+      System.out.printf("traffic %d: %.1f messages, %.0f bytes a member a second, %.1f us of work%n", members,
+          (fleet.messages() - messages) / 60.0 / members, (fleet.bytes() - bytes) / 60.0 / members,
+          (System.nanoTime() - begin) / 60e3 / members);
+    }
+  }
+}
