A proxy may be a member of a fleet: datagrams, whole views and the settings for it

With a `fleet` object in the configuration serve runs the membership machine on sockets: UDP on a thread of its own, handed to the decision thread, whole views by TCP at the same port, all bounded. A bad object is told with its field, exit code 2.

FleetNodeTest: five proxies that know one address find each other, hear of a crash, a restart under the same name elsewhere and an orderly end; hostile datagrams and views are counted and cost themselves.

--- a/src/main/java/beampoint/fleet/message/Codec.java
+++ b/src/main/java/beampoint/fleet/message/Codec.java
@@ -20,6 +20,10 @@
   /** The most bytes of a datagram: no usual network cuts it. */
   public static final int MOST_BYTES = 1_400;
 
+  /** The most bytes of a whole view. */
+  public static final int MOST_BYTES_OF_A_VIEW = 1 << 20;
+
+  private static final int MOST_NEWS_OF_A_VIEW = 2_048;
   private static final int VERSION = 1;
   private static final int MOST_NEWS = 32;
   private static final int MOST_TEXT = 200;
@@ -64,6 +68,55 @@
     return bytes.toByteArray();
   }
 
+  /** The bytes of a whole view. */
+  public byte[] writeView(List<News> view) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (JsonGenerator out = FORM.createGenerator(bytes)) {
+      out.writeStartArray();
+      out.writeString(cluster);
+      out.writeNumber(VERSION);
+      for (News item : view) {
+        write(out, item);
+      }
+      out.writeEndArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("bytes in memory can't be written", e);
+    }
+    return bytes.toByteArray();
+  }
+
+  /** Reads a whole view of this cluster. */
+  public List<News> readView(byte[] bytes) throws FormException {
+    try (JsonParser in = FORM.createParser(bytes)) {
+      begin(in);
+      return newsToTheEnd(in, MOST_NEWS_OF_A_VIEW);
+    } catch (IOException | RuntimeException e) {
+      throw new FormException("no view: " + e.getMessage());
+    }
+  }
+
+  private void begin(JsonParser in) throws IOException, FormException {
+    expect(in, JsonToken.START_ARRAY);
+    if (!text(in).equals(cluster)) {
+      throw new FormException("of another cluster");
+    }
+    long version = number(in);
+    if (version != VERSION) {
+      throw new FormException("of an unknown version: " + version);
+    }
+  }
+
+  private static List<News> newsToTheEnd(JsonParser in, int most) throws IOException, FormException {
+    List<News> news = new ArrayList<>();
+    while (in.nextToken() == JsonToken.START_ARRAY && news.size() < most) {
+      news.add(news(in));
+    }
+    if (in.currentToken() != JsonToken.END_ARRAY || in.nextToken() != null) {
+      throw new FormException("with more than there may be");
+    }
+    return List.copyOf(news);
+  }
+
   private static void write(JsonGenerator out, News news) throws IOException {
     out.writeStartArray();
     out.writeString(news.member());
@@ -81,27 +134,12 @@
       throw new FormException("longer than a datagram of members: " + length);
     }
     try (JsonParser in = FORM.createParser(bytes, 0, length)) {
-      expect(in, JsonToken.START_ARRAY);
-      if (!text(in).equals(cluster)) {
-        throw new FormException("of another cluster");
-      }
-      long version = number(in);
-      if (version != VERSION) {
-        throw new FormException("of an unknown version: " + version);
-      }
+      begin(in);
       Kind kind = of(Kind.values(), number(in));
       long number = number(in);
       String about = text(in);
       expect(in, JsonToken.START_ARRAY);
-      News from = news(in);
-      List<News> news = new ArrayList<>();
-      while (in.nextToken() == JsonToken.START_ARRAY && news.size() < MOST_NEWS) {
-        news.add(news(in));
-      }
-      if (in.currentToken() != JsonToken.END_ARRAY || in.nextToken() != null) {
-        throw new FormException("with more than a message");
-      }
-      return new Message(kind, number, from, about, List.copyOf(news));
+      return new Message(kind, number, news(in), about, newsToTheEnd(in, MOST_NEWS));
     } catch (IOException | RuntimeException e) {
       throw new FormException("no message: " + e.getMessage());
     }
--- /dev/null
+++ b/src/main/java/beampoint/fleet/transport/Views.java
@@ -0,0 +1,156 @@
+package beampoint.fleet.transport;
+
+import beampoint.count.Counter;
+import beampoint.count.Counters;
+import beampoint.fleet.message.Codec;
+import beampoint.fleet.message.FormException;
+import beampoint.fleet.message.News;
+import beampoint.transport.PeerFilter;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/**
+ * Exchanges whole views, by TCP: who asks sends its own and gets the other's, each behind its length in four
+ * bytes. Few at a time, none for long, and none longer than a view may be.
+ */
+public final class Views {
+
+  private static final int MOST_OPEN = 16;
+  private static final long LONGEST_MS = 2_000;
+  private static final int HEAD = 4;
+
+  private final TCPNIOTransport transport;
+  private final ScheduledExecutorService loop;
+  private final Codec codec;
+  private final Counters counters;
+  private final Supplier<List<News>> own;
+  private final Consumer<List<News>> received;
+  private final AtomicInteger open = new AtomicInteger();
+
+  /** The own view is asked for, and others' are told, in tasks of the loop. */
+  public Views(TCPNIOTransport transport, ScheduledExecutorService loop, Codec codec, Counters counters,
+      Supplier<List<News>> own, Consumer<List<News>> received) {
+    this.transport = transport;
+    this.loop = loop;
+    this.codec = codec;
+    this.counters = counters;
+    this.own = own;
+    this.received = received;
+  }
+
+  /** Reads one view whole; who was asked answers with its own, and either ends the connection then. */
+  private final class Side extends BaseFilter {
+    private final boolean answers;
+
+    Side(boolean answers) {
+      this.answers = answers;
+    }
+
+    @Override
+    public NextAction handleAccept(FilterChainContext ctx) {
+      watch(ctx.getConnection());
+      return ctx.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+      Buffer bytes = ctx.getMessage();
+      int length = bytes.remaining() < HEAD ? 0 : bytes.getInt(bytes.position());
+      if (length < 0 || length > Codec.MOST_BYTES_OF_A_VIEW) {
+        counters.add(Counter.MEMBER_MESSAGES_DROPPED);
+        ctx.getConnection().terminateSilently();
+        return ctx.getStopAction();
+      }
+      if (bytes.remaining() < HEAD || bytes.remaining() < HEAD + length) {
+        return ctx.getStopAction(bytes);
+      }
+      byte[] view = new byte[length];
+      bytes.position(bytes.position() + HEAD);
+      bytes.get(view);
+      Connection<?> connection = ctx.getConnection();
+      loop.execute(() -> take(connection, view, answers));
+      return ctx.getStopAction();
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+      open.decrementAndGet();
+      return ctx.getInvokeAction();
+    }
+  }
+
+  /** Guards against peers that connect and say nothing, or too many at once. */
+  private void watch(Connection<?> connection) {
+    if (open.incrementAndGet() > MOST_OPEN) {
+      connection.terminateSilently();
+    } else {
+      loop.schedule(connection::terminateSilently, LONGEST_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void take(Connection<?> connection, byte[] bytes, boolean answers) {
+    try {
+      List<News> view = codec.readView(bytes);
+      if (answers) {
+        write(connection, own.get());
+      } else {
+        connection.terminateSilently();
+      }
+      received.accept(view);
+    } catch (FormException e) {
+      counters.add(Counter.MEMBER_MESSAGES_DROPPED);
+      connection.terminateSilently();
+    }
+  }
+
+  @SuppressWarnings("unchecked") // all connections of a TCP transport have socket addresses
+  private void write(Connection<?> connection, List<News> view) {
+    byte[] bytes = codec.writeView(view);
+    Buffer frame = transport.getMemoryManager().allocate(HEAD + bytes.length);
+    frame.putInt(bytes.length).put(bytes).flip();
+    ((Connection<SocketAddress>) connection).write(frame, new EmptyCompletionHandler<>() { });
+  }
+
+  private FilterChain chain(boolean answers) {
+    return FilterChainBuilder.stateless().add(new PeerFilter()).add(new Side(answers)).build();
+  }
+
+  /** Listens to those that ask; returns the address, with the port that the system picks where it is 0. */
+  public InetSocketAddress listen(InetSocketAddress address) throws IOException {
+    return (InetSocketAddress) TCPNIOBindingHandler.builder(transport).processor(chain(true)).build()
+        .bind(address).getLocalAddress();
+  }
+
+  /** Asks a member: it gets this one's view and its own comes back, or nothing does. */
+  public void exchange(InetSocketAddress with) {
+    TCPNIOConnectorHandler.builder(transport).processor(chain(false)).build().connect(with)
+        .addCompletionHandler(new EmptyCompletionHandler<>() {
+          @Override
+          public void completed(@SuppressWarnings("rawtypes") Connection connection) {
+            Connection<?> made = connection;
+            loop.execute(() -> {
+              watch(made);
+              write(made, own.get());
+            });
+          }
+        });
+  }
+}
--- a/src/main/java/beampoint/serve/Config.java
+++ b/src/main/java/beampoint/serve/Config.java
@@ -3,6 +3,7 @@
 import beampoint.Balancer.Settings;
 import beampoint.discovery.HostList;
 import beampoint.settings.Address;
+import beampoint.settings.FleetSettings;
 import beampoint.settings.InputException;
 import beampoint.settings.JsonFields;
 import beampoint.settings.SettingsReader;
@@ -18,9 +19,12 @@
 import java.util.Objects;
 import java.util.Set;
 
-/** What a proxy is told at its start; {@code ops} is null where there is no address for operators. */
+/**
+ * What a proxy is told at its start; {@code ops} is null where there is no address for operators, and
+ * {@code fleet} where it is a member of none.
+ */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress ops,
-    InetSocketAddress discovery, long seed,
+    FleetSettings fleet, InetSocketAddress discovery, long seed,
     int sockets, int memoryMb, HostList known, Settings settings, SocketSettings socketSettings,
     Set<String> keys) {
 
@@ -60,7 +64,8 @@
       top.put("ops", ops);
     }
     return new Config(top.text("name"), address(top, "listen"),
-        top.text("ops", null) == null ? null : address(top, "ops"), address(top, "discovery"), seed,
+        top.text("ops", null) == null ? null : address(top, "ops"),
+        json.has("fleet") ? FleetSettings.read(top) : null, address(top, "discovery"), seed,
         sockets, top.index("limits.memory_mb", 192), HostList.read(json.getAsJsonObject("known")),
         SettingsReader.read(settings), SocketSettings.read(settings), keys(json));
   }
@@ -83,7 +88,7 @@
   /** True where the next configuration differs in what holds from a start on. */
   boolean needsRestart(Config next) {
     return !name.equals(next.name) || !listen.equals(next.listen) || sockets != next.sockets
-        || !Objects.equals(ops, next.ops)
+        || !Objects.equals(ops, next.ops) || !Objects.equals(fleet, next.fleet)
         || !socketSettings.zones().equals(next.socketSettings.zones())
         || !socketSettings.kinds().equals(next.socketSettings.kinds())
         || settings.zone() != next.settings.zone() || settings.originKind() != next.settings.originKind()
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -12,6 +12,9 @@
 import beampoint.discovery.HostList;
 import beampoint.discovery.HostList.Host;
 import beampoint.discovery.Watch;
+import beampoint.fleet.membership.MemberTerms;
+import beampoint.fleet.message.News;
+import beampoint.fleet.node.FleetNode;
 import beampoint.log.Log;
 import beampoint.ops.Calls;
 import beampoint.upstream.Upstreams;
@@ -60,6 +63,7 @@
   private final Upstreams upstreams;
   private final Sessions sessions;
   private final Watch watch;
+  private final FleetNode fleet; // null where the proxy is a member of none
   private final Decisions decisions;
   private final Reload reload;
   private final Ending ending;
@@ -109,6 +113,8 @@
         this::watchBroken, Watch.SILENCE_MS);
     decisions.carryOutWith(upstreams, watch);
     this.reload = new Reload(config, this.directory, decisions, upstreams, watch, counters, loop);
+    this.fleet = config.fleet() == null ? null : new FleetNode(config.fleet(), name, config.seed(),
+        MemberTerms.usual(), transport, loop, clock, counters);
     this.ending = new Ending(sessions, decisions, loop, clock, this::isReplacing);
     if (config.ops() == null) {
       this.operations = null;
@@ -176,6 +182,9 @@
       listed(start.known(), ListKind.REMEMBERED);
     });
     InetSocketAddress ops = calls == null ? null : calls.listen(config.ops());
+    if (fleet != null) {
+      fleet.start();
+    }
     loop.execute(() -> {
       if (decisions.settings().listPushed()) {
         watch.follow();
@@ -251,10 +260,18 @@
     if (operations != null) {
       operations.close();
     }
+    if (fleet != null) {
+      fleet.close();
+    }
     transport.shutdownNow();
     loop.shutdownNow();
   }
 
+  /** How this proxy sees the members of its fleet, for a test. */
+  List<News> members() throws InterruptedException, ExecutionException {
+    return loop.submit(fleet::view).get();
+  }
+
   /** The counters, for the log or a test. */
   public Counters counters() {
     return counters;
@@ -312,6 +329,9 @@
 
   /** Ends in order: serves on while clients may still come, then answers all that was taken. */
   public void drain() throws InterruptedException {
+    if (fleet != null) {
+      loop.execute(fleet::leave);
+    }
     ending.await();
     LOG.info(name + " ends: " + counters);
   }
--- a/src/test/java/beampoint/serve/ConfigTest.java
+++ b/src/test/java/beampoint/serve/ConfigTest.java
@@ -1,6 +1,7 @@
 package beampoint.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -51,6 +52,25 @@
     assertEquals(1, new Directory(config.socketSettings()).endpoint(config.known().hosts().get(0)).kind());
   }
 
+  @Test
+  void aFleetThatCannotBeUsedIsToldWithItsPlace() throws Exception {
+    assertNull(Config.read("config.json", good()).fleet());
+    String[][] cases = {{"7", "fleet.cluster': missing"}, {"{}", "fleet.cluster': missing"},
+        {"{\"cluster\":\"\",\"listen\":\"127.0.0.1:1\"}", "fleet.cluster': not a name"},
+        {"{\"cluster\":\"c\",\"listen\":\"here\"}", "fleet.listen': not of the form"},
+        {"{\"cluster\":\"c\",\"listen\":\"127.0.0.1:1\",\"peers\":[{\"name\":\"a\"}]}",
+            "fleet.peers.0.address': missing"},
+        {"{\"cluster\":\"c\",\"listen\":\"127.0.0.1:1\",\"peers\":[{\"name\":\"a\",\"address\":\"h:1\"},"
+            + "{\"name\":\"a\",\"address\":\"h:2\"}]}", "fleet.peers.1.name': named twice"},
+        {"{\"cluster\":\"c\",\"listen\":\"127.0.0.1:1\",\"dial\":[{\"name\":\"a b\",\"address\":\"h:1\"}]}",
+            "fleet.dial.0.name': not a name"}};
+    for (String[] odd : cases) {
+      JsonObject json = good();
+      json.add("fleet", JsonParser.parseString(odd[0]));
+      assertTrue(problem(json).contains(odd[1]), problem(json));
+    }
+  }
+
   /** What the new shape added: absent, it leaves a proxy of the old shape as it was. */
   @Test
   void crossingZonesIsFreeAndNoReportComesUnlessTheSettingsSaySo() throws Exception {
--- /dev/null
+++ b/src/test/java/beampoint/serve/FleetNodeTest.java
@@ -0,0 +1,146 @@
+package beampoint.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Stub;
+import beampoint.count.Counter;
+import beampoint.fleet.message.Status;
+import beampoint.settings.Address;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Proxies that are members of one fleet, on sockets. */
+@Timeout(60)
+class FleetNodeTest {
+
+  private final Stub discovery = new Stub(Stub.Peer::beSilent);
+  private final List<Proxy> fleet = new ArrayList<>();
+
+  FleetNodeTest() throws Exception {}
+
+  /** Starts a proxy; it knows the first one's address. */
+  private Proxy start(int number) throws Exception {
+    String peers = number == 0 ? "" : "{\"name\":\"n0\",\"address\":\"" + address(fleet.get(0)) + "\"}";
+    JsonObject json = JsonParser.parseString("""
+        {"name":"n%d","listen":"127.0.0.1:0","discovery":"%s","seed":"%d","known":{"seq":1,"whole":true,
+         "hosts":[]},"settings":%s,"fleet":{"cluster":"test","listen":"127.0.0.1:0","peers":[%s]}}"""
+        .formatted(number, discovery.address(), number + 1, ProxyFixture.SETTINGS, peers)).getAsJsonObject();
+    Proxy proxy = new Proxy(Config.read("test", json), settings -> new ProxyFixture.Module());
+    proxy.start();
+    return proxy;
+  }
+
+  private static String address(Proxy proxy) throws Exception {
+    while (proxy.members().isEmpty()) {
+      Thread.onSpinWait();
+    }
+    return proxy.members().get(0).address();
+  }
+
+  private static Map<String, Status> view(Proxy proxy) throws Exception {
+    Map<String, Status> view = new TreeMap<>();
+    proxy.members().forEach(news -> view.put(news.member(), news.status()));
+    return view;
+  }
+
+  /** Waits until all of them see the members so. */
+  private void await(List<Proxy> proxies, Map<String, Status> expected) throws Exception {
+    for (Proxy proxy : proxies) {
+      while (!view(proxy).equals(expected)) {
+        Thread.onSpinWait();
+      }
+    }
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    for (Proxy proxy : fleet) {
+      proxy.stop();
+    }
+    discovery.close();
+  }
+
+  @Test
+  void membersFindEachOtherAndHearOfACrashARestartAndAnOrderlyEnd() throws Exception {
+    Map<String, Status> all = new TreeMap<>();
+    for (int i = 0; i < 5; i++) {
+      fleet.add(start(i));
+      all.put("n" + i, Status.ALIVE);
+    }
+    await(fleet, all);
+    fleet.get(2).stop();
+    List<Proxy> rest = new ArrayList<>(fleet);
+    rest.remove(2);
+    all.put("n2", Status.DEAD);
+    await(rest, all);
+    assertEquals(1, fleet.get(0).counters().get(Counter.MEMBERS_DIED));
+    Proxy again = start(2); // under its name, at another address, with nothing kept
+    fleet.set(2, again);
+    rest.add(again);
+    all.put("n2", Status.ALIVE);
+    await(rest, all);
+    fleet.get(3).drain();
+    rest.remove(fleet.get(3));
+    all.put("n3", Status.LEFT);
+    await(rest.subList(0, 3), all);
+  }
+
+  /** Guards against peers that are none: they cost themselves, and members stay what they are. */
+  @Test
+  void whatIsNoMessageIsDroppedAndCountedOverUdpAndTcp() throws Exception {
+    fleet.add(start(0));
+    fleet.add(start(1));
+    Map<String, Status> both = Map.of("n0", Status.ALIVE, "n1", Status.ALIVE);
+    await(fleet, both);
+    InetSocketAddress address = Address.parse(address(fleet.get(0)));
+    Random random = new Random(3);
+    try (DatagramSocket hostile = new DatagramSocket()) {
+      for (int i = 0; i < 200; i++) {
+        byte[] bytes = new byte[random.nextInt(2_000)];
+        random.nextBytes(bytes);
+        hostile.send(new DatagramPacket(bytes, bytes.length, address));
+      }
+    }
+    byte[][] views = {{0, 0, 0, 3, 1, 2, 3}, {-1, 0, 0, 0}, {0x7f, 0, 0, 0, 1}};
+    for (byte[] view : views) {
+      try (Socket hostile = new Socket(address.getAddress(), address.getPort())) {
+        hostile.getOutputStream().write(view);
+        assertEquals(-1, hostile.getInputStream().read(), "it is ended");
+      }
+    }
+    while (fleet.get(0).counters().get(Counter.MEMBER_MESSAGES_DROPPED) < 20) {
+      Thread.onSpinWait(); // some datagrams may be lost
+    }
+    await(fleet, both);
+    assertEquals(0, fleet.get(0).counters().get(Counter.MEMBERS_DIED));
+  }
+
+  @Test
+  void withoutAFleetThereIsNoThreadOfItAndNoMore() throws Exception {
+    Set<Thread> before = memberThreads(); // those of an earlier test may be ending
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody())) {
+      assertTrue(proxy.port > 0);
+      assertTrue(before.containsAll(memberThreads()));
+    }
+  }
+
+  private static Set<Thread> memberThreads() {
+    return Thread.getAllStackTraces().keySet().stream().filter(t -> t.getName().equals("members"))
+        .collect(Collectors.toSet());
+  }
+}
