The load is shared among the proxies that live, and two processes of one proxy are one member

The module's siblings were the configured number whatever had become of them. Siblings follows the members that live: a higher number at once, a lower one after 5 s, as each proxy's part of a cold cache's budget grows with it; who doubts itself or sees half or less takes the configured one. It reaches the module as SettingsChanged. In an upgrade the second process begins as a member once the first has left, at the same address.

--- a/src/main/java/beampoint/Balancer.java
+++ b/src/main/java/beampoint/Balancer.java
@@ -80,7 +80,14 @@
   /** What an instance is told at its start. An origin kind below 0 means that there is no origin. */
   record Settings(long seed, int siblings, int zone, boolean listPushed, WeightSource weightSource,
       int originKind, double overShareWorth, Limits limits, Rules rules, Prices prices,
-      List<RequestClass> classes, List<Tenant> tenants) {}
+      List<RequestClass> classes, List<Tenant> tenants) {
+
+    /** The same for another number of balancers. */
+    public Settings withSiblings(int number) {
+      return new Settings(seed, number, zone, listPushed, weightSource, originKind, overShareWorth, limits,
+          rules, prices, classes, tenants);
+    }
+  }
 
   /** An entry of the endpoint list; startedAt is 0 for an endpoint that started long ago. */
   record Endpoint(String id, int zone, int kind, int cell, EndpointState state, double weight,
--- a/src/main/java/beampoint/fleet/node/FleetNode.java
+++ b/src/main/java/beampoint/fleet/node/FleetNode.java
@@ -9,6 +9,7 @@
 import beampoint.fleet.membership.MemberEvent;
 import beampoint.fleet.membership.MemberTerms;
 import beampoint.fleet.membership.Membership;
+import beampoint.fleet.membership.Siblings;
 import beampoint.fleet.message.Codec;
 import beampoint.fleet.message.News;
 import beampoint.fleet.message.Status;
@@ -24,6 +25,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
+import java.util.function.IntConsumer;
 import org.apache.commons.rng.simple.RandomSource;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
@@ -31,6 +33,7 @@
 public final class FleetNode {
 
   private static final Log LOG = Log.of("fleet");
+  private static final double SETTLED_MS = 5_000; // that fewer members have to be seen before it counts
 
   private final FleetSettings settings;
   private final String name;
@@ -41,11 +44,22 @@
   private final Counters counters;
   private final Datagrams datagrams;
   private final Views views;
+  private final Siblings siblings;
+  private final IntConsumer shared;
   private Membership membership; // belongs to the loop
+  private volatile boolean started;
 
-  /** A member that is not listening yet. */
-  public FleetNode(FleetSettings settings, String name, long seed, MemberTerms terms,
-      TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock, Counters counters) {
+  /**
+   * A member that is not listening yet.
+   *
+   * @param configured how many proxies there are by the settings
+   * @param shared told, in the loop and with every step, among how many the load is shared
+   */
+  public FleetNode(FleetSettings settings, String name, long seed, MemberTerms terms, int configured,
+      IntConsumer shared, TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
+      Counters counters) {
+    this.siblings = new Siblings(configured, SETTLED_MS);
+    this.shared = shared;
     this.settings = settings;
     this.name = name;
     this.seed = seed;
@@ -61,6 +75,7 @@
 
   /** Listens, and joins those that are there; the transport for views has been started. */
   public void start() throws IOException {
+    started = true;
     InetSocketAddress address = views.listen(settings.listen());
     datagrams.listen(address);
     List<News> known = new ArrayList<>();
@@ -71,10 +86,15 @@
     loop.execute(() -> {
       membership = new Membership(terms, name, Address.text(address), known,
           RandomSource.XO_SHI_RO_256_PP.create(seed), clock.getAsDouble());
-      loop.scheduleWithFixedDelay(() -> give(new MemberEvent.Tick()), 0, step, TimeUnit.MILLISECONDS);
+      loop.scheduleWithFixedDelay(this::step, 0, step, TimeUnit.MILLISECONDS);
     });
   }
 
+  private void step() {
+    give(new MemberEvent.Tick());
+    shared.accept(siblings.number(clock.getAsDouble(), membership.living(), membership.doubtsItself()));
+  }
+
   /** Leaves in order, and listens no longer; from the loop. */
   public void leave() {
     give(new MemberEvent.Leave());
@@ -82,7 +102,9 @@
 
   /** Stops at once, as a crash does. */
   public void close() throws IOException {
-    datagrams.close();
+    if (started) {
+      datagrams.close();
+    }
   }
 
   /** How this member sees all; from the loop. */
--- a/src/main/java/beampoint/serve/Decisions.java
+++ b/src/main/java/beampoint/serve/Decisions.java
@@ -10,6 +10,7 @@
 import beampoint.Balancer.RequestReceived;
 import beampoint.Balancer.Result;
 import beampoint.Balancer.Settings;
+import beampoint.Balancer.SettingsChanged;
 import beampoint.Balancer.TimerFired;
 import beampoint.count.Counter;
 import beampoint.count.Counters;
@@ -30,6 +31,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 
 /**
  * Tells the decision module what happens and carries out what it decides, for every request that is open. It
@@ -82,6 +84,20 @@
     settings = next;
   }
 
+  /** Among how many proxies the load is shared, as far as it is known. */
+  void siblings(int number) {
+    if (number != settings.siblings()) {
+      LOG.info("the load is shared among " + number + " proxies");
+      settings = settings.withSiblings(number);
+      give(new SettingsChanged(settings, places(settings.classes()), places(settings.tenants())));
+    }
+  }
+
+  /** All stay where they are. */
+  private static List<Integer> places(List<?> of) {
+    return IntStream.range(0, of.size()).boxed().toList();
+  }
+
   static double longestDeadline(Settings settings) {
     return settings.classes().stream().mapToDouble(RequestClass::deadline).max().orElse(0);
   }
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -114,7 +114,7 @@
     decisions.carryOutWith(upstreams, watch);
     this.reload = new Reload(config, this.directory, decisions, upstreams, watch, counters, loop);
     this.fleet = config.fleet() == null ? null : new FleetNode(config.fleet(), name, config.seed(),
-        MemberTerms.usual(), transport, loop, clock, counters);
+        MemberTerms.usual(), settings.siblings(), decisions::siblings, transport, loop, clock, counters);
     this.ending = new Ending(sessions, decisions, loop, clock, this::isReplacing);
     if (config.ops() == null) {
       this.operations = null;
@@ -182,8 +182,10 @@
       listed(start.known(), ListKind.REMEMBERED);
     });
     InetSocketAddress ops = calls == null ? null : calls.listen(config.ops());
-    if (fleet != null) {
+    if (fleet != null && operations == null) {
       fleet.start();
+    } else if (fleet != null) {
+      joinWhenAlone(); // another process of this proxy is told of in a moment
     }
     loop.execute(() -> {
       if (decisions.settings().listPushed()) {
@@ -205,6 +207,21 @@
     return operations != null && operations.processes() > 1;
   }
 
+  /** Two processes of one proxy are one member: the second takes the place of the first when that is gone. */
+  private void joinWhenAlone() {
+    loop.after(POLL_MS, () -> {
+      if (isReplacing()) {
+        joinWhenAlone();
+        return;
+      }
+      try {
+        fleet.start();
+      } catch (IOException e) {
+        LOG.error("can't be a member of its fleet", e);
+      }
+    });
+  }
+
   private boolean isOut(String endpoint) {
     return operations != null && operations.isOut(endpoint);
   }
@@ -267,6 +284,11 @@
     loop.shutdownNow();
   }
 
+  /** How many processes of this proxy there are, for a test. */
+  int processes() throws InterruptedException, ExecutionException {
+    return loop.submit(() -> operations.processes()).get();
+  }
+
   /** How this proxy sees the members of its fleet, for a test. */
   List<News> members() throws InterruptedException, ExecutionException {
     return loop.submit(fleet::view).get();
--- a/src/test/java/beampoint/serve/FleetNodeTest.java
+++ b/src/test/java/beampoint/serve/FleetNodeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beampoint.Balancer.SettingsChanged;
 import beampoint.Stub;
 import beampoint.count.Counter;
 import beampoint.fleet.message.Status;
@@ -13,6 +14,7 @@
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +25,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Proxies that are members of one fleet, on sockets. */
 @Timeout(60)
@@ -30,17 +33,28 @@
 
   private final Stub discovery = new Stub(Stub.Peer::beSilent);
   private final List<Proxy> fleet = new ArrayList<>();
+  private final List<ProxyFixture.Module> modules = new ArrayList<>();
 
   FleetNodeTest() throws Exception {}
 
   /** Starts a proxy; it knows the first one's address. */
   private Proxy start(int number) throws Exception {
+    return start(number, "127.0.0.1:0", null);
+  }
+
+  /** One that operators can replace, if it has a directory, by a second process at the same address. */
+  private Proxy start(int number, String listen, Path directory) throws Exception {
     String peers = number == 0 ? "" : "{\"name\":\"n0\",\"address\":\"" + address(fleet.get(0)) + "\"}";
     JsonObject json = JsonParser.parseString("""
         {"name":"n%d","listen":"127.0.0.1:0","discovery":"%s","seed":"%d","known":{"seq":1,"whole":true,
-         "hosts":[]},"settings":%s,"fleet":{"cluster":"test","listen":"127.0.0.1:0","peers":[%s]}}"""
-        .formatted(number, discovery.address(), number + 1, ProxyFixture.SETTINGS, peers)).getAsJsonObject();
-    Proxy proxy = new Proxy(Config.read("test", json), settings -> new ProxyFixture.Module());
+         "hosts":[]},"settings":%s,"fleet":{"cluster":"test","listen":"%s","peers":[%s]}%s}"""
+        .formatted(number, discovery.address(), number + 1, ProxyFixture.SETTINGS, listen, peers,
+            directory == null ? "" : ",\"ops\":\"127.0.0.1:0\"")).getAsJsonObject();
+    ProxyFixture.Module module = new ProxyFixture.Module();
+    Config config = Config.read("test", json);
+    Proxy proxy = directory == null ? new Proxy(config, settings -> module)
+        : new Proxy(config, settings -> module, directory);
+    modules.add(module);
     proxy.start();
     return proxy;
   }
@@ -83,6 +97,11 @@
       all.put("n" + i, Status.ALIVE);
     }
     await(fleet, all);
+    for (ProxyFixture.Module module : modules) {
+      while (module.next(SettingsChanged.class).settings().siblings() != 5) {
+        // two are configured, and more come
+      }
+    }
     fleet.get(2).stop();
     List<Proxy> rest = new ArrayList<>(fleet);
     rest.remove(2);
@@ -100,6 +119,31 @@
     await(rest.subList(0, 3), all);
   }
 
+  /** Guards against two processes of one proxy that are taken for two members, or end one another. */
+  @Test
+  void twoProcessesOfOneProxyAreOneMember(@TempDir Path directory) throws Exception {
+    fleet.add(start(0));
+    Map<String, Status> both = new TreeMap<>(Map.of("n0", Status.ALIVE, "n1", Status.ALIVE));
+    Proxy first = start(1, "127.0.0.1:0", directory);
+    await(fleet, both);
+    String listen = address(first);
+    Proxy second = start(1, listen, directory);
+    while (first.processes() < 2 || second.processes() < 2) {
+      Thread.onSpinWait();
+    }
+    assertEquals(List.of(), second.members(), "it waits for its turn");
+    assertEquals(both, view(fleet.get(0)));
+    first.drain();
+    both.put("n1", Status.LEFT);
+    await(fleet, both);
+    first.stop();
+    fleet.add(second);
+    both.put("n1", Status.ALIVE);
+    await(fleet, both);
+    assertEquals(listen, address(second));
+    assertEquals(0, fleet.get(0).counters().get(Counter.MEMBERS_DIED));
+  }
+
   /** Guards against peers that are none: they cost themselves, and members stay what they are. */
   @Test
   void whatIsNoMessageIsDroppedAndCountedOverUdpAndTcp() throws Exception {
