--- a/src/main/java/beampoint/emulator/CacheNode.java
+++ b/src/main/java/beampoint/emulator/CacheNode.java
@@ -121,8 +121,9 @@
   }
 
   /**
-   * The rule on cold nodes: what it was sent in a window, beside what it can do at this moment. Each fall is
-   * counted; it breaks the rule where most of it came from proxies that had been told of the start.
+   * The rule on cold nodes: what it was sent in a window, beside what it can do at this moment. It bears N + 3
+   * root N + 3 requests of mean work, N being what the multiple allows: chance is no storm. Each fall counts;
+   * it breaks the rule where most of it came from proxies that had been told of the start.
    */
   private void press(double work, Instance from) {
     if (!isCold()) {
@@ -137,10 +138,13 @@
     while (window.peekFirst().at() < now - length) {
       windowWork -= window.pollFirst().work();
     }
-    double multiple = windowWork / (caches.cores() * warmth() * length);
+    double capacity = caches.cores() * warmth() * length;
+    double multiple = windowWork / capacity;
+    double mean = windowWork / window.size();
+    double allowed = world.scenario.rules().fallMultiple() * capacity / mean; // requests
     if (now - startedAt >= length) {
       world.report.coldLoad(multiple);
-      if (multiple > world.scenario.rules().fallMultiple()) {
+      if (window.size() > allowed + 3 * Math.sqrt(allowed) + 3) {
         double told = window.stream().filter(Load::told).mapToDouble(Load::work).sum();
         world.report.coldFall();
         if (told > BLAMED_PART * windowWork) {
