--- a/src/main/java/beampoint/emulator/CacheNode.java
+++ b/src/main/java/beampoint/emulator/CacheNode.java
@@ -121,7 +121,7 @@
   }
 
   /**
-   * The rule on cold nodes: what it was sent in a window, beside what it can do at this moment. It bears N + 3
+   * The rule on cold nodes: what it was sent in a window, beside what it can do now. It bears N + 3
    * root N + 3 requests of mean work, N being what the multiple allows: chance is no storm. Each fall counts;
    * it breaks the rule where most of it came from proxies that had been told of the start.
    */
