--- a/src/main/java/beampoint/emulator/MemberFleet.java
+++ b/src/main/java/beampoint/emulator/MemberFleet.java
@@ -52,7 +52,6 @@
   private final List<News> known = new ArrayList<>();
   private final double[][] losses;
   private final List<Death> deaths = new ArrayList<>();
-  private final Set<Integer> impaired = new HashSet<>(); // may rightly be held for dead by others
   private double delay = 0.5;
   private double jitter = 2;
   private double repeats;
@@ -91,11 +90,6 @@
     return clock.now();
   }
 
-  /** Runs something at a time. */
-  public void at(double time, Runnable task) {
-    clock.at(time, task);
-  }
-
   /** Starts a member, or one that is down again: it knows the addresses and nothing else. */
   public void start(int member) {
     Host host = hosts.get(member);
@@ -148,15 +142,6 @@
     repeats = repeated;
   }
 
-  /** It is cut off in some direction: to hold it for dead is no mistake. */
-  public void impaired(int member, boolean is) {
-    if (is) {
-      impaired.add(member);
-    } else {
-      impaired.remove(member);
-    }
-  }
-
   /** How one member sees another; null where it does not know of it, or is down. */
   public Status view(int of, int by) {
     Membership membership = hosts.get(by).membership;
@@ -228,9 +213,7 @@
       exchange(host, hosts.get(number(a.with().member())));
     } else if (action instanceof Changed a && a.now().status() == Status.DEAD) {
       int of = number(a.now().member());
-      boolean lived = hosts.get(of).membership != null && !impaired.contains(of)
-          && !impaired.contains(host.number);
-      deaths.add(new Death(clock.now(), of, host.number, lived));
+      deaths.add(new Death(clock.now(), of, host.number, hosts.get(of).membership != null));
     }
   }
 
--- a/src/main/java/beampoint/serve/Config.java
+++ b/src/main/java/beampoint/serve/Config.java
@@ -2,7 +2,6 @@
 
 import beampoint.Balancer.Settings;
 import beampoint.discovery.HostList;
-import beampoint.settings.Address;
 import beampoint.settings.FleetSettings;
 import beampoint.settings.InputException;
 import beampoint.settings.JsonFields;
@@ -63,9 +62,9 @@
     if (ops != null && !ops.isBlank()) {
       top.put("ops", ops);
     }
-    return new Config(top.text("name"), address(top, "listen"),
-        top.text("ops", null) == null ? null : address(top, "ops"),
-        json.has("fleet") ? FleetSettings.read(top) : null, address(top, "discovery"), seed,
+    return new Config(top.text("name"), top.address("listen"),
+        top.text("ops", null) == null ? null : top.address("ops"),
+        json.has("fleet") ? FleetSettings.read(top) : null, top.address("discovery"), seed,
         sockets, top.index("limits.memory_mb", 192), HostList.read(json.getAsJsonObject("known")),
         SettingsReader.read(settings), SocketSettings.read(settings), keys(json));
   }
@@ -95,13 +94,4 @@
         || settings.listPushed() != next.settings.listPushed()
         || settings.weightSource() != next.settings.weightSource();
   }
-
-  private static InetSocketAddress address(JsonFields fields, String field) throws InputException {
-    String text = fields.text(field);
-    InetSocketAddress address = Address.parse(text);
-    if (address == null) {
-      throw fields.malformed(field, "not of the form address:port: '" + text + "'");
-    }
-    return address;
-  }
 }
--- a/src/main/java/beampoint/settings/Fields.java
+++ b/src/main/java/beampoint/settings/Fields.java
@@ -1,5 +1,7 @@
 package beampoint.settings;
 
+import java.net.InetSocketAddress;
+
 /** Named values as texts, read as numbers, flags or words. */
 public abstract class Fields {
 
@@ -79,6 +81,16 @@
     return (int) value;
   }
 
+  /** An address of the form host:port that must be there. */
+  public final InetSocketAddress address(String field) throws InputException {
+    String text = text(field);
+    InetSocketAddress address = Address.parse(text);
+    if (address == null) {
+      throw malformed(field, "not of the form address:port: '" + text + "'");
+    }
+    return address;
+  }
+
   public final boolean flag(String field, boolean absent) throws InputException {
     String value = text(field, absent ? "1" : "0");
     return switch (value) {
--- a/src/main/java/beampoint/settings/FleetSettings.java
+++ b/src/main/java/beampoint/settings/FleetSettings.java
@@ -21,7 +21,7 @@
 
   /** Reads the {@code fleet} object of a configuration that has one. */
   public static FleetSettings read(JsonFields fields) throws InputException {
-    return new FleetSettings(name(fields, "fleet.cluster"), address(fields, "fleet.listen"),
+    return new FleetSettings(name(fields, "fleet.cluster"), fields.address("fleet.listen"),
         addresses(fields, "fleet.peers"), addresses(fields, "fleet.dial"));
   }
 
@@ -34,7 +34,7 @@
     }
     for (int i = 0; i < count; i++) {
       String name = name(fields, list + "." + i + ".name");
-      if (addresses.put(name, address(fields, list + "." + i + ".address")) != null) {
+      if (addresses.put(name, fields.address(list + "." + i + ".address")) != null) {
         throw fields.malformed(list + "." + i + ".name", "named twice: '" + name + "'");
       }
     }
@@ -49,13 +49,4 @@
     }
     return name;
   }
-
-  private static InetSocketAddress address(JsonFields fields, String field) throws InputException {
-    String text = fields.text(field);
-    InetSocketAddress address = Address.parse(text);
-    if (address == null) {
-      throw fields.malformed(field, "not of the form address:port: '" + text + "'");
-    }
-    return address;
-  }
 }
--- a/src/test/java/beampoint/emulator/MemberFleetTest.java
+++ b/src/test/java/beampoint/emulator/MemberFleetTest.java
@@ -58,6 +58,7 @@
       MemberFleet fleet = fleet(members, seed);
       Random random = new Random(seed);
       fleet.loseEverywhere(0.05);
+      fleet.delay(1, 60, 0.1); // late, overtaken, repeated
       for (int i = 0; i < 60; i++) {
         int one = random.nextInt(members);
         int other = (one + 1 + random.nextInt(members - 1)) % members;
--- a/src/test/java/beampoint/emulator/MemberStudy.java
+++ b/src/test/java/beampoint/emulator/MemberStudy.java
@@ -3,6 +3,7 @@
 import beampoint.emulator.MemberFleet.Death;
 import beampoint.fleet.membership.MemberTerms;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
@@ -114,6 +115,84 @@
     }
   }
 
+  /** The plain way: each tells all others twice a second that it lives; who is not heard for 4 s is dead. */
+  private static final class Heartbeats {
+    final Clock clock = new Clock(0);
+    final Random random;
+    final double[][] heardAt;
+    final double[][] losses;
+    final boolean[] still;
+    final boolean[][] dead;
+    long messages;
+    int wrong;
+    double lastDeathAt;
+
+    Heartbeats(int members, long seed) {
+      random = new Random(seed);
+      heardAt = new double[members][members];
+      losses = new double[members][members];
+      still = new boolean[members];
+      dead = new boolean[members][members];
+      for (int i = 0; i < members; i++) {
+        int self = i;
+        clock.after(500 * random.nextDouble(), () -> beat(self));
+      }
+    }
+
+    private void beat(int self) {
+      for (int to = 0; !still[self] && to < heardAt.length; to++) {
+        messages += to == self ? 0 : 1;
+        boolean lost = random.nextDouble() < losses[self][to];
+        int other = to;
+        clock.after(2 * random.nextDouble(), () -> {
+          heardAt[other][self] = lost ? heardAt[other][self] : clock.now(); // what waits is read first
+          dead[other][self] &= lost;
+        });
+        if (!dead[self][to] && to != self && clock.now() - heardAt[self][to] > 4_000) {
+          dead[self][to] = true;
+          wrong++;
+          lastDeathAt = clock.now();
+        }
+      }
+      clock.after(500, () -> beat(self));
+    }
+  }
+
+  @Test
+  void heartbeats() {
+    for (int members : new int[] {3, 14, 100, 400}) {
+      Heartbeats fleet = new Heartbeats(members, 1);
+      fleet.clock.runTo(20_000);
+      System.out.printf("heartbeats %d: %.0f messages a member a second", members,
+          fleet.messages / 20.0 / members);
+      fleet.still[0] = true; // for good
+      fleet.clock.runTo(30_000);
+      System.out.printf(", a crash known to all after %.0f ms%n", fleet.lastDeathAt - 20_000);
+    }
+    for (int members : new int[] {3, 14}) {
+      long wrong = 0;
+      for (int seed = 0; seed < 20; seed++) {
+        Heartbeats fleet = new Heartbeats(members, seed);
+        for (double[] row : fleet.losses) {
+          Arrays.fill(row, 0.05);
+        }
+        for (int i = 0; i < 60; i++) {
+          int one = fleet.random.nextInt(members);
+          int other = (one + 1 + fleet.random.nextInt(members - 1)) % members;
+          int still = fleet.random.nextInt(members);
+          fleet.losses[one][other] = 1;
+          fleet.still[still] = true;
+          fleet.clock.runTo(10_000.0 * i + 500 + fleet.random.nextInt(2_500));
+          fleet.still[still] = false;
+          fleet.clock.runTo(10_000.0 * (i + 1));
+          fleet.losses[one][other] = 0.05;
+        }
+        wrong += fleet.wrong;
+      }
+      System.out.println("wrong " + members + " heartbeats " + wrong + " in 20 runs");
+    }
+  }
+
   @Test
   void traffic() {
     for (int members : new int[] {3, 14, 100, 400}) {
