Members: one writer of bytes for messages and views, a plainer end of a suspicion

Codec.write and writeView began, ended and guarded their bytes alike; one method serves both. Membership.suspicion divided by a logarithm that was kept from 0 by a small number, though what it guarded against returns before. Behaviour is the same; no test was touched.

--- a/src/main/java/beampoint/fleet/membership/Membership.java
+++ b/src/main/java/beampoint/fleet/membership/Membership.java
@@ -255,10 +255,12 @@
   /** The fewer accuse it, the longer it has to refute. */
   private double suspicion(Peer peer) {
     int possible = Math.min(ENOUGH_ACCUSERS, living() - 2);
-    double part = possible < 1 ? 1 : Math.log(Math.max(1, peer.accusers.size())) / Math.log(possible + 1e-9);
+    if (possible <= 1) {
+      return terms.suspectFor();
+    }
+    double part = Math.log(Math.max(1, peer.accusers.size())) / Math.log(possible);
     double longest = terms.suspectFor() * LONGEST_SUSPICION;
-    return possible <= 1 ? terms.suspectFor()
-        : Math.max(terms.suspectFor(), longest - (longest - terms.suspectFor()) * part);
+    return Math.max(terms.suspectFor(), longest - (longest - terms.suspectFor()) * part);
   }
 
   private void endSuspicions() {
--- a/src/main/java/beampoint/fleet/message/Codec.java
+++ b/src/main/java/beampoint/fleet/message/Codec.java
@@ -49,33 +49,32 @@
   }
 
   private byte[] write(Message message, int news) {
-    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    try (JsonGenerator out = FORM.createGenerator(bytes)) {
-      out.writeStartArray();
-      out.writeString(cluster);
-      out.writeNumber(VERSION);
+    return bytes(message.news().subList(0, news), out -> {
       out.writeNumber(message.kind().ordinal());
       out.writeNumber(message.number());
       out.writeString(message.about());
       write(out, message.from());
-      for (News item : message.news().subList(0, news)) {
-        write(out, item);
-      }
-      out.writeEndArray();
-    } catch (IOException e) {
-      throw new IllegalStateException("bytes in memory can't be written", e);
-    }
-    return bytes.toByteArray();
+    });
   }
 
   /** The bytes of a whole view. */
   public byte[] writeView(List<News> view) {
+    return bytes(view, out -> { });
+  }
+
+  /** What stands between the beginning and the news. */
+  private interface Middle {
+    void write(JsonGenerator out) throws IOException;
+  }
+
+  private byte[] bytes(List<News> news, Middle middle) {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     try (JsonGenerator out = FORM.createGenerator(bytes)) {
       out.writeStartArray();
       out.writeString(cluster);
       out.writeNumber(VERSION);
-      for (News item : view) {
+      middle.write(out);
+      for (News item : news) {
         write(out, item);
       }
       out.writeEndArray();
