--- a/src/main/java/beampoint/emulator/Report.java
+++ b/src/main/java/beampoint/emulator/Report.java
@@ -38,7 +38,6 @@
   private final Map<String, Long> counts = new TreeMap<>();
   private long breaks;
   private double coldest;
-  private long coldFalls;
   private long tasks;
   private double start;
 
@@ -47,7 +46,7 @@
     scenario.kinds().forEach(kind -> kinds.add(new Tally()));
     scenario.tenants().forEach(tenant -> tenants.add(new Tally()));
     for (String name : List.of("attempts", "second_attempts", "retries", "probes", "handshakes", "fetches",
-        "origin_stopped", "decisions")) {
+        "origin_stopped", "decisions", "cold_falls")) {
       counts.put(name, 0L);
     }
   }
@@ -105,7 +104,7 @@
   }
 
   void coldFall() {
-    coldFalls++;
+    count("cold_falls");
   }
 
   void broken(double at, String rule) {
@@ -188,7 +187,6 @@
       figures.put("ended." + result.name().toLowerCase(Locale.ROOT), (double) count(result));
     }
     figures.put("cold_multiple", coldest);
-    figures.put("cold_falls", (double) coldFalls);
     figures.put("rules_broken", (double) breaks);
     figures.put("events", (double) tasks);
     return figures;
