Late connections, closes over unread bytes, floods that leave: asked at the moment of sending

It asks now, in that one place; a client's leaving gives up what is not written whole (abandon), a drain or a new start takes back what waits for a connection (Links.bar), and Send tells the latest time to begin, which Effects.startBy decides. - Session.flush closed over unread bytes: a reset, which took an answer of 60 KB with it that lay in the system's buffers. Sending ends first now, and what comes is read and dropped for 500 ms (LingeringClose), also at the operators' address. Where a crowd needs the place and no answer can be on its way, the connection is closed at once; lingering ones make room after 50 ms. - Reading was paused from 32 open commands on, so the end of a client that sends hundreds and goes was not seen, and they were begun one after another. They wait now as read, up to 256 KB a connection and 4 MB in all, and go with their client. - Half a line on a resting connection to a cache node stood before the next answer. Bytes that nobody asked for end it (Unasked). - An answer over HTTP without a length was an error. It lasts until the origin closes; a reset is no end. The library tells both alike, so PeerFilter reads by itself.

--- a/src/main/java/beampoint/Balancer.java
+++ b/src/main/java/beampoint/Balancer.java
@@ -167,8 +167,17 @@
   sealed interface Action permits Send, Refuse, Fail, Cancel, SetTimer, Probe, CloseIdle, FollowList,
       Log {}
 
-  /** Starts an attempt; a limit of 0 lasts until the client gives up. */
-  record Send(long id, String endpoint, double limit) implements Action {}
+  /**
+   * Starts an attempt; a limit of 0 lasts until the client gives up. It must not begin after startBy: a
+   * connection may come up late.
+   */
+  record Send(long id, String endpoint, double limit, double startBy) implements Action {
+
+    /** One that may begin whenever its connection is there. */
+    public Send(long id, String endpoint, double limit) {
+      this(id, endpoint, limit, Double.POSITIVE_INFINITY);
+    }
+  }
 
   /** Final answer: not done, a retry is harmless. A wait of 0 gives no advice. */
   record Refuse(long id, double retryAfter) implements Action {}
--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -8,6 +8,7 @@
 import beampoint.exchange.Intake;
 import beampoint.memcache.Command;
 import beampoint.memcache.Writer;
+import beampoint.transport.LingeringClose;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -33,9 +34,24 @@
     private boolean ends; // the connection, once this answer is written
   }
 
+  /** A command that came before there was room for it, and when. */
+  private record Waiting(Command command, double readAt) {
+
+    int bytes() {
+      return command.size() + WAITING_COST;
+    }
+  }
+
+  private static final int MAX_OPEN = 32; // commands begun and not answered
+  private static final int WAITING_COST = 512; // in bytes, of a command beside those of its own
+  private static final int MAX_WAITING_BYTES = 256 * 1024; // from which on reading is paused
+
   private final Connection<SocketAddress> connection;
   private final Sessions sessions;
   private final Deque<Slot> slots = new ArrayDeque<>();
+  private final Deque<Waiting> waiting = new ArrayDeque<>(); // commands that are not begun yet
+  private int waitingBytes; // of these
+  private boolean paused; // reading, as too much waits
   private final CompletionHandler<WriteResult<Buffer, SocketAddress>> written =
       new EmptyCompletionHandler<>() {
         @Override
@@ -54,6 +70,9 @@
   private boolean ended; // no command that comes after can be read
   private boolean closing;
   private boolean closed;
+  private boolean lingers;
+  private double lingersSince;
+  private boolean makesRoom; // it is closed for others to come
 
   @SuppressWarnings("unchecked") // all connections of a TCP transport have socket addresses
   Session(Connection<?> connection, Sessions sessions, double openedAt) {
@@ -109,6 +128,10 @@
     }
   }
 
+  /**
+   * Takes a command that was read. Guards against a client that sends many at once and goes: beyond a number
+   * they wait here, while reading goes on and so sees its end, and are dropped with it.
+   */
   void command(Command command, double readAt) {
     if (closed || ended) {
       command.release();
@@ -116,6 +139,42 @@
     }
     spoke |= command.problem() == null;
     restsSince = readAt;
+    if (waiting.isEmpty() && slots.size() + unwritten < MAX_OPEN) {
+      begin(command, readAt);
+      return;
+    }
+    Waiting late = new Waiting(command.apart(sessions.memory()), readAt);
+    waiting.add(late);
+    count(late.bytes());
+    if (!paused && (waitingBytes > MAX_WAITING_BYTES || sessions.manyWait())) {
+      paused = true;
+      sessions.read(connection, false);
+    }
+  }
+
+  private void count(int bytes) {
+    waitingBytes += bytes;
+    sessions.countWaiting(bytes);
+  }
+
+  /** Begins what waits, as far as there is room. */
+  private void beginWaiting() {
+    while (!closed && !waiting.isEmpty() && slots.size() + unwritten < MAX_OPEN) {
+      Waiting next = waiting.poll();
+      count(-next.bytes());
+      if (ended) {
+        next.command.release();
+      } else {
+        begin(next.command, next.readAt);
+      }
+    }
+    if (paused && (waiting.isEmpty() || waitingBytes <= MAX_WAITING_BYTES / 2 && !sessions.manyWait())) {
+      paused = false;
+      sessions.read(connection, true);
+    }
+  }
+
+  private void begin(Command command, double readAt) {
     Slot slot = new Slot();
     slots.add(slot);
     Writer writer = sessions.writer();
@@ -196,12 +255,37 @@
     }
     // Guards against closing on a command that was read and is about to come: it would be lost or, as the
     // client sends it again elsewhere, carried out twice. What comes after the close is not begun.
-    if (closing && slots.isEmpty() && (ended || sessions.pending(connection) == unwritten)) {
+    if (closing && !closed && slots.isEmpty() && (ended || sessions.pending(connection) == unwritten)) {
       closed = true;
-      connection.closeSilently(); // once all is written
+      dropWaiting();
+      sessions.drop(connection);
+      if (makesRoom && unfinished == 0 && sessions.now() - movedAt > LingeringClose.LINGER_MS) {
+        connection.terminateSilently(); // no answer is on its way that a reset could take with it
+      } else {
+        lingerOnceWritten();
+      }
+    }
+  }
+
+  private void lingerOnceWritten() {
+    if (closed && !lingers && unfinished == 0) {
+      lingers = true;
+      lingersSince = sessions.now();
+      LingeringClose.begin(connection, sessions.loop());
     }
   }
 
+  /** True where it is over, and only lingers for the peer to see that, since so many ms. */
+  boolean lingersFor(double time) {
+    return closed && lingers && sessions.now() - lingersSince >= time;
+  }
+
+  private void dropWaiting() {
+    waiting.forEach(late -> late.command.release());
+    waiting.clear();
+    count(-waitingBytes);
+  }
+
   private void write(Buffer message, CompletionHandler<WriteResult<Buffer, SocketAddress>> handler) {
     if (unfinished++ == 0) {
       movedAt = sessions.now();
@@ -214,6 +298,7 @@
         if (handler != null) {
           handler.completed(result);
         }
+        lingerOnceWritten();
       }
     });
   }
@@ -272,6 +357,7 @@
   private void answerWritten() {
     unwritten--;
     sessions.answered(connection);
+    beginWaiting();
   }
 
   /** Closes the connection once all commands that were read are answered. */
@@ -280,9 +366,17 @@
     flush();
   }
 
+  /** The same for others to come: without lingering, unless an answer may be on its way. */
+  void makeRoom() {
+    makesRoom = true;
+    closeWhenIdle();
+  }
+
   /** The connection has ended: the client has gone away. */
   void closed() {
     closed = true;
+    lingers = true; // nothing is left to be closed
+    dropWaiting();
     for (Slot slot : slots) {
       if (slot.exchange != null) {
         sessions.intake().gone(slot.exchange);
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -31,6 +31,7 @@
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.memory.MemoryManager;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
@@ -39,12 +40,13 @@
 public final class Sessions {
 
   private static final Log LOG = Log.of("client");
-  private static final int MAX_PENDING = 32; // commands read and not answered, on one connection
+  private static final int MAX_WAITING_BYTES = 4 * 1024 * 1024; // of commands not begun, on all connections
   private static final long SWEEP_MS = 250;
   private static final double SILENCE_MS = 2500; // before the first command, or in the middle of one
   private static final double STANDSTILL_MS = 10_000; // of a client that does not read its answers
   private static final double IDLE_MS = 15_000; // between commands
   private static final long END_STEP_MS = 10;
+  private static final double CROWDED_LINGER_MS = 50; // for an end to be seen, where there is no room
   private static final double CROWDED_IDLE_MS = 2000; // the same, at half of the connections that are many
 
   private final TCPNIOTransport transport;
@@ -63,6 +65,7 @@
   private TCPNIOServerConnection listener;
   private volatile boolean full;
   private double lastWordsBy;
+  private int waitingBytes; // of commands that are read and not begun
 
   public Sessions(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
       Intake intake, Counters counters, Budget budget) {
@@ -111,9 +114,7 @@
       Connection<?> connection = ctx.getConnection();
       Command command = ctx.getMessage();
       double readAt = clock.getAsDouble();
-      if (pending.get(connection).incrementAndGet() == MAX_PENDING) {
-        connection.disableIOEvent(IOEvent.READ);
-      }
+      pending.get(connection).incrementAndGet();
       loop.execute(() -> {
         Session session = open.remove(connection);
         if (session != null) {
@@ -152,6 +153,13 @@
    */
   private void makeRoom(Session except) {
     double now = clock.getAsDouble();
+    int over = open.size() - manyConnections;
+    for (Session session : List.copyOf(open.values())) {
+      if (over > 0 && session.lingersFor(CROWDED_LINGER_MS)) {
+        session.terminate();
+        over--;
+      }
+    }
     Deque<Session> past = new ArrayDeque<>(); // their time for a command
     Deque<Session> idle = new ArrayDeque<>();
     // The last move, and whose.
@@ -180,7 +188,7 @@
       waiting = fresh.size();
       count--;
       counters.add(Counter.CLIENT_CONNECTIONS_CLOSED_FULL);
-      old.closeWhenIdle();
+      old.makeRoom();
     }
   }
 
@@ -243,17 +251,42 @@
     return pending.get(connection).get();
   }
 
-  /** One more answer is written: the connection may be read again. */
+  /** One more answer is written. */
   void answered(Connection<?> connection) {
-    if (pending.get(connection).decrementAndGet() == MAX_PENDING / 2) {
-      try {
+    pending.get(connection).decrementAndGet();
+  }
+
+  /** Reads a connection on, or pauses that: its end is not seen meanwhile. */
+  void read(Connection<?> connection, boolean on) {
+    try {
+      if (on) {
         connection.enableIOEvent(IOEvent.READ);
-      } catch (IOException e) {
-        connection.terminateSilently();
+      } else {
+        connection.disableIOEvent(IOEvent.READ);
       }
+    } catch (IOException e) {
+      connection.terminateSilently();
     }
   }
 
+  /** What comes on a connection from here on is not begun. */
+  void drop(Connection<?> connection) {
+    codec.drop(connection);
+  }
+
+  void countWaiting(int bytes) {
+    waitingBytes += bytes;
+  }
+
+  /** True where the commands that wait take up too much memory. */
+  boolean manyWait() {
+    return waitingBytes > MAX_WAITING_BYTES;
+  }
+
+  MemoryManager<?> memory() {
+    return transport.getMemoryManager();
+  }
+
   /**
    * Takes no more connections. Who is in the middle of a command, or has said nothing yet, has so much time
    * to come to its end. Guards against whoever connects to a listener that is about to be closed, and would
--- a/src/main/java/beampoint/http/HttpFilter.java
+++ b/src/main/java/beampoint/http/HttpFilter.java
@@ -20,7 +20,7 @@
 
   private static final int MAX_HEAD = 16 * 1024;
 
-  private enum Part { HEAD, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER }
+  private enum Part { HEAD, BODY, UNTIL_CLOSE, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER }
 
   /** Whose messages are read. */
   public enum Side { ANSWERS, REQUESTS }
@@ -85,6 +85,14 @@
           }
           // An interim answer: the one that counts comes behind it.
         }
+        case UNTIL_CLOSE -> {
+          if (!in.hasRemaining()) {
+            return null;
+          }
+          Buffer bytes = in.slice(in.position(), in.limit());
+          in.position(in.limit());
+          return new HttpContent(bytes, false, false); // only who sees the close can tell the last
+        }
         case BODY, CHUNK -> {
           if (!in.hasRemaining()) {
             return null;
@@ -165,12 +173,13 @@
     Headers headers = headers(in, nextLine(in, at, end), end);
     in.position(end);
     boolean noBody = status < 200 || status == 204 || status == 304;
-    if (status < 100 || status == 101 || !noBody && !headers.chunked && headers.length < 0) {
-      throw new HttpException("a body without a stated length can't be told from one cut off");
+    if (status < 100 || status == 101) {
+      throw new HttpException("no status of an answer");
     }
+    boolean untilClose = !noBody && !headers.chunked && headers.length < 0;
     boolean whole = begin(p, headers, !noBody);
-    return new HttpHead(status, headers.declined, headers.closes, headers.length, whole,
-        whole && in.hasRemaining());
+    return new HttpHead(status, headers.declined, headers.closes || untilClose, headers.length, whole,
+        whole && in.hasRemaining(), untilClose);
   }
 
   /** Takes the head of a request off the buffer; one that states no body has none. */
@@ -192,7 +201,8 @@
   private static boolean begin(Progress p, Headers headers, boolean hasBody) {
     boolean whole = !hasBody || headers.length == 0;
     p.left = hasBody ? headers.length : 0;
-    p.part = whole ? Part.HEAD : headers.chunked ? Part.CHUNK_SIZE : Part.BODY;
+    p.part = whole ? Part.HEAD : headers.chunked ? Part.CHUNK_SIZE
+        : headers.length < 0 ? Part.UNTIL_CLOSE : Part.BODY;
     return whole;
   }
 
--- a/src/main/java/beampoint/memcache/Command.java
+++ b/src/main/java/beampoint/memcache/Command.java
@@ -27,13 +27,19 @@
   }
 
   /** The same command in buffers of its own, so that it does not keep those in which it came. */
-  Command apart(MemoryManager<?> memory) {
+  public Command apart(MemoryManager<?> memory) {
     int from = list == null ? 0 : list.position();
     return key == null ? this : new Command(kind, Collector.copy(memory, key), Collector.copy(memory, id),
         Collector.copy(memory, list), waitFrom - from, waitTo - from, value, requestClass, tenant, waitMs,
         again, problem, claim);
   }
 
+  /** The bytes that it holds. */
+  public int size() {
+    return (key == null ? 0 : key.remaining() + id.remaining() + list.remaining())
+        + (value == null ? 0 : value.remaining());
+  }
+
   /** Its value is needed no more. */
   public void release() {
     if (claim != null) {
--- a/src/main/java/beampoint/memcache/CommandFilter.java
+++ b/src/main/java/beampoint/memcache/CommandFilter.java
@@ -25,6 +25,7 @@
   static final int WHOLE_VALUE = 64 * 1024;
   public static final int MAX_VALUE = 4 * 1024 * 1024;
   private static final int MAX_BAD = 8; // commands that can't be taken, on one connection
+  private static final int MAX_DROPPED = 1024 * 1024; // bytes that are read only to see a connection's end
 
   private final MemoryManager<?> memory;
   private final Budget budget;
@@ -42,6 +43,7 @@
     private boolean over;
     private boolean half;
     private double movedAt;
+    private int dropped;
 
     Reading(Connection<?> connection) {
       super(memory, budget, () -> read(connection));
@@ -68,6 +70,16 @@
     }
   }
 
+  /** From here on what comes on a connection is read and dropped, so that its end is seen. */
+  public void drop(Connection<?> connection) {
+    Reading reading = reading(connection);
+    reading.over = true;
+    reading.release();
+    if (reading.dropped <= MAX_DROPPED) {
+      read(connection);
+    }
+  }
+
   /** True while a command has begun on a connection and is not whole. */
   public boolean hasHalf(Connection<?> connection) {
     return reading(connection).half;
@@ -101,14 +113,22 @@
   public NextAction handleRead(FilterChainContext ctx) throws IOException {
     Buffer in = ctx.getMessage();
     Reading reading = reading(ctx.getConnection());
-    Command command = reading.over ? null : reading.parse(in);
-    reading.half = command == null && !reading.over;
+    if (reading.over) {
+      // Guards against a peer that sends without end: of what is dropped, too, there is a most.
+      reading.dropped += in.remaining();
+      if (reading.dropped > MAX_DROPPED) {
+        ctx.getConnection().disableIOEvent(IOEvent.READ);
+      }
+      return ctx.getStopAction();
+    }
+    Command command = reading.parse(in);
+    reading.half = command == null;
     reading.movedAt = clock.getAsDouble();
     if (reading.isHeldUp()) {
       ctx.getConnection().disableIOEvent(IOEvent.READ);
     }
     if (command == null) {
-      return reading.over || !in.hasRemaining() ? ctx.getStopAction()
+      return !in.hasRemaining() ? ctx.getStopAction()
           : ctx.getStopAction(in.isComposite() ? Collector.copy(memory, in) : in);
     }
     // Guards against clients that send nonsense at full speed: each such line costs an answer.
@@ -117,9 +137,7 @@
     }
     ctx.setMessage(command);
     if (command.kind() == Kind.FATAL) {
-      reading.over = true;
-      reading.release();
-      ctx.getConnection().disableIOEvent(IOEvent.READ);
+      drop(ctx.getConnection());
       return ctx.getInvokeAction();
     }
     return in.hasRemaining() ? ctx.getInvokeAction(in) : ctx.getInvokeAction();
--- a/src/main/java/beampoint/ops/Calls.java
+++ b/src/main/java/beampoint/ops/Calls.java
@@ -7,6 +7,7 @@
 import beampoint.http.HttpFilter;
 import beampoint.http.HttpRequest;
 import beampoint.http.HttpWriter;
+import beampoint.transport.LingeringClose;
 import beampoint.transport.PeerFilter;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -20,6 +21,8 @@
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -54,6 +57,7 @@
     private Future<?> end;
     private HttpRequest request;
     private long body;
+    private boolean answered;
   }
 
   /** An answer's head and its text. */
@@ -121,7 +125,10 @@
   }
 
   private void end(Connection<SocketAddress> connection) {
-    counters.add(Counter.OPS_CALLS_UNFINISHED);
+    Call call = open.get(connection);
+    if (call != null && !call.answered) {
+      counters.add(Counter.OPS_CALLS_UNFINISHED);
+    }
     closed(connection);
     connection.terminateSilently();
   }
@@ -135,8 +142,8 @@
 
   private void read(Connection<SocketAddress> connection, Object message) {
     Call call = open.get(connection);
-    if (call == null) {
-      return; // answered, or closed
+    if (call == null || call.answered) {
+      return; // or closed
     }
     if (message instanceof HttpFault fault) {
       answer(connection, new Reply(400, "Bad Request", fault.problem()));
@@ -156,10 +163,14 @@
   }
 
   private void answer(Connection<SocketAddress> connection, Reply reply) {
-    closed(connection);
+    open.get(connection).answered = true;
     Buffer message = writer.answer(reply.status(), reply.reason(), reply.text());
-    connection.write(message);
-    connection.closeSilently(); // once all is written
+    connection.write(message, new EmptyCompletionHandler<>() {
+      @Override
+      public void completed(WriteResult<Buffer, SocketAddress> result) {
+        LingeringClose.begin(connection, loop);
+      }
+    });
   }
 
   private Reply carryOut(HttpRequest request) {
--- a/src/main/java/beampoint/policy/Logic.java
+++ b/src/main/java/beampoint/policy/Logic.java
@@ -147,7 +147,7 @@
     if (!room) {
       ring.strain();
     }
-    return room && Effects.mayRunAt(r, origin, facts.now) ? origin : null;
+    return room && facts.now < Effects.startBy(r, origin) ? origin : null;
   }
 
   private void onRequest(RequestReceived e) {
@@ -180,8 +180,8 @@
     node.uses.add(facts.now, USE_FADE, 1);
     cold.sent(node);
     // A late read earns nothing: its end frees a place in a queue, and tells of a jam. A write's is awaited.
-    boolean read = r.type.idempotency() == Idempotency.SAFE;
-    out.add(new Send(r.id, node.entry.id(), read ? Math.max(1, r.usefulUntil - facts.now) : 0));
+    double limit = r.type.idempotency() == Idempotency.SAFE ? Math.max(1, r.usefulUntil - facts.now) : 0;
+    out.add(new Send(r.id, node.entry.id(), limit, Effects.startBy(r, node)));
   }
 
   private void onAttemptEnded(AttemptEnded e) {
--- a/src/main/java/beampoint/policy/effects/Effects.java
+++ b/src/main/java/beampoint/policy/effects/Effects.java
@@ -10,11 +10,12 @@
 
   private Effects() {}
 
-  /** Where a request that may have run may be sent again. */
-  public static boolean mayRunAt(Request r, Node node, double now) {
-    return r.mayHaveRunAt == null || r.type.idempotency() == Idempotency.SAFE
-        || r.type.idempotency() == Idempotency.KEYED && now - r.mayHaveRunSince < r.type.dedupWindow()
+  /** Until when a request may begin at a node: one that may have run, where and while repeats are dropped. */
+  public static double startBy(Request r, Node node) {
+    boolean free = r.mayHaveRunAt == null || r.type.idempotency() == Idempotency.SAFE;
+    boolean dropped = !free && r.type.idempotency() == Idempotency.KEYED
         && r.type.group().covers(r.mayHaveRunAt.entry, node.entry);
+    return free ? Double.MAX_VALUE : dropped ? r.mayHaveRunSince + r.type.dedupWindow() : 0;
   }
 
   /** Where a refusal is truthful: nothing was done, or doing it again is harmless wherever it is asked. */
--- a/src/main/java/beampoint/policy/ring/Ring.java
+++ b/src/main/java/beampoint/policy/ring/Ring.java
@@ -94,7 +94,7 @@
   }
 
   private boolean isReady(Node node, Request r) {
-    return facts.now >= node.pausedUntil && Effects.mayRunAt(r, node, facts.now);
+    return facts.now >= node.pausedUntil && facts.now < Effects.startBy(r, node);
   }
 
   /** The first warm cache of the own zone clockwise; none for what is a cold cache's, or it would starve. */
--- a/src/main/java/beampoint/serve/Decisions.java
+++ b/src/main/java/beampoint/serve/Decisions.java
@@ -159,6 +159,7 @@
       counters.add(Counter.REQUESTS_GONE);
       forget(exchange);
       give(new RequestGone(exchange.id()));
+      upstreams.abandon(exchange.id());
     }
   }
 
@@ -240,7 +241,8 @@
     if (exchange.isOver() || now >= last || attempt >= exchange.maxAttempts()) {
       loop.execute(() -> ended(exchange, attempt, a.endpoint(), 0, Result.NOT_SENT, null, null));
     } else {
-      upstreams.send(exchange, attempt, a.endpoint(), a.limit() > 0 ? Math.min(last, now + a.limit()) : last);
+      upstreams.send(exchange, attempt, a.endpoint(), a.limit() > 0 ? Math.min(last, now + a.limit()) : last,
+          a.startBy());
     }
   }
 
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -332,6 +332,9 @@
       } else {
         upstreams.place(endpoint.id(), host.dial(), endpoint.kind() == decisions.settings().originKind(),
             endpoint.startedAt());
+        if (endpoint.state() == EndpointState.DRAINING) {
+          upstreams.drain(endpoint.id());
+        }
       }
     }
     decisions.give(received(list, kind));
--- a/src/main/java/beampoint/transport/PeerFilter.java
+++ b/src/main/java/beampoint/transport/PeerFilter.java
@@ -1,23 +1,49 @@
 package beampoint.transport;
 
+import java.io.EOFException;
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.DirectByteBufferRecord;
+import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
  * The socket's end of a filter chain. Guards against a peer that ends its connection, as each does in the
- * end, and costs as much as a fault: the library words a log line for it, and throws that away.
+ * end, and costs as much as a fault: the library words a log line for it, and throws that away. It reads by
+ * itself, as the library tells an orderly close and a reset alike.
  */
 public final class PeerFilter extends TransportFilter {
 
   @Override
-  public NextAction handleRead(FilterChainContext ctx) throws IOException {
+  public NextAction handleRead(FilterChainContext ctx) {
+    NIOConnection connection = (NIOConnection) ctx.getConnection();
+    DirectByteBufferRecord record = DirectByteBufferRecord.get();
     try {
-      return super.handleRead(ctx);
+      ByteBuffer bytes = record.allocate(connection.getReadBufferSize());
+      int count = ((SocketChannel) connection.getChannel()).read(bytes);
+      if (count < 0) {
+        throw new EOFException("closed by the peer");
+      }
+      if (count == 0) {
+        return ctx.getStopAction();
+      }
+      bytes.flip();
+      Buffer message = connection.getMemoryManager().allocate(count);
+      message.put(bytes);
+      message.flip();
+      message.allowBufferDispose(true);
+      ctx.setMessage(message);
+      return ctx.getInvokeAction();
     } catch (IOException e) {
-      ctx.getConnection().terminateSilently(); // the filters hear of its end, if they have not yet
+      // The filters hear of its end, if they have not yet.
+      connection.terminateWithReason(e);
       return ctx.getStopAction();
+    } finally {
+      record.release();
     }
   }
 }
--- a/src/main/java/beampoint/upstream/Flight.java
+++ b/src/main/java/beampoint/upstream/Flight.java
@@ -11,18 +11,21 @@
   final String endpoint;
   final double startedAt;
   final double endsAt;
+  final double startBy; // after which its first byte must not be written
   Link link;
   Future<?> timer;
   boolean over;
   /** The report of load that came with its answer, or null. */
   String load;
 
-  Flight(Exchange exchange, int number, String endpoint, double startedAt, double endsAt) {
+  Flight(Exchange exchange, int number, String endpoint, double startedAt, double endsAt,
+      double startBy) {
     this.exchange = exchange;
     this.number = number;
     this.endpoint = endpoint;
     this.startedAt = startedAt;
     this.endsAt = endsAt;
+    this.startBy = Math.min(startBy, endsAt);
   }
 
   boolean isProbe() {
--- a/src/main/java/beampoint/upstream/Links.java
+++ b/src/main/java/beampoint/upstream/Links.java
@@ -4,6 +4,7 @@
 import beampoint.count.Counters;
 import beampoint.http.HttpFilter;
 import beampoint.memcache.ReplyFilter;
+import beampoint.transport.PeerEnd;
 import beampoint.transport.PeerFilter;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -41,8 +42,11 @@
     /** Something has come. */
     void read(Link link, Object message);
 
-    /** The connection has ended or was never made. */
-    void lost(Link link);
+    /** The connection has ended or was never made; orderly: the peer has closed it, and not reset. */
+    void lost(Link link, boolean orderly);
+
+    /** The connection's flight, of which nothing was written, can't go there any more. */
+    void barred(Flight flight);
   }
 
   private final TCPNIOTransport transport;
@@ -72,11 +76,29 @@
   }
 
   private TCPNIOConnectorHandler connector(Filter codec) {
-    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new PeerFilter()).add(codec)
-        .add(new Events());
+    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new PeerFilter()).add(new Unasked())
+        .add(codec).add(new Events());
     return TCPNIOConnectorHandler.builder(transport).processor(chain.build()).build();
   }
 
+  /**
+   * Ends a connection on which bytes come while nothing is asked on it. Guards against half a line that is
+   * kept, and stands before the answer to the next request.
+   */
+  private final class Unasked extends BaseFilter {
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+      Link link = linkOf.get(ctx.getConnection());
+      if (link != null && link.flight == null && link.stream == null) {
+        counters.add(Counter.UPSTREAM_BAD_REPLIES);
+        ctx.getConnection().terminateSilently();
+        return ctx.getStopAction();
+      }
+      return ctx.getInvokeAction();
+    }
+  }
+
   /** Hands on what was read, as tasks that run once all that is ready has been read. */
   private final class Events extends BaseFilter {
 
@@ -92,7 +114,8 @@
     public NextAction handleClose(FilterChainContext ctx) {
       Link link = linkOf.get(ctx.getConnection());
       if (link != null) {
-        loop.execute(() -> user.lost(link));
+        boolean orderly = PeerEnd.isOrderly(ctx.getConnection());
+        loop.execute(() -> user.lost(link, orderly));
       }
       return ctx.getInvokeAction();
     }
@@ -133,9 +156,25 @@
   /** Forgets an endpoint that is gone; the connections still in use are closed once they are free. */
   void remove(String endpoint) {
     closeIdle(endpoint);
+    bar(endpoint);
     pools.remove(endpoint);
   }
 
+  /**
+   * Guards against a request that waits for its connection while its endpoint is told to drain, is gone or
+   * has started anew: the connection may come up long after the grace, and would carry it there.
+   */
+  void bar(String endpoint) {
+    Pool pool = pools.get(endpoint);
+    for (Link link : pool == null ? List.<Link>of() : List.copyOf(pool.connecting)) {
+      Flight flight = link.flight;
+      link.flight = null; // the connection may still be made
+      if (flight != null) {
+        user.barred(flight);
+      }
+    }
+  }
+
   /** Forgets all endpoints but these. */
   void retain(Set<String> endpoints) {
     List.copyOf(pools.keySet()).stream().filter(e -> !endpoints.contains(e)).forEach(this::remove);
@@ -168,11 +207,12 @@
     connections++;
     counters.add(Counter.UPSTREAM_CONNECTIONS);
     link.flight.link = link;
+    link.pool.connecting.add(link);
     var made = (link.pool.origin ? toOrigin : toCaches).connect(link.pool.dial);
     link.connectTimer = loop.schedule(() -> {
       if (link.connection == null) {
         made.cancel(true); // closes the socket
-        user.lost(link);
+        user.lost(link, false);
       }
     }, (long) (Math.max(0, connectTimeout) * 1000), TimeUnit.MICROSECONDS);
     made.addCompletionHandler(new EmptyCompletionHandler<>() {
@@ -184,7 +224,7 @@
 
       @Override
       public void failed(Throwable cause) {
-        loop.execute(() -> user.lost(link));
+        loop.execute(() -> user.lost(link, false));
       }
     });
   }
@@ -192,6 +232,7 @@
   @SuppressWarnings("unchecked") // all connections of a TCP transport have socket addresses
   private void connected(Link link, Connection<?> connection) {
     link.connection = (Connection<SocketAddress>) connection;
+    link.pool.connecting.remove(link);
     link.connectTimer.cancel(false);
     if (link.closed) {
       connection.terminateSilently();
@@ -228,6 +269,7 @@
       counters.check(connections >= 0, "no more connections end than were begun");
       link.flight = null;
       link.pool.idle.remove(link);
+      link.pool.connecting.remove(link);
     }
   }
 
--- a/src/main/java/beampoint/upstream/Pool.java
+++ b/src/main/java/beampoint/upstream/Pool.java
@@ -4,12 +4,18 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.Set;
 
-/** An endpoint's address and its idle connections, the last used first. Belongs to the decision thread. */
+/**
+ * An endpoint's address and its idle connections, the last used first, and those that are being made. Belongs
+ * to the decision thread.
+ */
 final class Pool {
 
   final String endpoint;
   final Deque<Link> idle = new ArrayDeque<>();
+  final Set<Link> connecting = new LinkedHashSet<>();
   final InetSocketAddress dial;
   final String host; // the address as HTTP names it
   final double startedAt;
--- a/src/main/java/beampoint/upstream/Replies.java
+++ b/src/main/java/beampoint/upstream/Replies.java
@@ -85,6 +85,16 @@
     }
   }
 
+  /** The peer has closed the connection in order; true where that was the end of the answer on it. */
+  boolean ended(Link link) {
+    Flight flight = link.flight;
+    if (link.closed || flight == null || link.head == null || !link.head.untilClose()) {
+      return false;
+    }
+    content(link, flight, new HttpContent(Buffers.EMPTY_BUFFER, true, false));
+    return true;
+  }
+
   /** The next bytes of a long value. */
   private void goOn(Link link, Object message) {
     if (message instanceof ReplyPart part && part.last()) {
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -85,8 +85,15 @@
     }
 
     @Override
-    public void lost(Link link) {
-      Upstreams.this.end(link, Result.RESET);
+    public void lost(Link link, boolean orderly) {
+      if (!orderly || !replies.ended(link)) {
+        Upstreams.this.end(link, Result.RESET);
+      }
+    }
+
+    @Override
+    public void barred(Flight flight) {
+      Upstreams.this.land(flight, Result.CONNECT_FAILED, null);
     }
 
     @Override
@@ -120,6 +127,11 @@
     links.remove(endpoint);
   }
 
+  /** An endpoint drains: what waits for a connection to it does not go there any more. */
+  public void drain(String endpoint) {
+    links.bar(endpoint);
+  }
+
   /** Forgets all endpoints but these. */
   public void retain(Set<String> endpoints) {
     links.retain(endpoints);
@@ -135,9 +147,9 @@
     retain(Set.of());
   }
 
-  /** Starts an attempt that is given up at the given time. */
-  public void send(Exchange exchange, int number, String endpoint, double endsAt) {
-    Flight flight = new Flight(exchange, number, endpoint, clock.getAsDouble(), endsAt);
+  /** Starts an attempt that is given up at the given time, and must not begin after another. */
+  public void send(Exchange exchange, int number, String endpoint, double endsAt, double startBy) {
+    Flight flight = new Flight(exchange, number, endpoint, clock.getAsDouble(), endsAt, startBy);
     flights.computeIfAbsent(exchange.id(), id -> new HashMap<>()).put(number, flight);
     counters.add(Counter.ATTEMPTS_SENT);
     start(flight);
@@ -147,7 +159,8 @@
   public void probe(String endpoint) {
     double now = clock.getAsDouble();
     counters.add(Counter.PROBES_SENT);
-    start(new Flight(null, 0, endpoint, now, now + 2 * links.connectTimeout()));
+    start(new Flight(null, 0, endpoint, now, now + 2 * links.connectTimeout(),
+        Double.POSITIVE_INFINITY));
   }
 
   /** Gives up one attempt. */
@@ -158,6 +171,15 @@
     }
   }
 
+  /** The client of a request has gone: what of its attempts is not written whole must not run. */
+  public void abandon(long id) {
+    for (Flight flight : List.copyOf(flights.getOrDefault(id, Map.of()).values())) {
+      if (!flight.link.written) {
+        giveUp(flight, Result.CANCELLED);
+      }
+    }
+  }
+
   /** Ends the time of all attempts of a request. */
   public void expire(long id) {
     for (Flight flight : List.copyOf(flights.getOrDefault(id, Map.of()).values())) {
@@ -187,9 +209,18 @@
     }
   }
 
+  /**
+   * The one place where a request leaves. Guards against one that waited for its connection, while its client
+   * went away or the time ended in which its repeat is dropped.
+   */
   private void write(Link link) {
     Flight flight = link.flight;
     Pool pool = link.pool;
+    if (!flight.isProbe() && (flight.exchange.isOver() || clock.getAsDouble() >= flight.startBy)) {
+      links.release(link, false);
+      land(flight, Result.NOT_SENT, null);
+      return;
+    }
     link.written = false;
     link.head = null;
     link.body = null;
--- /dev/null
+++ b/src/test/java/beampoint/LateDoor.java
@@ -0,0 +1,75 @@
+package beampoint;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A listener on loopback that lets nobody in until it is opened: its backlog is full, and the system drops
+ * who comes, who asks again after a second. So a connection comes up late, and when the test says so.
+ */
+public final class LateDoor implements AutoCloseable {
+
+  private static final int MOST = 64;
+
+  private final ServerSocket server;
+  private final List<Socket> fillers = new ArrayList<>();
+
+  public LateDoor() throws IOException {
+    server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+    while (comesIn()) {
+      if (fillers.size() > MOST) {
+        throw new IOException("the backlog does not fill");
+      }
+    }
+  }
+
+  private boolean comesIn() throws IOException {
+    Socket filler = new Socket();
+    try {
+      filler.connect(new InetSocketAddress("127.0.0.1", server.getLocalPort()), 200);
+      fillers.add(filler);
+      return true;
+    } catch (SocketTimeoutException e) {
+      filler.close();
+      return false;
+    }
+  }
+
+  public String address() {
+    return "127.0.0.1:" + server.getLocalPort();
+  }
+
+  /** Lets in who waits, and returns the first who comes after those that filled it. */
+  public Socket open() throws IOException {
+    server.setSoTimeout(10_000);
+    for (int i = 0; i < fillers.size(); i++) {
+      server.accept().close();
+    }
+    Socket socket = server.accept();
+    socket.setSoTimeout(300);
+    return socket;
+  }
+
+  /** What comes on a connection while the test waits for it: -1 for its end, -2 for nothing. */
+  public static int next(Socket socket) throws IOException {
+    try {
+      return socket.getInputStream().read();
+    } catch (SocketTimeoutException e) {
+      return -2;
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    for (Socket filler : fillers) {
+      filler.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/serve/CloseCrossingTest.java
@@ -0,0 +1,161 @@
+package beampoint.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.AttemptEnded;
+import beampoint.Balancer.RequestGone;
+import beampoint.Balancer.RequestReceived;
+import beampoint.Balancer.Result;
+import beampoint.Stub;
+import beampoint.count.Counter;
+import beampoint.serve.ProxyFixture.Client;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Bytes cross the close of a connection, on either side of the proxy. */
+@Timeout(30)
+class CloseCrossingTest {
+
+  private static final String READ = "mg 7f3a v O9b Pc=read,t=acme,d=4000\r\n";
+  private static final String WRITE = "ms 7f3a 5 O9b Pc=put,t=acme,d=4000,k=5c\r\nhello\r\n";
+  private static final int LONG = 60_000;
+
+  /** Guards against a close over bytes that nobody read: the system resets, and answers go with it. */
+  @Test
+  void anAnswerOnItsWayOutlivesACloseOverBytesThatNobodyRead() throws Exception {
+    String value = "x".repeat(LONG);
+    try (Stub cache = new Stub(peer -> {
+      while (peer.line() != null) {
+        peer.say("VA " + LONG + " O9b\r\n" + value + "\r\n");
+      }
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy.port, 4096)) {
+      proxy.sendTo("cache");
+      client.say(READ + "ms 7f3a x O9c Pc=put,t=acme,d=4000,k=5c\r\n" + "y".repeat(200_000));
+      assertTrue(proxy.ended().done());
+      // The client has read nothing so far: the answer lies in the system's buffers, behind the close.
+      while (proxy.proxy.counters().get(Counter.BAD_COMMANDS) == 0) {
+        Thread.onSpinWait();
+      }
+      Thread.sleep(200); // reads are held back until the close is past, and the lingering is not
+      assertEquals("VA " + LONG + " O9b", client.line());
+      assertEquals(value + "\r\n", client.bytes(LONG + 2));
+      assertEquals("CLIENT_ERROR bad data chunk", client.line());
+      assertNull(client.line());
+    }
+  }
+
+  /** Guards against a flood that is served on though its client has gone, as its end is not read. */
+  @Test
+  void theEndOfAClientThatSentManyRequestsAtOnceIsSeenWhileTheFirstAreOpen() throws Exception {
+    try (Stub cache = new Stub(Stub.Peer::beSilent);
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody())) {
+      proxy.sendTo("cache");
+      StringBuilder flood = new StringBuilder();
+      for (int i = 0; i < 500; i++) {
+        flood.append(READ.replace("O9b", "O" + i));
+      }
+      try (Client client = new Client(proxy)) {
+        client.say(flood.toString());
+        proxy.module.next(RequestReceived.class);
+      }
+      for (int i = 0; i < 32; i++) {
+        proxy.module.next(RequestGone.class);
+      }
+      assertEquals(32, proxy.proxy.counters().get(Counter.REQUESTS_TAKEN));
+      assertEquals(32, proxy.proxy.counters().get(Counter.REQUESTS_GONE));
+    }
+  }
+
+  /** Guards against commands that wait behind others and are never begun, or come out of order. */
+  @Test
+  void manyRequestsAtOnceAreAllAnsweredInTheirOrder() throws Exception {
+    try (Stub cache = new Stub(peer -> {
+      for (String line = peer.line(); line != null; line = peer.line()) {
+        peer.say("VA 0 " + line.split(" ")[3] + "\r\n\r\n");
+      }
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      StringBuilder flood = new StringBuilder();
+      for (int i = 0; i < 3000; i++) {
+        flood.append(i % 7 == 0 ? "mn\r\n" : READ.replace("O9b", "O" + i));
+      }
+      client.say(flood + "quit\r\n");
+      for (int i = 0; i < 3000; i++) {
+        assertEquals(i % 7 == 0 ? "MN" : "VA 0 O" + i, client.line());
+        assertTrue(i % 7 == 0 || client.line().isEmpty());
+      }
+      assertNull(client.line());
+    }
+  }
+
+  /** Guards against half a line on a resting connection, which would stand before the next answer. */
+  @Test
+  void halfALineOnARestingConnectionCostsThatConnectionAndNoRequest() throws Exception {
+    CountDownLatch answered = new CountDownLatch(1);
+    try (Stub cache = new Stub(peer -> {
+      peer.line();
+      peer.say("VA 2 O9b\r\nab\r\n");
+      if (peer.stub().connections() == 1) {
+        answered.await();
+        peer.say("VA 2 O");
+        peer.beSilent();
+      }
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      assertEquals("VA 2 O9b", client.ask(READ));
+      assertEquals("ab", client.line());
+      assertEquals(Result.OK, proxy.ended().result());
+      answered.countDown();
+      assertTrue(cache.ends.poll(5, TimeUnit.SECONDS), "the proxy has ended the connection");
+      assertEquals("VA 2 O9b", client.ask(READ));
+      assertEquals("ab", client.line());
+      assertEquals(Result.OK, proxy.ended().result());
+      assertEquals(2, cache.connections());
+    }
+  }
+
+  private static AttemptEnded oneWrite(Stub origin, String expected) throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), origin.address());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("origin");
+      assertEquals(expected, client.ask(WRITE));
+      return proxy.ended();
+    }
+  }
+
+  /** An answer over HTTP may have neither a length nor chunks: it ends where the origin closes. */
+  @Test
+  void anAnswerWithoutALengthIsWholeOnceTheOriginHasClosed() throws Exception {
+    try (Stub origin = new Stub(peer -> {
+      peer.head();
+      peer.bytes(5);
+      peer.say("HTTP/1.1 200 OK\r\n\r\nrec");
+      peer.say("eipt");
+    })) {
+      assertEquals(Result.OK, oneWrite(origin, "HD O9b creceipt").result());
+    }
+  }
+
+  /** Guards against an answer that was cut off and passes for a whole one: a reset is no end. */
+  @Test
+  void anAnswerWithoutALengthIsNoneWhereTheOriginHasReset() throws Exception {
+    try (Stub origin = new Stub(peer -> {
+      peer.head();
+      peer.bytes(5);
+      peer.say("HTTP/1.1 200 OK\r\n\r\nrec");
+      Thread.sleep(50); // a reset takes with it what was not read
+      peer.reset();
+    })) {
+      AttemptEnded ended = oneWrite(origin, "SERVER_ERROR busy");
+      assertEquals(Result.RESET, ended.result());
+      assertEquals(false, ended.done());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/serve/LateConnectionTest.java
@@ -0,0 +1,98 @@
+package beampoint.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.AttemptEnded;
+import beampoint.Balancer.RequestGone;
+import beampoint.Balancer.RequestReceived;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Send;
+import beampoint.LateDoor;
+import beampoint.Stub;
+import beampoint.count.Counter;
+import beampoint.serve.ProxyFixture.Client;
+import java.net.Socket;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A connection to a cache node comes up late: what has happened meanwhile decides what is written on it. */
+@Timeout(30)
+class LateConnectionTest {
+
+  private static final String READ = "mg 7f3a v O9b Pc=read,t=acme,d=9000\r\n";
+  private static final String PATIENT =
+      ProxyFixture.SETTINGS.replace("\"connect-timeout-ms\":1000", "\"connect-timeout-ms\":8000");
+  private static final int NOTHING = -2;
+
+  private static ProxyFixture proxy(LateDoor cache, String discovery) throws Exception {
+    assertTrue(PATIENT.contains("8000"));
+    return new ProxyFixture(cache.address(), Stub.nobody(), 1024, PATIENT, discovery);
+  }
+
+  /** Guards against work for nobody: its client has gone while the connection was made. */
+  @Test
+  void aRequestWhoseClientHasGoneIsNotWrittenOnceTheConnectionStands() throws Exception {
+    try (LateDoor cache = new LateDoor(); ProxyFixture proxy = proxy(cache, null)) {
+      proxy.sendTo("cache");
+      try (Client client = new Client(proxy)) {
+        client.say(READ);
+        proxy.module.next(RequestReceived.class);
+      }
+      proxy.module.next(RequestGone.class);
+      AttemptEnded ended = proxy.ended();
+      assertEquals(Result.NOT_SENT, ended.result());
+      assertTrue(ended.done());
+      try (Socket late = cache.open()) {
+        assertEquals(NOTHING, LateDoor.next(late));
+        try (Client next = new Client(proxy)) {
+          next.say(READ);
+          assertEquals('m', LateDoor.next(late), "the connection serves the next request");
+        }
+      }
+    }
+  }
+
+  /** Guards against a drain that is broken by a request that waited for its connection beyond the grace. */
+  @Test
+  void aRequestThatWaitsForAConnectionToANodeThatDrainsGoesElsewhereAtOnce() throws Exception {
+    String drains = ProxyFixture.host("cache", "127.0.0.1:9", "m2").replace("Ready", "Terminating");
+    try (LateDoor cache = new LateDoor(); Stub discovery = new Stub(peer -> {
+      peer.head();
+      peer.say("HTTP/1.1 200 OK\r\n\r\n\n");
+      peer.stub().ends.take();
+      peer.say("{\"seq\":2,\"whole\":false,\"hosts\":["
+          + drains.replace("127.0.0.1:9", cache.address()) + "]}\n");
+      peer.beSilent();
+    }); ProxyFixture proxy = proxy(cache, discovery.address()); Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      client.say(READ);
+      proxy.module.next(RequestReceived.class);
+      discovery.ends.add(true);
+      assertEquals("SERVER_ERROR busy", client.line());
+      assertEquals(Result.CONNECT_FAILED, proxy.ended().result());
+      try (Socket late = cache.open()) {
+        assertEquals(NOTHING, LateDoor.next(late));
+      }
+    }
+  }
+
+  /** Guards against a repeat that comes when it is not dropped any more: its time ended on the way. */
+  @Test
+  void whatMustNotBeginAnyMoreIsNotWrittenOnceTheConnectionStands() throws Exception {
+    try (LateDoor cache = new LateDoor(); ProxyFixture proxy = proxy(cache, null);
+        Client client = new Client(proxy)) {
+      proxy.module.script = event -> event instanceof RequestReceived e
+          ? List.of(new Send(e.id(), "cache", 0, System.currentTimeMillis() + 100)) : List.of();
+      client.say(READ);
+      proxy.module.next(RequestReceived.class);
+      Thread.sleep(150); // a span of time, and no order, is what it is about
+      try (Socket late = cache.open()) {
+        assertEquals(Result.NOT_SENT, proxy.ended().result());
+        assertEquals(NOTHING, LateDoor.next(late));
+      }
+      assertEquals(1, proxy.proxy.counters().get(Counter.ATTEMPTS_NOT_SENT));
+    }
+  }
+}
