Watch: another call after 600 ms without an answer, half lists are no heartbeat, silence is 3 s

Cause: a call made while discovery was down was waited for as long as for a heartbeat, 5 s, though what discovery has at its return counts at once; any bytes restarted the silence timer, so half lines or a head without a list kept a broken watch for ever. Change: who answers at all does so at once, so a further call follows after 600 ms and a scattered wait of at most 600 ms; the earlier ones are read on beside it until 3 s, should answers be slow, and the first that answers is the one. Waits are at most 0.6 s, not 1.5 s. A process that was held up itself reads first what has come. Ruled out: a fixed short limit alone, by which a discovery that takes longer would never be heard (aSlowAnswer... fails then).

--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -12,11 +12,16 @@
 import beampoint.transport.PeerFilter;
 import com.google.gson.JsonParseException;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Objects;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -35,10 +40,13 @@
 public final class Watch {
 
   private static final Log LOG = Log.of("discovery");
-  /** An empty line comes every 2 s; what discovery has to tell counts as told after 6 s. */
-  public static final long SILENCE_MS = 5000;
+  /** The heartbeat time-out: an empty line comes every 2 s, and what it should tell counts after 6 s. */
+  public static final long SILENCE_MS = 3000;
+  /** Until an answer begins, with its connection: who answers at all does so at once. */
+  public static final long ANSWER_MS = 600;
   private static final long FIRST_WAIT_MS = 100;
-  private static final long LONGEST_WAIT_MS = 1000; // what is told counts from when it could be heard
+  static final long LONGEST_WAIT_MS = 400; // what is told counts soon after it could be heard
+  private static final long PAUSE_MS = 1;
   private static final int MAX_TEXT = 8 * 1024 * 1024;
 
   private final ScheduledExecutorService loop;
@@ -47,12 +55,14 @@
   private final Consumer<HostList> listed;
   private final Runnable broken;
   private final long silenceMs;
+  private final long answerMs;
   private final HttpWriter writer;
   private final TCPNIOConnectorHandler connector;
   private InetSocketAddress address;
   private long version;
   private Call call;
   private Call before; // at the address that was left, until the new one has brought something
+  private final Set<Call> late = new LinkedHashSet<>(); // without an answer, beside those made after them
   private long wait = FIRST_WAIT_MS;
 
   /** One watch, from its connection to its end. */
@@ -60,6 +70,7 @@
     private final InetSocketAddress address;
     private final String host;
     private Connection<?> connection;
+    private boolean answered; // its head has come
     private boolean heard; // a list, or the empty line that stands for no change
     private Future<?> connecting;
     private Future<?> silence;
@@ -74,7 +85,7 @@
   /** The given call back is told of every list, {@code broken} of every end of a watch. */
   public Watch(TCPNIOTransport transport, ScheduledExecutorService loop, Counters counters, Random random,
       InetSocketAddress address, long version, Consumer<HostList> listed, Runnable broken,
-      long silenceMs) {
+      long silenceMs, long answerMs) {
     this.loop = loop;
     this.counters = counters;
     this.random = random;
@@ -83,6 +94,7 @@
     this.listed = listed;
     this.broken = broken;
     this.silenceMs = silenceMs;
+    this.answerMs = answerMs;
     this.writer = new HttpWriter(transport.getMemoryManager());
     FilterChainBuilder chain = FilterChainBuilder.stateless().add(new PeerFilter())
         .add(new HttpFilter(HttpFilter.Side.ANSWERS)).add(new Events());
@@ -110,8 +122,8 @@
 
   /** The call that a connection serves, or null. */
   private Call callOn(Connection<?> connection) {
-    return call != null && call.connection == connection ? call
-        : before != null && before.connection == connection ? before : null;
+    return Stream.concat(Stream.of(call, before).filter(Objects::nonNull), late.stream())
+        .filter(own -> own.connection == connection).findFirst().orElse(null);
   }
 
   /** Asks for the changes from the last version on; a watch that is open is given up. */
@@ -119,7 +131,7 @@
     drop(call);
     Call own = new Call(address);
     call = own;
-    listen(own);
+    listen(own, answerMs, () -> waitBeside(own));
     var made = connector.connect(own.address);
     own.connecting = made;
     made.addCompletionHandler(new EmptyCompletionHandler<>() {
@@ -142,6 +154,7 @@
   public boolean move(InetSocketAddress to) {
     address = to;
     wait = FIRST_WAIT_MS;
+    List.copyOf(late).forEach(this::drop);
     if (call == null) {
       return false;
     }
@@ -166,7 +179,7 @@
   }
 
   private void connected(Call own, Connection<?> connection) {
-    if (call != own) {
+    if (!isOpen(own)) {
       connection.terminateSilently();
       return;
     }
@@ -178,11 +191,14 @@
     if (own == null) {
       return;
     }
-    listen(own);
     if (message instanceof HttpFault fault) {
       end(own, fault.problem());
-    } else if (message instanceof HttpHead head && (head.status() != 200 || head.whole())) {
-      end(own, "answered " + head.status());
+    } else if (message instanceof HttpHead head) {
+      if (head.status() != 200 || head.whole()) {
+        end(own, "answered " + head.status());
+      } else {
+        answered(own);
+      }
     } else if (message instanceof HttpContent content) {
       take(own, content.bytes());
       if (content.last()) {
@@ -192,7 +208,35 @@
   }
 
   private boolean isOpen(Call own) {
-    return own != null && (own == call || own == before);
+    return own != null && (own == call || own == before || late.contains(own));
+  }
+
+  /** The first call that is answered is the one; others that wait beside it are given up. */
+  private void answered(Call own) {
+    own.answered = true;
+    listen(own, silenceMs, () -> end(own, "silent"));
+    if (late.remove(own)) {
+      drop(call);
+      call = own;
+    }
+    if (own == call) {
+      List.copyOf(late).forEach(this::drop);
+    }
+  }
+
+  /**
+   * Guards against a call that crossed the moment in which discovery came back: who answers at all does so at
+   * once, so another call is made soon. This one is read on beside it, should all answers be slow.
+   */
+  private void waitBeside(Call own) {
+    if (own != call) {
+      return;
+    }
+    call = null;
+    late.add(own);
+    listen(own, silenceMs - answerMs, () -> end(own, "not answered"));
+    counters.add(Counter.WATCHES_BROKEN);
+    broken.run();
   }
 
   private void take(Call own, Buffer bytes) {
@@ -217,6 +261,7 @@
       return;
     }
     own.heard = true;
+    listen(own, silenceMs, () -> end(own, "silent"));
     // Guards against a watch that falls silent again and is asked for too late: its address answers.
     wait = FIRST_WAIT_MS;
     if (own == call) {
@@ -229,12 +274,17 @@
     }
   }
 
-  /** Guards against a discovery that is down and says nothing: its connection would never end. */
-  private void listen(Call own) {
+  /**
+   * Guards against a discovery that is down and says nothing, or nothing whole: its connection would never
+   * end. Where this process itself was held up, what has come meanwhile is read first.
+   */
+  private void listen(Call own, long longest, Runnable then) {
     if (own.silence != null) {
       own.silence.cancel(false);
     }
-    own.silence = loop.schedule(() -> end(own, "silent"), silenceMs, TimeUnit.MILLISECONDS);
+    own.silence = loop.schedule(() -> {
+      own.silence = loop.schedule(then, PAUSE_MS, TimeUnit.MILLISECONDS);
+    }, longest, TimeUnit.MILLISECONDS);
   }
 
   private void end(Call own, String why) {
@@ -242,7 +292,7 @@
       return;
     }
     LOG.warn("the watch at " + own.host + " ended: " + why);
-    boolean replaced = own == before; // its successor is open, or is asked for again
+    boolean replaced = own != call; // its successor is open, or is asked for again
     drop(own);
     if (!replaced) {
       counters.add(Counter.WATCHES_BROKEN);
@@ -260,6 +310,7 @@
     } else {
       own.connecting.cancel(true);
     }
+    late.remove(own);
     call = call == own ? null : call;
     before = before == own ? null : before;
   }
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -110,7 +110,7 @@
     share(1);
     this.watch = new Watch(transport, loop, counters, new Random(config.seed()), config.discovery(),
         config.known().version(), list -> listed(list, list.whole() ? ListKind.FULL : ListKind.CHANGES),
-        this::watchBroken, Watch.SILENCE_MS);
+        this::watchBroken, Watch.SILENCE_MS, Watch.ANSWER_MS);
     decisions.carryOutWith(upstreams, watch);
     this.reload = new Reload(config, this.directory, decisions, upstreams, watch, counters, loop);
     this.fleet = config.fleet() == null ? null : new FleetNode(config.fleet(), name, config.seed(),
--- a/src/test/java/beampoint/discovery/WatchTest.java
+++ b/src/test/java/beampoint/discovery/WatchTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.junit.jupiter.api.AfterEach;
@@ -35,13 +36,15 @@
 
   private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+  private static final long SHORTEST_TIME_OUT = 1500; // of a watch, in the tests that look at its waits
+
   private final TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance().build();
   private final List<Long> waits = Collections.synchronizedList(new ArrayList<>());
   private final ScheduledExecutorService loop =
       new ScheduledThreadPoolExecutor(1, new ThreadPoolExecutor.DiscardPolicy()) {
         @Override
         public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
-          if (unit == TimeUnit.MILLISECONDS && delay > 0 && delay != Watch.SILENCE_MS) {
+          if (unit == TimeUnit.MILLISECONDS && delay > 0 && delay < SHORTEST_TIME_OUT) {
             waits.add(delay);
           }
           return super.schedule(task, delay, unit);
@@ -64,7 +67,7 @@
 
   private void follow(Stub discovery, long silenceMs) {
     watch = new Watch(transport, loop, counters, new Random(1), Address.parse(discovery.address()), 41,
-        lists::add, () -> watch.followLater(), silenceMs);
+        lists::add, () -> watch.followLater(), silenceMs, silenceMs / 2);
     loop.execute(watch::follow);
   }
 
@@ -245,7 +248,7 @@
     })) {
       LinkedBlockingQueue<Boolean> broken = new LinkedBlockingQueue<>();
       watch = new Watch(transport, loop, counters, new Random(1), Address.parse(Stub.nobody()), 41,
-          lists::add, () -> broken.add(true), 5000);
+          lists::add, () -> broken.add(true), 5000, 5000);
       loop.execute(watch::follow);
       assertTrue(broken.take());
       loop.execute(() -> {
@@ -308,7 +311,7 @@
       for (int i = 0; i < 14; i++) {
         int number = i;
         fleet.add(new Watch(transport, loop, counters, new Random(i), Address.parse(discovery.address()),
-            41, lists::add, () -> fleet.get(number).followLater(), 60_000));
+            41, lists::add, () -> fleet.get(number).followLater(), 60_000, 60_000));
       }
       loop.execute(() -> fleet.forEach(Watch::follow));
       for (int i = 0; i < 14; i++) {
@@ -318,4 +321,111 @@
       assertTrue(calls > 14 && calls <= 14 * 8, "calls: " + calls);
     }
   }
+
+  /** A list of one host, by its health. */
+  private static String hostList(long version, String health) {
+    return list(version, false,
+        "{\"host\":\"s-1\",\"dial\":\"127.0.0.1:7\",\"health\":\"" + health + "\"}");
+  }
+
+  /**
+   * Discovery is down and silent, then has a drain to tell and can be reached: that counts as told at once.
+   * Guards against a call from the silence that is waited for as long as for a heartbeat.
+   */
+  @Test
+  void aCallThatCrossesTheEndOfAnOutageIsFollowedByAnotherSoon() throws Exception {
+    AtomicLong backAt = new AtomicLong();
+    try (Stub discovery = new Stub(peer -> {
+      peer.head();
+      if (peer.stub().connections() < 2) {
+        backAt.set(System.nanoTime()); // it is back just as it has dropped this call
+        peer.beSilent();
+      }
+      peer.say(HEAD + chunk(hostList(44, "Terminating")));
+      peer.beSilent();
+    })) {
+      watch = new Watch(transport, loop, counters, new Random(1), Address.parse(discovery.address()), 41,
+          lists::add, () -> watch.followLater(), Watch.SILENCE_MS, Watch.ANSWER_MS);
+      loop.execute(watch::follow);
+      assertEquals(HostList.Health.TERMINATING, next().hosts().get(0).health());
+      long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - backAt.get());
+      assertTrue(took < 2000, "told after " + took + " ms");
+    }
+  }
+
+  /** Guards against a discovery that is slow, whose every answer would come to a call that was given up. */
+  @Test
+  void aSlowAnswerIsTakenFromACallThatOthersHaveFollowed() throws Exception {
+    try (Stub discovery = new Stub(peer -> {
+      peer.head();
+      if (peer.stub().connections() == 1) {
+        peer.stub().ends.take(); // it answers the first once there is a third
+        peer.say(HEAD + chunk(list(44, true, "")));
+      } else if (peer.stub().connections() == 3) {
+        peer.stub().ends.add(true);
+      }
+      peer.beSilent();
+    })) {
+      watch = new Watch(transport, loop, counters, new Random(1), Address.parse(discovery.address()), 41,
+          lists::add, () -> watch.followLater(), 20_000, 50);
+      loop.execute(watch::follow);
+      assertEquals(44, next().version());
+      assertTrue(discovery.ends.poll(5, TimeUnit.SECONDS), "the others are given up");
+    }
+  }
+
+  /** Guards against half a list, byte by byte: it is no heartbeat, and its end may never come. */
+  @Test
+  void aWatchThatBringsBytesAndNothingWholeIsSilent() throws Exception {
+    try (Stub discovery = new Stub(peer -> {
+      peer.head();
+      boolean first = peer.stub().connections() == 1;
+      peer.say(HEAD + (first ? "" : chunk(list(44, true, ""))));
+      while (first) {
+        peer.say(chunk(" "));
+        Thread.sleep(20);
+      }
+      peer.beSilent();
+    })) {
+      follow(discovery, 300);
+      assertEquals(44, next().version());
+    }
+  }
+
+  /** Guards against a head that passes for a watch at work. */
+  @Test
+  void aWatchThatBringsAHeadAndNoListIsSilent() throws Exception {
+    try (Stub discovery = new Stub(peer -> {
+      peer.head();
+      peer.say(HEAD + (peer.stub().connections() == 1 ? "" : chunk(list(44, true, ""))));
+      peer.beSilent();
+    })) {
+      follow(discovery, 200);
+      assertEquals(44, next().version());
+      assertTrue(discovery.ends.poll(5, TimeUnit.SECONDS), "the first is given up");
+    }
+  }
+
+  /** An answer may have neither a length nor chunks. */
+  @Test
+  void aWatchWithoutALengthIsReadAsItComes() throws Exception {
+    try (Stub discovery = new Stub(peer -> {
+      peer.head();
+      peer.say("HTTP/1.1 200 OK\r\n\r\n" + list(44, true, ""));
+      peer.say(list(45, false, ""));
+      peer.beSilent();
+    })) {
+      follow(discovery, 5000);
+      assertEquals(44, next().version());
+      assertEquals(45, next().version());
+    }
+  }
+
+  /** All ways in which a call can fail: what discovery has is told within 6 s of its being reached. */
+  @Test
+  void noWayToFailMakesTheNextCallWaitForLong() {
+    long longestWait = 3 * Watch.LONGEST_WAIT_MS / 2;
+    assertTrue(Watch.SILENCE_MS + longestWait + Watch.ANSWER_MS < 6000 - 1000);
+    assertTrue(Watch.ANSWER_MS + longestWait < 2000);
+  }
 }
