Cold caches: the ramp holds for the fleet's sum, N + 2 root N + 2, with 1 to 100 instances

Cause: each instance could send a cold cache its window's part, that much saved up and two requests more. Change: half a window and one request are saved up, and of what is asked of a cold cache a lot takes its part and half as much again, so that an instance with little traffic has no whole request in hand. ColdBudgetTest and the emulator go by the new bound, the emulator from the first moment, not after a window.

--- a/src/main/java/beampoint/emulator/CacheNode.java
+++ b/src/main/java/beampoint/emulator/CacheNode.java
@@ -121,8 +121,8 @@
   }
 
   /**
-   * The rule on cold nodes: what it was sent in a window, beside what it can do now. It bears N + 3
-   * root N + 3 requests of mean work, N being what the multiple allows: chance is no storm. Each fall counts;
+   * The rule on cold nodes: what it was sent in a window, beside what it can do now. It bears N + 2
+   * root N + 2 requests of mean work, N being what the multiple allows: chance is no storm. Each fall counts;
    * it breaks the rule where most of it came from proxies that had been told of the start.
    */
   private void press(double work, Instance from) {
@@ -142,16 +142,14 @@
     double multiple = windowWork / capacity;
     double mean = windowWork / window.size();
     double allowed = world.scenario.rules().fallMultiple() * capacity / mean; // requests
-    if (now - startedAt >= length) {
-      world.report.coldLoad(multiple);
-      if (window.size() > allowed + 3 * Math.sqrt(allowed) + 3) {
-        double told = window.stream().filter(Load::told).mapToDouble(Load::work).sum();
-        world.report.coldFall();
-        if (told > BLAMED_PART * windowWork) {
-          world.report.broken(now, "a cold cache was pushed over: " + id);
-        }
-        die();
+    world.report.coldLoad(multiple);
+    if (window.size() > allowed + 2 * Math.sqrt(allowed) + 2) {
+      double told = window.stream().filter(Load::told).mapToDouble(Load::work).sum();
+      world.report.coldFall();
+      if (told > BLAMED_PART * windowWork) {
+        world.report.broken(now, "a cold cache was pushed over: " + id);
       }
+      die();
     }
   }
 
--- a/src/main/java/beampoint/policy/cold/ColdBudget.java
+++ b/src/main/java/beampoint/policy/cold/ColdBudget.java
@@ -2,13 +2,14 @@
 
 import beampoint.policy.state.Facts;
 import beampoint.policy.state.Node;
+import beampoint.policy.state.Request;
 
 /** How warm a cache is, and what a cold one is sent. */
 public record ColdBudget(Facts facts) {
 
   private static final double SERVED_FADE = 8000; // in ms: service counts half after this
   private static final double BEST_KEPT = 0.9999; // of the best service, with each outcome
-  private static final int COLD_SAVED = 2; // sends to a cold cache beyond its part, so that it can start
+  private static final double LOT = 1.5; // of its part, that a lot lets through: the turns do the rest
 
   /** The part of its capacity that a cache has at a time. */
   public double warmth(Node node, double now) {
@@ -28,12 +29,13 @@
 
   /**
    * Guards against storms that push a cold cache over: in a window it is sent its present part of the most
-   * that this balancer served (fetches too, or empty caches starve), by half of the stated multiple. Where
-   * that is under one request its ring share must do it: tighter turns starved a growing fleet.
+   * that this balancer served (fetches too, or empty caches starve), by half of the stated multiple. Of
+   * what is asked beyond that it gets a part by lot: one request saved up by each of many would be too much.
    */
-  public boolean mayTake(Node node) {
-    double window = facts.settings.rules().fallWindow();
-    return !isCold(node) || facts.now + window + COLD_SAVED * gap(node) >= node.freeAt;
+  public boolean mayTake(Node node, Request r) {
+    double asked = facts.taken.rate(facts.now, SERVED_FADE) * node.points / facts.points.size();
+    double saved = facts.settings.rules().fallWindow() / 2 + gap(node);
+    return !isCold(node) || r.turn * gap(node) * asked <= LOT && facts.now + saved >= node.freeAt;
   }
 
   public void sent(Node node) {
@@ -42,9 +44,8 @@
 
   /** Who has just started has served nothing: the even part of all quotas stands for what it will serve. */
   private double gap(Node node) {
-    double multiple = facts.settings.rules().fallMultiple();
-    double part = facts.share * warmth(node, facts.now) / facts.caches.size() * multiple / 2;
+    double part = facts.share * warmth(node, facts.now) * facts.settings.rules().fallMultiple() / 2;
     double even = facts.quotas / facts.settings.siblings() / 1000;
-    return 1 / Math.max(1e-9, Math.max(facts.servedAtBest, even) * part);
+    return facts.caches.size() / Math.max(1e-9, Math.max(facts.servedAtBest, even) * part);
   }
 }
--- a/src/main/java/beampoint/policy/ring/Ring.java
+++ b/src/main/java/beampoint/policy/ring/Ring.java
@@ -84,7 +84,7 @@
       Node node = facts.points.owner(start + i);
       if (!passed.contains(node)) {
         // A cold cache takes its own buckets only, not what its neighbours spill.
-        if ((i == 0 ? cold.mayTake(node) : !cold.isCold(node)) && isReady(node, r) && skip-- == 0) {
+        if ((i == 0 ? cold.mayTake(node, r) : !cold.isCold(node)) && isReady(node, r) && skip-- == 0) {
           return node;
         }
         passed.add(node);
--- a/src/test/java/beampoint/policy/ColdBudgetTest.java
+++ b/src/test/java/beampoint/policy/ColdBudgetTest.java
@@ -36,10 +36,10 @@
   private double worst = Double.NEGATIVE_INFINITY; // sends over what a cold cache bears
   private long toCold;
 
-  /** N + 3 root of N + 3 requests of mean work, N being what the settings allow in the stated time. */
+  /** N + 2 root of N + 2 requests of mean work, N being what the settings allow in the stated time. */
   private static double bearable(double age) {
     double allowed = RULES.fallMultiple() * RULES.warmth(age) * CAPACITY * RULES.fallWindow();
-    return allowed + 3 * Math.sqrt(allowed) + 3;
+    return allowed + 2 * Math.sqrt(allowed) + 2;
   }
 
   private void day(long seed, int cold, int busy) {
