Cold ramp: lots are drawn only where an instance's part of a window is under one request

Ruled out: what may be saved up. Change: where the part of a window is one request or more the turns alone keep the sum.

--- a/src/main/java/beampoint/policy/Logic.java
+++ b/src/main/java/beampoint/policy/Logic.java
@@ -30,7 +30,6 @@
   private static final double RETRY_SHARE = 0.2; // further attempts after a failure, of requests
   private static final double RETRY_SAVED = 3; // the most saved up
   private static final double USE_FADE = 30_000; // in ms: that a connection was used counts half
-  private static final double RATE_FADE = 8000; // in ms: that a request was taken counts half
   private static final double PRIOR = 2; // uses of a connection, before any are known
 
   final Facts facts = new Facts();
@@ -157,7 +156,7 @@
     r.yields = shares.yields(e, r);
     requests.put(r.id, r);
     ring.take(r);
-    facts.taken.add(facts.now, RATE_FADE, 1);
+    facts.taken.add(facts.now, Evidence.LONGEST_FADE, 1);
     retryBudget = Math.min(RETRY_SAVED, retryBudget + RETRY_SHARE);
     dispatch(r);
   }
@@ -214,7 +213,7 @@
 
   /** Held while used often enough for its price. */
   private boolean worthHolding(Node node) {
-    double rate = facts.taken.rate(facts.now, RATE_FADE);
+    double rate = facts.taken.rate(facts.now, Evidence.LONGEST_FADE);
     double hold = 100_000 * facts.caches.size() * facts.settings.prices().handshake();
     // As many uses as an even share brings stand in for what was not seen yet.
     double seen = (1 - Math.pow(0.5, (facts.now - facts.startedAt) / USE_FADE)) * USE_FADE / Math.log(2);
--- a/src/main/java/beampoint/policy/cold/ColdBudget.java
+++ b/src/main/java/beampoint/policy/cold/ColdBudget.java
@@ -7,7 +7,7 @@
 /** How warm a cache is, and what a cold one is sent. */
 public record ColdBudget(Facts facts) {
 
-  private static final double SERVED_FADE = 8000; // in ms: service counts half after this
+  private static final double SERVED_FADE = 8000; // in ms: service counts half after this, as what is taken does
   private static final double BEST_KEPT = 0.9999; // of the best service, with each outcome
   private static final double LOT = 1.5; // of its part, that a lot lets through: the turns do the rest
 
@@ -29,13 +29,14 @@
 
   /**
    * Guards against storms that push a cold cache over: in a window it is sent its present part of the most
-   * that this balancer served (fetches too, or empty caches starve), by half of the stated multiple. Of
-   * what is asked beyond that it gets a part by lot: one request saved up by each of many would be too much.
+   * that this balancer served (fetches too, or empty caches starve), by half of the stated multiple.
+   * Where that is under one request, lots are drawn: one saved up by each of many would be too much.
    */
   public boolean mayTake(Node node, Request r) {
     double asked = facts.taken.rate(facts.now, SERVED_FADE) * node.points / facts.points.size();
-    double saved = facts.settings.rules().fallWindow() / 2 + gap(node);
-    return !isCold(node) || r.turn * gap(node) * asked <= LOT && facts.now + saved >= node.freeAt;
+    double window = facts.settings.rules().fallWindow();
+    boolean drawn = gap(node) <= window || r.turn * gap(node) * asked <= LOT;
+    return !isCold(node) || drawn && facts.now + window / 2 + gap(node) >= node.freeAt;
   }
 
   public void sent(Node node) {
--- a/src/main/java/beampoint/policy/evidence/Evidence.java
+++ b/src/main/java/beampoint/policy/evidence/Evidence.java
@@ -18,7 +18,7 @@
   private static final double OVER_SHARE_PART = 0.4; // of that, for traffic beyond a share at busy caches
   private static final double FADE = 1000; // in ms: evidence counts half after this or after some sends to
   private static final double SENDS_KEPT = 3; // one cache, as many as this,
-  private static final double LONGEST_FADE = 8000; // up to this
+  public static final double LONGEST_FADE = 8000; // up to this; requests taken count half after it
   private static final double PRIOR = 2; // what is known of all caches counts like so many answers of one
   private static final double BAD_SHARE = 0.1; // of attempts and probes, before any are known
   private static final double ERROR_LIMIT = 0.3; // share of errors at which a cache is skipped
