Ends that lie unread, second answers, connections past their idle time: three crossings more

Tasks have slices of 10 ms now, a pass of over 20 ms is followed by one more reading, and the end of a connection is known (Exchange.isWanted) before the task that tells it. - Links gave out the connection used last, at once: a second answer some ms late stood before the next. Of cache nodes the id tells; the origin's answers have none, so the value or receipt of one request went to another. One that has rested 30 ms is taken, else for the origin a new one. - An idle connection was checked once a second only, and used up to that long past its time; one that came up for nobody counted as new. It is checked as it is taken (aConnectionThatHasStoodIdle...). - The number of descriptors was taken as stated: it is now at most the limit in force (/proc/self/limits).

--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -70,6 +70,7 @@
   private boolean ended; // no command that comes after can be read
   private boolean closing;
   private boolean closed;
+  private boolean left; // the connection has ended, which may not be told yet
   private boolean lingers;
   private double lingersSince;
   private boolean makesRoom; // it is closed for others to come
@@ -133,7 +134,7 @@
    * they wait here, while reading goes on and so sees its end, and are dropped with it.
    */
   void command(Command command, double readAt) {
-    if (closed || ended) {
+    if (closed || ended || left) {
       command.release();
       return;
     }
@@ -209,7 +210,7 @@
       return;
     }
     slot.command = command;
-    slot.exchange = sessions.intake().take(command, readAt, answer -> {
+    slot.exchange = sessions.intake().take(command, readAt, () -> left, answer -> {
       slot.stream = answer.stream();
       slot.answer = slot.stream == null ? encode(command, answer) : null;
       if (closed && slot.stream != null) {
@@ -372,6 +373,11 @@
     closeWhenIdle();
   }
 
+  /** The connection has ended; what follows of that comes as a task, behind others that are to know. */
+  void leaves() {
+    left = true;
+  }
+
   /** The connection has ended: the client has gone away. */
   void closed() {
     closed = true;
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -131,6 +131,10 @@
     public NextAction handleClose(FilterChainContext ctx) {
       Connection<?> connection = ctx.getConnection();
       accepted.decrementAndGet();
+      Session session = open.get(connection);
+      if (session != null) {
+        session.leaves();
+      }
       loop.execute(() -> closed(connection));
       return ctx.getInvokeAction();
     }
--- a/src/main/java/beampoint/exchange/Exchange.java
+++ b/src/main/java/beampoint/exchange/Exchange.java
@@ -3,6 +3,7 @@
 import beampoint.count.Counter;
 import beampoint.count.Counters;
 import beampoint.memcache.Command;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -15,18 +16,20 @@
   private final Command command;
   private final double notAfter;
   private final int maxAttempts;
+  private final BooleanSupplier left;
   private final Consumer<Answer> client;
   private final Counters counters;
   private boolean over;
   private int attempts;
   private int attemptsOut;
 
-  public Exchange(long id, Command command, double notAfter, int maxAttempts, Consumer<Answer> client,
-      Counters counters) {
+  public Exchange(long id, Command command, double notAfter, int maxAttempts, BooleanSupplier left,
+      Consumer<Answer> client, Counters counters) {
     this.id = id;
     this.command = command;
     this.notAfter = notAfter;
     this.maxAttempts = maxAttempts;
+    this.left = left;
     this.client = client;
     this.counters = counters;
   }
@@ -55,6 +58,11 @@
     return over;
   }
 
+  /** False once it is over, or its client's connection has ended though that is not told yet. */
+  public boolean isWanted() {
+    return !over && !left.getAsBoolean();
+  }
+
   public int attemptsOut() {
     return attemptsOut;
   }
--- a/src/main/java/beampoint/exchange/Intake.java
+++ b/src/main/java/beampoint/exchange/Intake.java
@@ -1,6 +1,7 @@
 package beampoint.exchange;
 
 import beampoint.memcache.Command;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** Where the client side hands in what it has read; called on the decision thread. */
@@ -12,8 +13,8 @@
   /** What is wrong with a request that can't be taken, or null. */
   String problem(Command command);
 
-  /** Takes a request that had come whole at the given time. */
-  Exchange take(Command command, double readAt, Consumer<Answer> client);
+  /** Takes a request that had come whole at the given time; left tells that its client has gone. */
+  Exchange take(Command command, double readAt, BooleanSupplier left, Consumer<Answer> client);
 
   /** The client of a request has left. */
   void gone(Exchange exchange);
--- a/src/main/java/beampoint/policy/cold/ColdBudget.java
+++ b/src/main/java/beampoint/policy/cold/ColdBudget.java
@@ -7,7 +7,7 @@
 /** How warm a cache is, and what a cold one is sent. */
 public record ColdBudget(Facts facts) {
 
-  private static final double SERVED_FADE = 8000; // in ms: service counts half after this, as what is taken does
+  private static final double SERVED_FADE = 8000; // in ms: service counts half after this, as taking does
   private static final double BEST_KEPT = 0.9999; // of the best service, with each outcome
   private static final double LOT = 1.5; // of its part, that a lot lets through: the turns do the rest
 
--- a/src/main/java/beampoint/serve/Config.java
+++ b/src/main/java/beampoint/serve/Config.java
@@ -54,7 +54,7 @@
     }
     JsonFields settings = new JsonFields(source + ", settings", json.getAsJsonObject("settings"));
     settings.put("nonce64", Long.toString(seed));
-    int sockets = top.index("limits.sockets", 1024);
+    int sockets = Descriptors.atMost(top.index("limits.sockets", 1024));
     if (sockets < MIN_SOCKETS) {
       throw top.malformed("limits.sockets", "too few: " + sockets + ", at least " + MIN_SOCKETS);
     }
--- a/src/main/java/beampoint/serve/Decisions.java
+++ b/src/main/java/beampoint/serve/Decisions.java
@@ -120,17 +120,17 @@
   }
 
   @Override
-  public Exchange take(Command command, double readAt, Consumer<Answer> client) {
+  public Exchange take(Command command, double readAt, BooleanSupplier left, Consumer<Answer> client) {
     int requestClass = directory.requestClass(command);
     double notAfter = readAt + command.waitMs();
-    Exchange exchange = new Exchange(++lastId, command, notAfter, settings.limits().maxAttempts(), client,
-        counters);
+    Exchange exchange = new Exchange(++lastId, command, notAfter, settings.limits().maxAttempts(), left,
+        client, counters);
     counters.add(Counter.REQUESTS_TAKEN);
     exchanges.put(exchange.id(), exchange);
     idsInUse.add(id(command));
     // Queued, as its place in the order of answers must stand before the module may answer.
     loop.execute(() -> {
-      if (exchange.isOver()) {
+      if (!exchange.isWanted()) {
         return; // the client has left: the module must not hear of its leaving first, and of it after that
       }
       long id = exchange.id(); // the timer outlasts the exchange and must not keep it
@@ -238,6 +238,9 @@
         "one attempt is out at a time");
     checkInUse(a.endpoint());
     int attempt = exchange.beginAttempt();
+    if (!exchange.isWanted()) {
+      gone(exchange);
+    }
     if (exchange.isOver() || now >= last || attempt >= exchange.maxAttempts()) {
       loop.execute(() -> ended(exchange, attempt, a.endpoint(), 0, Result.NOT_SENT, null, null));
     } else {
--- a/src/main/java/beampoint/serve/Loop.java
+++ b/src/main/java/beampoint/serve/Loop.java
@@ -31,6 +31,8 @@
 
   private static final Log LOG = Log.of("serve");
   private static final int MANY_CANCELLED = 1000;
+  private static final long SLICE_NANOS = 10_000_000; // of tasks, before the selector has its turn again
+  private static final long HELD_UP_NANOS = 20_000_000; // a pass that took longer
 
   private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
   private final Queue<Runnable> newTimers = new ConcurrentLinkedQueue<>(); // set by other threads
@@ -38,6 +40,7 @@
       new PriorityQueue<>(Comparator.<Timer<?>>comparingLong(t -> t.dueAt).thenComparingLong(t -> t.number));
   private int cancelled; // of the timers
   private long lastNumber;
+  private boolean heldUp; // in the last pass
   private volatile Selector selector;
   private volatile Thread thread;
   private volatile boolean stopped;
@@ -70,35 +73,53 @@
 
   /** How long nothing is due, in ns. */
   private long untilNext() {
-    if (!tasks.isEmpty() || !newTimers.isEmpty()) {
+    if (heldUp || !tasks.isEmpty() || !newTimers.isEmpty()) {
       return 0;
     }
     return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().dueAt - System.nanoTime();
   }
 
+  /**
+   * Runs what is due. Guards against starting work for clients whose end lies unread: a long backlog lets the
+   * selector have its turn between, and after a pass that took long all is read once more first, as an end
+   * may stand behind what was read.
+   */
   private void runAll() {
-    drain(newTimers);
-    drain(tasks);
+    long begun = System.nanoTime();
+    if (heldUp) {
+      heldUp = false;
+      return;
+    }
+    drain(newTimers, begun + Long.MAX_VALUE / 2);
+    boolean all = drain(tasks, begun + SLICE_NANOS);
     long now = System.nanoTime();
     while (!timers.isEmpty() && timers.peek().dueAt - now <= 0) {
       Timer<?> timer = timers.poll();
       if (timer.isCancelled()) {
         cancelled--;
-      } else {
+      } else if (all) {
         timer.fire();
-        drain(tasks);
+        all = drain(tasks, begun + SLICE_NANOS);
+      } else {
+        tasks.add(timer::fire); // behind what was read before
       }
     }
+    heldUp = System.nanoTime() - begun > HELD_UP_NANOS;
   }
 
-  private void drain(Queue<Runnable> queue) {
+  /** True where nothing is left when the time is over. */
+  private boolean drain(Queue<Runnable> queue, long until) {
     for (Runnable task = queue.poll(); task != null && !stopped; task = queue.poll()) {
       try {
         task.run();
       } catch (RuntimeException | Error e) {
         LOG.error("a task failed", e); // guards against an exception that nobody would see
       }
+      if (System.nanoTime() - until > 0) {
+        return queue.isEmpty();
+      }
     }
+    return true;
   }
 
   /** How many timers are kept. */
--- a/src/main/java/beampoint/upstream/Link.java
+++ b/src/main/java/beampoint/upstream/Link.java
@@ -18,6 +18,7 @@
   Connection<SocketAddress> connection; // null while it is being made
   Flight flight;
   Future<?> connectTimer;
+  double begunAt; // when its connection was asked for
   double idleSince;
   HttpHead head;
   Collector body; // of an answer that is held until it is whole
--- a/src/main/java/beampoint/upstream/Links.java
+++ b/src/main/java/beampoint/upstream/Links.java
@@ -49,6 +49,8 @@
     void barred(Flight flight);
   }
 
+  private static final double SETTLE_MS = 30; // after an answer, in which a second one may come
+
   private final TCPNIOTransport transport;
   private final ScheduledExecutorService loop;
   private final DoubleSupplier clock;
@@ -125,7 +127,7 @@
   void retime(double connect, double idle) {
     connectTimeout = connect;
     // Guards against a request that crosses the cache node's own closing of an idle connection.
-    idleTime = idle - Math.max(idle / 10, 2 * connect);
+    idleTime = idle - Math.min(idle / 2, Math.max(idle / 10, 2 * connect));
   }
 
   double connectTimeout() {
@@ -193,6 +195,23 @@
     return pools.get(endpoint);
   }
 
+  /**
+   * An idle connection for the next request, or null: the last used that has rested a while. Guards against a
+   * second answer that comes late, and would be taken for the next one's; the origin's has no id that tells.
+   * What has stood idle for too long is closed first: the sweep may not have met it.
+   */
+  Link idle(Pool pool) {
+    closeOld(pool);
+    double settled = clock.getAsDouble() - SETTLE_MS;
+    for (Link link : pool.idle) {
+      if (link.idleSince <= settled) {
+        pool.idle.remove(link);
+        return link;
+      }
+    }
+    return pool.origin && hasRoom(pool) ? null : pool.idle.poll();
+  }
+
   /** True where one more connection to an endpoint may be made, if need be in place of an idle one. */
   boolean hasRoom(Pool pool) {
     return connections < (pool.origin ? maxConnections : maxToCaches) || closeLongestIdle();
@@ -208,6 +227,7 @@
     counters.add(Counter.UPSTREAM_CONNECTIONS);
     link.flight.link = link;
     link.pool.connecting.add(link);
+    link.begunAt = clock.getAsDouble();
     var made = (link.pool.origin ? toOrigin : toCaches).connect(link.pool.dial);
     link.connectTimer = loop.schedule(() -> {
       if (link.connection == null) {
@@ -238,6 +258,7 @@
       connection.terminateSilently();
     } else if (link.flight == null) {
       release(link, false);
+      link.idleSince = link.begunAt; // for the peer it is as old
     } else {
       user.made(link);
     }
@@ -275,11 +296,13 @@
 
   /** Closes connections that have stood idle for too long. */
   void closeOld() {
+    pools.values().forEach(this::closeOld);
+  }
+
+  private void closeOld(Pool pool) {
     double before = clock.getAsDouble() - idleTime;
-    for (Pool pool : pools.values()) {
-      while (!pool.idle.isEmpty() && pool.idle.peekLast().idleSince < before) {
-        close(pool.idle.peekLast());
-      }
+    while (!pool.idle.isEmpty() && pool.idle.peekLast().idleSince < before) {
+      close(pool.idle.peekLast());
     }
   }
 
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -194,7 +194,7 @@
       land(flight, Result.CONNECT_FAILED, null);
       return;
     }
-    Link link = pool.idle.poll();
+    Link link = links.idle(pool);
     if (link != null) {
       counters.check(link.flight == null && !link.closed, "an idle connection is open and has nothing out");
       link.flight = flight;
@@ -216,7 +216,7 @@
   private void write(Link link) {
     Flight flight = link.flight;
     Pool pool = link.pool;
-    if (!flight.isProbe() && (flight.exchange.isOver() || clock.getAsDouble() >= flight.startBy)) {
+    if (!flight.isProbe() && (!flight.exchange.isWanted() || clock.getAsDouble() >= flight.startBy)) {
       links.release(link, false);
       land(flight, Result.NOT_SENT, null);
       return;
--- a/src/test/java/beampoint/serve/CloseCrossingTest.java
+++ b/src/test/java/beampoint/serve/CloseCrossingTest.java
@@ -5,12 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Balancer.AttemptEnded;
+import beampoint.Balancer.Refuse;
 import beampoint.Balancer.RequestGone;
 import beampoint.Balancer.RequestReceived;
 import beampoint.Balancer.Result;
 import beampoint.Stub;
 import beampoint.count.Counter;
 import beampoint.serve.ProxyFixture.Client;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -121,6 +123,86 @@
     }
   }
 
+  /** Guards against a second answer of the origin, which names no id, as the answer to the next request. */
+  @Test
+  void aSecondAnswerThatComesLateIsNotTheNextOnes() throws Exception {
+    try (Stub origin = new Stub(peer -> {
+      boolean first = peer.stub().connections() == 1;
+      for (String head = peer.head(); head != null; head = peer.head()) {
+        String answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+        boolean next = head.contains("Req-Id: 9c");
+        if (first && next) {
+          peer.say(answer + "ab"); // the second answer crosses it
+        }
+        peer.say(answer + (next ? "cd" : "ab"));
+      }
+    }); ProxyFixture proxy = new ProxyFixture(Stub.nobody(), origin.address());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("origin");
+      assertEquals("VA 2 O9b", client.ask(READ));
+      assertEquals("ab", client.line());
+      assertEquals("VA 2 O9c", client.ask(READ.replace("O9b", "O9c")));
+      assertEquals("cd", client.line());
+    }
+  }
+
+  /** Guards against a request that crosses the node's own close of an idle connection, between two sweeps. */
+  @Test
+  void aConnectionThatHasStoodIdleForTooLongIsNotUsedThoughNoSweepHasMetIt() throws Exception {
+    String settings = ProxyFixture.SETTINGS.replace("\"conn-idle-ms\":60000", "\"conn-idle-ms\":1200")
+        .replace("\"connect-timeout-ms\":1000", "\"connect-timeout-ms\":100");
+    try (Stub cache = new Stub(peer -> {
+      while (peer.line() != null) {
+        peer.say("VA 0 O9b\r\n\r\n");
+      }
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody(), 1024, settings, null);
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      assertEquals("VA 0 O9b", client.ask(READ));
+      assertEquals("", client.line());
+      Thread.sleep(1150); // it may be used for 1 s; the node may close it after 1.2 s
+      assertEquals("VA 0 O9b", client.ask(READ));
+      assertEquals(2, cache.connections());
+    }
+  }
+
+  /** Guards against work for a client whose end lies unread behind its request, while this thread is busy. */
+  @Test
+  void aClientThatAsksAndGoesWhileTheProxyIsBusyIsNotServed() throws Exception {
+    CountDownLatch busy = new CountDownLatch(1);
+    CountDownLatch gone = new CountDownLatch(1);
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client first = new Client(proxy); Client last = new Client(proxy)) {
+      proxy.module.script = event -> {
+        if (event instanceof RequestReceived e && e.id() == 1) {
+          busy.countDown();
+          await(gone);
+        }
+        return event instanceof RequestReceived e ? List.of(new Refuse(e.id(), 0)) : List.of();
+      };
+      assertEquals("MN", last.ask("mn\r\n"));
+      try (Client next = new Client(proxy)) {
+        assertEquals("MN", next.ask("mn\r\n"));
+        first.say(READ);
+        await(busy);
+        next.say(READ.replace("O9b", "O9c"));
+      }
+      Thread.sleep(50); // so long it is busy
+      gone.countDown();
+      assertEquals("SERVER_ERROR busy", first.line());
+      assertEquals("MN", last.ask("mn\r\n"));
+      assertEquals(1, proxy.proxy.counters().get(Counter.REQUESTS_TAKEN));
+    }
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      assertTrue(latch.await(5, TimeUnit.SECONDS));
+    } catch (InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
   private static AttemptEnded oneWrite(Stub origin, String expected) throws Exception {
     try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), origin.address());
         Client client = new Client(proxy)) {
