A ban takes back what waits for a connection to the node, as a drain does

Cause: BanChanged closed idle connections only; a request whose connection came up after the grace was written to a node that operators had taken out. Decisions.give takes it back (Upstreams.drain); the module sends it elsewhere. Seen to fail without it, on a copy: LateConnectionTest line 100.

--- a/src/main/java/beampoint/serve/Decisions.java
+++ b/src/main/java/beampoint/serve/Decisions.java
@@ -3,6 +3,7 @@
 import beampoint.Balancer;
 import beampoint.Balancer.Action;
 import beampoint.Balancer.AttemptEnded;
+import beampoint.Balancer.BanChanged;
 import beampoint.Balancer.Event;
 import beampoint.Balancer.ProbeEnded;
 import beampoint.Balancer.RequestClass;
@@ -182,6 +183,9 @@
 
   /** Tells the module, and does what it says. */
   void give(Event event) {
+    if (event instanceof BanChanged e && e.out()) {
+      upstreams.drain(e.endpoint()); // a connection may come up after the grace
+    }
     List<Action> actions;
     try {
       actions = balancer.handle(clock.getAsDouble(), event);
--- a/src/test/java/beampoint/serve/LateConnectionTest.java
+++ b/src/test/java/beampoint/serve/LateConnectionTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Balancer.AttemptEnded;
+import beampoint.Balancer.Refuse;
 import beampoint.Balancer.RequestGone;
 import beampoint.Balancer.RequestReceived;
 import beampoint.Balancer.Result;
@@ -12,10 +13,13 @@
 import beampoint.Stub;
 import beampoint.count.Counter;
 import beampoint.serve.ProxyFixture.Client;
+import beampoint.serve.ProxyFixture.Module;
 import java.net.Socket;
+import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** A connection to a cache node comes up late: what has happened meanwhile decides what is written on it. */
 @Timeout(30)
@@ -78,6 +82,31 @@
     }
   }
 
+  /** The same where operators have taken it out. */
+  @Test
+  void aRequestThatWaitsForAConnectionToANodeThatIsTakenOutGoesElsewhereAtOnce(@TempDir Path directory)
+      throws Exception {
+    Module module = new Module();
+    module.script = event -> event instanceof RequestReceived e ? List.of(new Send(e.id(), "cache", 0))
+        : event instanceof AttemptEnded e ? List.of(new Refuse(e.id(), 0)) : List.of();
+    try (LateDoor cache = new LateDoor()) {
+      Proxy proxy = new Proxy(ProxyFixture.config(List.of(ProxyFixture.host("cache", cache.address(), "m2")),
+          1024, Stub.nobody(), PATIENT, "127.0.0.1:0"), settings -> module, directory);
+      proxy.start();
+      try (Client client = new Client(proxy.port()); Client operator = new Client(proxy.opsPort())) {
+        client.say(READ);
+        module.next(RequestReceived.class);
+        operator.say("POST /_cache-nodes/detach/cache HTTP/1.1\r\nHost: ops\r\n\r\n");
+        assertEquals("SERVER_ERROR busy", client.line());
+        try (Socket late = cache.open()) {
+          assertEquals(NOTHING, LateDoor.next(late));
+        }
+      } finally {
+        proxy.stop();
+      }
+    }
+  }
+
   /** Guards against a repeat that comes when it is not dropped any more: its time ended on the way. */
   @Test
   void whatMustNotBeginAnyMoreIsNotWrittenOnceTheConnectionStands() throws Exception {
