Names of the field: graceful shutdown, connection pools, in-flight, slow start, ejection, backoff

Need: our own words hid standard terms. Ending is GracefulShutdown, Links and Link are ConnectionPools and PooledConnection, Flight is InFlight, ColdBudget is SlowStart with pacedUntil for freeAt, pausedUntil is ejectedUntil, standsStill is isStalled, lastWords are half commands; the watch has a heartbeat time-out, an answer time-out and backoffs.

--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -341,7 +341,7 @@
   }
 
   /** True where what was written has not moved for so long: the client does not read. */
-  boolean standsStill(double now, double longest) {
+  boolean isStalled(double now, double longest) {
     return unfinished > 0 && now - movedAt > longest;
   }
 
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -43,7 +43,7 @@
   private static final int MAX_WAITING_BYTES = 4 * 1024 * 1024; // of commands not begun, on all connections
   private static final long SWEEP_MS = 250;
   private static final double SILENCE_MS = 2500; // before the first command, or in the middle of one
-  private static final double STANDSTILL_MS = 10_000; // of a client that does not read its answers
+  private static final double STALL_MS = 10_000; // of a client that does not read its answers
   private static final double IDLE_MS = 15_000; // between commands
   private static final long END_STEP_MS = 10;
   private static final double CROWDED_LINGER_MS = 50; // for an end to be seen, where there is no room
@@ -64,7 +64,7 @@
   private final CommandFilter codec;
   private TCPNIOServerConnection listener;
   private volatile boolean full;
-  private double lastWordsBy;
+  private double halfCommandsUntil;
   private int waitingBytes; // of commands that are read and not begun
 
   public Sessions(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
@@ -208,7 +208,7 @@
       Session session = entry.getValue();
       // A value that is held up is none of the client's slowness.
       int bytes = codec.isHeldUp(connection) ? -1 : codec.valueBytes(connection);
-      if (session.standsStill(now, STANDSTILL_MS)) {
+      if (session.isStalled(now, STALL_MS)) {
         counters.add(Counter.CLIENT_CONNECTIONS_CLOSED_STALE);
         session.terminate();
       } else if (bytes >= 0) {
@@ -298,7 +298,7 @@
    * taken from the selector first, then all that wait are accepted, and right after that it is closed.
    */
   public void stopListening(double patience) {
-    lastWordsBy = clock.getAsDouble() + patience;
+    halfCommandsUntil = clock.getAsDouble() + patience;
     if (listener == null) {
       endIdle();
       return;
@@ -332,7 +332,7 @@
     double now = clock.getAsDouble();
     for (Map.Entry<Connection<?>, Session> entry : List.copyOf(open.entrySet())) {
       boolean onItsWay = codec.hasHalf(entry.getKey()) || entry.getValue().isSilent();
-      if (!onItsWay || now >= lastWordsBy) {
+      if (!onItsWay || now >= halfCommandsUntil) {
         entry.getValue().closeWhenIdle();
       }
     }
--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -41,11 +41,11 @@
 
   private static final Log LOG = Log.of("discovery");
   /** The heartbeat time-out: an empty line comes every 2 s, and what it should tell counts after 6 s. */
-  public static final long SILENCE_MS = 3000;
+  public static final long HEARTBEAT_TIMEOUT_MS = 3000;
   /** Until an answer begins, with its connection: who answers at all does so at once. */
-  public static final long ANSWER_MS = 600;
-  private static final long FIRST_WAIT_MS = 100;
-  static final long LONGEST_WAIT_MS = 400; // what is told counts soon after it could be heard
+  public static final long ANSWER_TIMEOUT_MS = 600;
+  private static final long FIRST_BACKOFF_MS = 100;
+  static final long LONGEST_BACKOFF_MS = 400; // what is told counts soon after it could be heard
   private static final long PAUSE_MS = 1;
   private static final int MAX_TEXT = 8 * 1024 * 1024;
 
@@ -63,7 +63,7 @@
   private Call call;
   private Call before; // at the address that was left, until the new one has brought something
   private final Set<Call> late = new LinkedHashSet<>(); // without an answer, beside those made after them
-  private long wait = FIRST_WAIT_MS;
+  private long wait = FIRST_BACKOFF_MS;
 
   /** One watch, from its connection to its end. */
   private static final class Call {
@@ -153,7 +153,7 @@
    */
   public boolean move(InetSocketAddress to) {
     address = to;
-    wait = FIRST_WAIT_MS;
+    wait = FIRST_BACKOFF_MS;
     List.copyOf(late).forEach(this::drop);
     if (call == null) {
       return false;
@@ -170,7 +170,7 @@
   /** Asks again after a while; every wait without a word between is longer. */
   public void followLater() {
     long scattered = wait / 2 + (long) (random.nextDouble() * wait);
-    wait = Math.min(LONGEST_WAIT_MS, wait * 2);
+    wait = Math.min(LONGEST_BACKOFF_MS, wait * 2);
     loop.schedule(() -> {
       if (call == null) {
         follow();
@@ -263,7 +263,7 @@
     own.heard = true;
     listen(own, silenceMs, () -> end(own, "silent"));
     // Guards against a watch that falls silent again and is asked for too late: its address answers.
-    wait = FIRST_WAIT_MS;
+    wait = FIRST_BACKOFF_MS;
     if (own == call) {
       drop(before);
     }
--- a/src/main/java/beampoint/policy/Logic.java
+++ b/src/main/java/beampoint/policy/Logic.java
@@ -1,7 +1,7 @@
 package beampoint.policy;
 
 import beampoint.Balancer;
-import beampoint.policy.cold.ColdBudget;
+import beampoint.policy.cold.SlowStart;
 import beampoint.policy.effects.Effects;
 import beampoint.policy.evidence.Evidence;
 import beampoint.policy.hosts.Hosts;
@@ -35,7 +35,7 @@
   final Facts facts = new Facts();
   private final List<Action> out = facts.out;
   private final Evidence evidence = new Evidence(facts);
-  private final ColdBudget cold = new ColdBudget(facts);
+  private final SlowStart cold = new SlowStart(facts);
   private final Ring ring = new Ring(facts, cold);
   private final Hosts hosts = new Hosts(facts);
   private final Shares shares = new Shares(facts, evidence);
--- a/src/main/java/beampoint/policy/cold/ColdBudget.java
+++ b/src/main/java/beampoint/policy/cold/SlowStart.java
@@ -5,7 +5,7 @@
 import beampoint.policy.state.Request;
 
 /** How warm a cache is, and what a cold one is sent. */
-public record ColdBudget(Facts facts) {
+public record SlowStart(Facts facts) {
 
   private static final double SERVED_FADE = 8000; // in ms: service counts half after this, as taking does
   private static final double BEST_KEPT = 0.9999; // of the best service, with each outcome
@@ -36,11 +36,11 @@
     double asked = facts.taken.rate(facts.now, SERVED_FADE) * node.points / facts.points.size();
     double window = facts.settings.rules().fallWindow();
     boolean drawn = gap(node) <= window || r.turn * gap(node) * asked <= LOT;
-    return !isCold(node) || drawn && facts.now + window / 2 + gap(node) >= node.freeAt;
+    return !isCold(node) || drawn && facts.now + window / 2 + gap(node) >= node.pacedUntil;
   }
 
   public void sent(Node node) {
-    node.freeAt = isCold(node) ? Math.max(facts.now, node.freeAt) + gap(node) : facts.now;
+    node.pacedUntil = isCold(node) ? Math.max(facts.now, node.pacedUntil) + gap(node) : facts.now;
   }
 
   /** Who has just started has served nothing: the even part of all quotas stands for what it will serve. */
--- a/src/main/java/beampoint/policy/evidence/Evidence.java
+++ b/src/main/java/beampoint/policy/evidence/Evidence.java
@@ -103,7 +103,7 @@
     // Of a cache that answers others meanwhile only a connection broke.
     boolean mute = facts.now - node.answeredAt > memory() * MUTE_PART;
     if (broken && mute || node.errors.value(facts.now, memory(), 0, PRIOR) > ERROR_LIMIT) {
-      pause(node);
+      eject(node);
     }
     if (!node.origin && e.load() != null) {
       onLoad(e.load());
@@ -112,16 +112,16 @@
 
   public void onProbe(Node node, Result result) {
     if (result != Result.OK) {
-      pause(node);
+      eject(node);
     }
     facts.bad.add(facts.now, LONGEST_FADE, result == Result.OK ? 0 : 1);
   }
 
   /** Skips a cache while it is remembered; never when half of the caches are: then the cause is shared. */
-  private void pause(Node node) {
-    long paused = facts.caches.stream().filter(n -> facts.now < n.pausedUntil).count();
-    if (!node.origin && facts.now >= node.pausedUntil && paused < facts.caches.size() / 2) {
-      node.pausedUntil = facts.now + memory();
+  private void eject(Node node) {
+    long paused = facts.caches.stream().filter(n -> facts.now < n.ejectedUntil).count();
+    if (!node.origin && facts.now >= node.ejectedUntil && paused < facts.caches.size() / 2) {
+      node.ejectedUntil = facts.now + memory();
       facts.out.add(new Log("ejected " + node.entry.id() + " for " + Math.round(memory()) + " ms"));
     }
   }
--- a/src/main/java/beampoint/policy/ring/Ring.java
+++ b/src/main/java/beampoint/policy/ring/Ring.java
@@ -1,7 +1,7 @@
 package beampoint.policy.ring;
 
 import beampoint.Balancer.WeightSource;
-import beampoint.policy.cold.ColdBudget;
+import beampoint.policy.cold.SlowStart;
 import beampoint.policy.effects.Effects;
 import beampoint.policy.state.Facts;
 import beampoint.policy.state.Hash;
@@ -16,7 +16,7 @@
  * on a weighted consistent hash ring that all balancers build alike; a bucket goes to its first distinct
  * cache clockwise, and what that can't take to the next. What departs from it says why.
  */
-public record Ring(Facts facts, ColdBudget cold) {
+public record Ring(Facts facts, SlowStart cold) {
 
   private static final int BUCKETS = 4096; // many to a cache: one is a small part of its load
   private static final int POINTS = 100; // on the ring for each unit of list weight
@@ -94,7 +94,7 @@
   }
 
   private boolean isReady(Node node, Request r) {
-    return facts.now >= node.pausedUntil && facts.now < Effects.startBy(r, node);
+    return facts.now >= node.ejectedUntil && facts.now < Effects.startBy(r, node);
   }
 
   /** The first warm cache of the own zone clockwise; none for what is a cold cache's, or it would starve. */
--- a/src/main/java/beampoint/policy/state/Node.java
+++ b/src/main/java/beampoint/policy/state/Node.java
@@ -24,11 +24,11 @@
   /** When it last gave an answer that shows it at work. */
   public double answeredAt;
   /** When a cold cache may be sent more. */
-  public double freeAt = -1;
+  public double pacedUntil = -1;
   public Mean time = new Mean();
   public final Mean depth = new Mean();
   public Mean errors = new Mean();
-  public double pausedUntil;
+  public double ejectedUntil;
   public Ban ban = Ban.NONE;
 
   /**
@@ -39,11 +39,11 @@
     boolean told = endpoint.startedAt() > called.since() || called.isOut();
     double started = told ? endpoint.startedAt() : Math.max(endpoint.startedAt(), called.until());
     if (entry != null && started > startedAt) {
-      pausedUntil = 0;
+      ejectedUntil = 0;
       errors = new Mean();
       time = new Mean();
       answeredAt = 0;
-      freeAt = -1;
+      pacedUntil = -1;
     }
     entry = endpoint;
     origin = isOrigin;
--- a/src/main/java/beampoint/serve/Ending.java
+++ b/src/main/java/beampoint/serve/GracefulShutdown.java
@@ -6,13 +6,13 @@
 import java.util.function.BooleanSupplier;
 
 /** The end after a SIGTERM: serves on while clients may still come, then answers all that was taken. */
-final class Ending {
+final class GracefulShutdown {
 
   private static final long FRONT_LEAVES_MS = 450; // after a SIGTERM new clients come for up to 400 ms
   // After that a command that has begun may come to its end: for long where another process serves, shortly
   // where nobody does, or clients that stop half way would hold up the restart.
-  private static final double LAST_WORDS_MS = 2000;
-  private static final double LAST_WORDS_ALONE_MS = 200;
+  private static final double HALF_COMMAND_MS = 2000;
+  private static final double HALF_COMMAND_ALONE_MS = 200;
   private static final double LONGEST_DEADLINE_MS = 3000; // that the platform waits for after a SIGTERM
   private static final double KILL_MS = 700; // after that deadline a SIGKILL may come
   private static final double END_MS = 300; // before it all is answered
@@ -28,7 +28,8 @@
   private volatile boolean begun;
   private double endsBy;
 
-  Ending(Sessions sessions, Decisions decisions, Loop loop, Clock clock, BooleanSupplier isReplacing) {
+  GracefulShutdown(Sessions sessions, Decisions decisions, Loop loop, Clock clock,
+      BooleanSupplier isReplacing) {
     this.sessions = sessions;
     this.decisions = decisions;
     this.loop = loop;
@@ -55,7 +56,7 @@
   }
 
   private void endSessions() {
-    sessions.stopListening(isReplacing.getAsBoolean() ? LAST_WORDS_MS : LAST_WORDS_ALONE_MS);
+    sessions.stopListening(isReplacing.getAsBoolean() ? HALF_COMMAND_MS : HALF_COMMAND_ALONE_MS);
     pollDrained();
   }
 
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -66,7 +66,7 @@
   private final FleetNode fleet; // null where the proxy is a member of none
   private final Decisions decisions;
   private final Reload reload;
-  private final Ending ending;
+  private final GracefulShutdown shutdown;
   private final Operations operations; // null without an address for operators, as is the next
   private final Calls calls;
   private final Set<String> nodes = new HashSet<>(); // the cache nodes in the list
@@ -110,12 +110,12 @@
     share(1);
     this.watch = new Watch(transport, loop, counters, new Random(config.seed()), config.discovery(),
         config.known().version(), list -> listed(list, list.whole() ? ListKind.FULL : ListKind.CHANGES),
-        this::watchBroken, Watch.SILENCE_MS, Watch.ANSWER_MS);
+        this::watchBroken, Watch.HEARTBEAT_TIMEOUT_MS, Watch.ANSWER_TIMEOUT_MS);
     decisions.carryOutWith(upstreams, watch);
     this.reload = new Reload(config, this.directory, decisions, upstreams, watch, counters, loop);
     this.fleet = config.fleet() == null ? null : new FleetNode(config.fleet(), name, config.seed(),
         MemberTerms.usual(), settings.siblings(), decisions::siblings, transport, loop, clock, counters);
-    this.ending = new Ending(sessions, decisions, loop, clock, this::isReplacing);
+    this.shutdown = new GracefulShutdown(sessions, decisions, loop, clock, this::isReplacing);
     if (config.ops() == null) {
       this.operations = null;
       this.calls = null;
@@ -233,7 +233,7 @@
 
   /** Guards against clients that reach this process before it is of use, while another serves them. */
   private void listenWhenWarm() {
-    if (!warm || !heard || ending.hasBegun() || listens.isDone()) {
+    if (!warm || !heard || shutdown.hasBegun() || listens.isDone()) {
       return;
     }
     try {
@@ -300,7 +300,7 @@
   }
 
   private boolean isReady() {
-    return listed && warm && !ending.hasBegun();
+    return listed && warm && !shutdown.hasBegun();
   }
 
   private void warmedUp() {
@@ -357,7 +357,7 @@
     if (fleet != null) {
       loop.execute(fleet::leave);
     }
-    ending.await();
+    shutdown.await();
     LOG.info(name + " ends: " + counters);
   }
 }
--- a/src/main/java/beampoint/upstream/Links.java
+++ b/src/main/java/beampoint/upstream/ConnectionPools.java
@@ -31,22 +31,22 @@
  * The connections to endpoints: makes them, keeps idle ones for the next request, and closes what is too old,
  * too many or worthless. Belongs to the decision thread.
  */
-final class Links {
+final class ConnectionPools {
 
   /** Who asks over the connections. */
   interface User {
 
     /** A connection stands, and its flight may be written. */
-    void made(Link link);
+    void made(PooledConnection link);
 
     /** Something has come. */
-    void read(Link link, Object message);
+    void read(PooledConnection link, Object message);
 
     /** The connection has ended or was never made; orderly: the peer has closed it, and not reset. */
-    void lost(Link link, boolean orderly);
+    void lost(PooledConnection link, boolean orderly);
 
     /** The connection's flight, of which nothing was written, can't go there any more. */
-    void barred(Flight flight);
+    void barred(InFlight flight);
   }
 
   private static final double SETTLE_MS = 30; // after an answer, in which a second one may come
@@ -62,12 +62,13 @@
   private int maxToCaches = 1;
   private final TCPNIOConnectorHandler toCaches;
   private final TCPNIOConnectorHandler toOrigin;
-  private final Map<String, Pool> pools = new TreeMap<>();
-  private final Attribute<Link> linkOf = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("link");
+  private final Map<String, Pool> byEndpoint = new TreeMap<>();
+  private final Attribute<PooledConnection> linkOf =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("pooled-connection");
   private int connections;
 
-  Links(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock, Counters counters,
-      User user) {
+  ConnectionPools(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
+      Counters counters, User user) {
     this.transport = transport;
     this.loop = loop;
     this.clock = clock;
@@ -91,7 +92,7 @@
 
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
-      Link link = linkOf.get(ctx.getConnection());
+      PooledConnection link = linkOf.get(ctx.getConnection());
       if (link != null && link.flight == null && link.stream == null) {
         counters.add(Counter.UPSTREAM_BAD_REPLIES);
         ctx.getConnection().terminateSilently();
@@ -106,7 +107,7 @@
 
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
-      Link link = linkOf.get(ctx.getConnection());
+      PooledConnection link = linkOf.get(ctx.getConnection());
       Object message = ctx.getMessage();
       loop.execute(() -> user.read(link, message));
       return ctx.getStopAction();
@@ -114,7 +115,7 @@
 
     @Override
     public NextAction handleClose(FilterChainContext ctx) {
-      Link link = linkOf.get(ctx.getConnection());
+      PooledConnection link = linkOf.get(ctx.getConnection());
       if (link != null) {
         boolean orderly = PeerEnd.isOrderly(ctx.getConnection());
         loop.execute(() -> user.lost(link, orderly));
@@ -146,11 +147,11 @@
 
   /** Takes an endpoint's address; a new address or a new start makes its old connections worthless. */
   void place(String endpoint, InetSocketAddress dial, boolean origin, double startedAt) {
-    Pool pool = pools.get(endpoint);
+    Pool pool = byEndpoint.get(endpoint);
     if (pool == null || !dial.equals(pool.dial) || startedAt != pool.startedAt) {
       remove(endpoint);
       pool = new Pool(endpoint, dial, startedAt);
-      pools.put(endpoint, pool);
+      byEndpoint.put(endpoint, pool);
     }
     pool.origin = origin;
   }
@@ -159,7 +160,7 @@
   void remove(String endpoint) {
     closeIdle(endpoint);
     bar(endpoint);
-    pools.remove(endpoint);
+    byEndpoint.remove(endpoint);
   }
 
   /**
@@ -167,9 +168,9 @@
    * has started anew: the connection may come up long after the grace, and would carry it there.
    */
   void bar(String endpoint) {
-    Pool pool = pools.get(endpoint);
-    for (Link link : pool == null ? List.<Link>of() : List.copyOf(pool.connecting)) {
-      Flight flight = link.flight;
+    Pool pool = byEndpoint.get(endpoint);
+    for (PooledConnection link : pool == null ? List.<PooledConnection>of() : List.copyOf(pool.connecting)) {
+      InFlight flight = link.flight;
       link.flight = null; // the connection may still be made
       if (flight != null) {
         user.barred(flight);
@@ -179,12 +180,12 @@
 
   /** Forgets all endpoints but these. */
   void retain(Set<String> endpoints) {
-    List.copyOf(pools.keySet()).stream().filter(e -> !endpoints.contains(e)).forEach(this::remove);
+    List.copyOf(byEndpoint.keySet()).stream().filter(e -> !endpoints.contains(e)).forEach(this::remove);
   }
 
   /** Closes the idle connections to an endpoint. */
   void closeIdle(String endpoint) {
-    Pool pool = pools.get(endpoint);
+    Pool pool = byEndpoint.get(endpoint);
     while (pool != null && !pool.idle.isEmpty()) {
       close(pool.idle.pop());
     }
@@ -192,7 +193,7 @@
 
   /** Where an endpoint is reached, or null. */
   Pool pool(String endpoint) {
-    return pools.get(endpoint);
+    return byEndpoint.get(endpoint);
   }
 
   /**
@@ -200,10 +201,10 @@
    * second answer that comes late, and would be taken for the next one's; the origin's has no id that tells.
    * What has stood idle for too long is closed first: the sweep may not have met it.
    */
-  Link idle(Pool pool) {
+  PooledConnection idle(Pool pool) {
     closeOld(pool);
     double settled = clock.getAsDouble() - SETTLE_MS;
-    for (Link link : pool.idle) {
+    for (PooledConnection link : pool.idle) {
       if (link.idleSince <= settled) {
         pool.idle.remove(link);
         return link;
@@ -222,7 +223,7 @@
   }
 
   /** Makes a connection for a flight. */
-  void connect(Link link) {
+  void connect(PooledConnection link) {
     connections++;
     counters.add(Counter.UPSTREAM_CONNECTIONS);
     link.flight.link = link;
@@ -250,7 +251,7 @@
   }
 
   @SuppressWarnings("unchecked") // all connections of a TCP transport have socket addresses
-  private void connected(Link link, Connection<?> connection) {
+  private void connected(PooledConnection link, Connection<?> connection) {
     link.connection = (Connection<SocketAddress>) connection;
     link.pool.connecting.remove(link);
     link.connectTimer.cancel(false);
@@ -268,22 +269,22 @@
    * Guards against a connection used again though more stands on it than its answer, or though its endpoint
    * is gone, has moved or has started anew.
    */
-  void release(Link link, boolean spent) {
-    if (spent || pools.get(link.pool.endpoint) != link.pool) {
+  void release(PooledConnection link, boolean spent) {
+    if (spent || byEndpoint.get(link.pool.endpoint) != link.pool) {
       close(link);
     } else {
       rest(link);
     }
   }
 
-  private void rest(Link link) {
+  private void rest(PooledConnection link) {
     link.flight = null;
     link.written = false;
     link.idleSince = clock.getAsDouble();
     link.pool.idle.push(link);
   }
 
-  void close(Link link) {
+  void close(PooledConnection link) {
     if (!link.closed) {
       link.close();
       connections--;
@@ -296,7 +297,7 @@
 
   /** Closes connections that have stood idle for too long. */
   void closeOld() {
-    pools.values().forEach(this::closeOld);
+    byEndpoint.values().forEach(this::closeOld);
   }
 
   private void closeOld(Pool pool) {
@@ -308,9 +309,9 @@
 
   /** Guards against running out of descriptors while idle connections hold them. */
   private boolean closeLongestIdle() {
-    Link oldest = null;
-    for (Pool pool : pools.values()) {
-      Link last = pool.idle.peekLast();
+    PooledConnection oldest = null;
+    for (Pool pool : byEndpoint.values()) {
+      PooledConnection last = pool.idle.peekLast();
       if (last != null && (oldest == null || last.idleSince < oldest.idleSince)) {
         oldest = last;
       }
--- a/src/main/java/beampoint/upstream/Flight.java
+++ b/src/main/java/beampoint/upstream/InFlight.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.Future;
 
 /** One attempt or, without an exchange, one probe that is out. Belongs to the decision thread. */
-final class Flight {
+final class InFlight {
 
   final Exchange exchange;
   final int number;
@@ -12,13 +12,13 @@
   final double startedAt;
   final double endsAt;
   final double startBy; // after which its first byte must not be written
-  Link link;
+  PooledConnection link;
   Future<?> timer;
   boolean over;
   /** The report of load that came with its answer, or null. */
   String load;
 
-  Flight(Exchange exchange, int number, String endpoint, double startedAt, double endsAt,
+  InFlight(Exchange exchange, int number, String endpoint, double startedAt, double endsAt,
       double startBy) {
     this.exchange = exchange;
     this.number = number;
--- a/src/main/java/beampoint/upstream/Pool.java
+++ b/src/main/java/beampoint/upstream/Pool.java
@@ -14,8 +14,8 @@
 final class Pool {
 
   final String endpoint;
-  final Deque<Link> idle = new ArrayDeque<>();
-  final Set<Link> connecting = new LinkedHashSet<>();
+  final Deque<PooledConnection> idle = new ArrayDeque<>();
+  final Set<PooledConnection> connecting = new LinkedHashSet<>();
   final InetSocketAddress dial;
   final String host; // the address as HTTP names it
   final double startedAt;
--- a/src/main/java/beampoint/upstream/Link.java
+++ b/src/main/java/beampoint/upstream/PooledConnection.java
@@ -12,11 +12,11 @@
  * One connection to an endpoint, with at most one request out: to give that up is to close the connection,
  * and no other request hangs on it. Belongs to the decision thread.
  */
-final class Link {
+final class PooledConnection {
 
   final Pool pool;
   Connection<SocketAddress> connection; // null while it is being made
-  Flight flight;
+  InFlight flight;
   Future<?> connectTimer;
   double begunAt; // when its connection was asked for
   double idleSince;
@@ -30,7 +30,7 @@
   /** True once the last byte of the request was written: from then on it may have run. */
   boolean written;
 
-  Link(Pool pool, Flight flight) {
+  PooledConnection(Pool pool, InFlight flight) {
     this.pool = pool;
     this.flight = flight;
   }
--- a/src/main/java/beampoint/upstream/Replies.java
+++ b/src/main/java/beampoint/upstream/Replies.java
@@ -32,27 +32,27 @@
   interface Outcomes {
 
     /** A flight has ended; the answer is null where there is none. */
-    void land(Flight flight, Result result, Answer answer);
+    void land(InFlight flight, Result result, Answer answer);
 
     /** A connection is of no use any more; its flight ends like this if it was written whole. */
-    void end(Link link, Result afterWriting);
+    void end(PooledConnection link, Result afterWriting);
   }
 
   private static final Log LOG = Log.of("upstream");
   private static final int MAX_BODY = ReplyFilter.MAX_VALUE;
-  private static final double STANDSTILL_MS = 10_000; // after which a value that has begun is given up
+  private static final double STALL_MS = 10_000; // after which a value that has begun is given up
 
-  private final Links links;
+  private final ConnectionPools pools;
   private final MemoryManager<?> memory;
   private final DoubleSupplier clock;
   private final Counters counters;
   private final Budget budget;
   private final Outcomes outcomes;
-  private final Set<Link> streaming = new LinkedHashSet<>();
+  private final Set<PooledConnection> streaming = new LinkedHashSet<>();
 
-  Replies(Links links, MemoryManager<?> memory, DoubleSupplier clock, Counters counters, Budget budget,
-      Outcomes outcomes) {
-    this.links = links;
+  Replies(ConnectionPools pools, MemoryManager<?> memory, DoubleSupplier clock, Counters counters,
+      Budget budget, Outcomes outcomes) {
+    this.pools = pools;
     this.memory = memory;
     this.clock = clock;
     this.counters = counters;
@@ -61,8 +61,8 @@
   }
 
   /** Something has come on a connection. */
-  void read(Link link, Object message) {
-    Flight flight = link.flight;
+  void read(PooledConnection link, Object message) {
+    InFlight flight = link.flight;
     if (link.closed) {
       return;
     }
@@ -86,8 +86,8 @@
   }
 
   /** The peer has closed the connection in order; true where that was the end of the answer on it. */
-  boolean ended(Link link) {
-    Flight flight = link.flight;
+  boolean ended(PooledConnection link) {
+    InFlight flight = link.flight;
     if (link.closed || flight == null || link.head == null || !link.head.untilClose()) {
       return false;
     }
@@ -96,7 +96,7 @@
   }
 
   /** The next bytes of a long value. */
-  private void goOn(Link link, Object message) {
+  private void goOn(PooledConnection link, Object message) {
     if (message instanceof ReplyPart part && part.last()) {
       streamed(link, part.surplus());
     } else if (message instanceof ReplyPart part) {
@@ -111,24 +111,24 @@
     }
   }
 
-  private void pass(Link link, Buffer bytes) {
+  private void pass(PooledConnection link, Buffer bytes) {
     if (bytes.hasRemaining() && !link.stream.offer(bytes)) {
       setReading(link, false);
     }
   }
 
   /** A long value has come to its end. */
-  private void streamed(Link link, boolean spent) {
+  private void streamed(PooledConnection link, boolean spent) {
     Stream stream = link.stream;
     link.stream = null;
     streaming.remove(link);
     setReading(link, true);
     stream.finish();
-    links.release(link, spent);
+    pools.release(link, spent);
   }
 
   /** The value is the client's from its first bytes on: the attempt has ended well, and is not repeated. */
-  private void stream(Link link, Flight flight, long length) {
+  private void stream(PooledConnection link, InFlight flight, long length) {
     counters.add(Counter.VALUES_STREAMED);
     link.flight = null;
     streaming.add(link);
@@ -141,13 +141,13 @@
       @Override
       public void cancel() {
         link.stream = null;
-        links.close(link);
+        pools.close(link);
       }
     });
     outcomes.land(flight, Result.OK, Answer.streamed(link.stream));
   }
 
-  private void setReading(Link link, boolean on) {
+  private void setReading(PooledConnection link, boolean on) {
     link.movedAt = clock.getAsDouble();
     link.paused = !on;
     if (link.closed) {
@@ -164,7 +164,7 @@
     }
   }
 
-  private void answered(Link link, Flight flight, Reply reply) {
+  private void answered(PooledConnection link, InFlight flight, Reply reply) {
     Command command = flight.isProbe() ? null : flight.exchange.command();
     boolean own = command != null && reply.id() != null && reply.id().equals(command.id());
     boolean write = command != null && command.kind() == Command.Kind.WRITE;
@@ -186,13 +186,13 @@
       stream(link, flight, reply.length());
       return;
     }
-    links.release(link, reply.surplus());
+    pools.release(link, reply.surplus());
     boolean served = result == Result.OK && !flight.isProbe();
     Answer.Kind kind = reply.kind() == Reply.Kind.VALUE ? Answer.Kind.VALUE : Answer.Kind.RECEIPT;
     outcomes.land(flight, result, served ? Answer.whole(kind, reply.body()) : null);
   }
 
-  private void content(Link link, Flight flight, HttpContent content) {
+  private void content(PooledConnection link, InFlight flight, HttpContent content) {
     boolean read = !flight.isProbe() && flight.exchange.command().kind() == Command.Kind.READ;
     boolean isLong = read && link.head.status() == 200 && link.head.length() > ReplyFilter.WHOLE_VALUE;
     if (isLong && link.body == null) {
@@ -221,7 +221,7 @@
     HttpHead head = link.head;
     Buffer body = link.body.message();
     link.claim.release();
-    links.release(link, head.closes() || content.surplus());
+    pools.release(link, head.closes() || content.surplus());
     if (head.status() == 200) {
       boolean write = !flight.isProbe() && flight.exchange.command().kind() == Command.Kind.WRITE;
       Answer.Kind kind = write ? Answer.Kind.RECEIPT : Answer.Kind.VALUE;
@@ -236,15 +236,15 @@
    * After what can't be understood nothing more is read. The peer lives, and the request may have run: that
    * is an error, and no reason to take the peer for broken as after a reset.
    */
-  private void bad(Link link, String what) {
+  private void bad(PooledConnection link, String what) {
     counters.add(Counter.UPSTREAM_BAD_REPLIES);
     LOG.warn(what + ", from " + link.pool.endpoint);
     outcomes.end(link, Result.ERROR);
   }
 
   /** Gives up long values that have come to a standstill. */
-  void endStandstills() {
-    double before = clock.getAsDouble() - STANDSTILL_MS;
+  void endStalled() {
+    double before = clock.getAsDouble() - STALL_MS;
     streaming.removeIf(link -> link.closed);
     List.copyOf(streaming).stream().filter(link -> !link.paused && link.movedAt < before)
         .forEach(link -> bad(link, "a long value that stands still"));
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -48,9 +48,9 @@
   private final Counters counters;
   private final Writer writer;
   private final HttpWriter httpWriter;
-  private final Links links;
+  private final ConnectionPools pools;
   private final Replies replies;
-  private final Map<Long, Map<Integer, Flight>> flights = new HashMap<>(); // by request, then by attempt
+  private final Map<Long, Map<Integer, InFlight>> flights = new HashMap<>(); // by request, then by attempt
   private final Future<?> tidying; // of connections that have stood idle, or stand still
 
   public Upstreams(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
@@ -62,83 +62,83 @@
     this.writer = new Writer(transport.getMemoryManager());
     this.httpWriter = new HttpWriter(transport.getMemoryManager());
     Heard heard = new Heard();
-    this.links = new Links(transport, loop, clock, counters, heard);
-    this.replies = new Replies(links, transport.getMemoryManager(), clock, counters, budget, heard);
-    links.retime(connectTimeout, idleTime);
+    this.pools = new ConnectionPools(transport, loop, clock, counters, heard);
+    this.replies = new Replies(pools, transport.getMemoryManager(), clock, counters, budget, heard);
+    pools.retime(connectTimeout, idleTime);
     this.tidying = loop.scheduleWithFixedDelay(() -> {
-      replies.endStandstills();
-      links.closeOld();
+      replies.endStalled();
+      pools.closeOld();
     }, 1, 1, TimeUnit.SECONDS);
   }
 
   /** What connections and replies tell. */
-  private final class Heard implements Links.User, Replies.Outcomes {
+  private final class Heard implements ConnectionPools.User, Replies.Outcomes {
 
     @Override
-    public void made(Link link) {
+    public void made(PooledConnection link) {
       write(link);
     }
 
     @Override
-    public void read(Link link, Object message) {
+    public void read(PooledConnection link, Object message) {
       replies.read(link, message);
     }
 
     @Override
-    public void lost(Link link, boolean orderly) {
+    public void lost(PooledConnection link, boolean orderly) {
       if (!orderly || !replies.ended(link)) {
         Upstreams.this.end(link, Result.RESET);
       }
     }
 
     @Override
-    public void barred(Flight flight) {
+    public void barred(InFlight flight) {
       Upstreams.this.land(flight, Result.CONNECT_FAILED, null);
     }
 
     @Override
-    public void land(Flight flight, Result result, Answer answer) {
+    public void land(InFlight flight, Result result, Answer answer) {
       Upstreams.this.land(flight, result, answer);
     }
 
     @Override
-    public void end(Link link, Result afterWriting) {
+    public void end(PooledConnection link, Result afterWriting) {
       Upstreams.this.end(link, afterWriting);
     }
   }
 
   /** Sets how long a connection may take to be made, and after how long peers close an idle one. */
   public void retime(double connect, double idle) {
-    links.retime(connect, idle);
+    pools.retime(connect, idle);
   }
 
   /** Sets how many connections there may be; idle ones beyond that are closed. */
   public void resize(int most) {
-    links.resize(most);
+    pools.resize(most);
   }
 
   /** Takes an endpoint's address; a new address or a new start makes its old connections worthless. */
   public void place(String endpoint, InetSocketAddress dial, boolean origin, double startedAt) {
-    links.place(endpoint, dial, origin, startedAt);
+    pools.place(endpoint, dial, origin, startedAt);
   }
 
   /** Forgets an endpoint that is gone; the connections still in use are closed once they are free. */
   public void remove(String endpoint) {
-    links.remove(endpoint);
+    pools.remove(endpoint);
   }
 
   /** An endpoint drains: what waits for a connection to it does not go there any more. */
   public void drain(String endpoint) {
-    links.bar(endpoint);
+    pools.bar(endpoint);
   }
 
   /** Forgets all endpoints but these. */
   public void retain(Set<String> endpoints) {
-    links.retain(endpoints);
+    pools.retain(endpoints);
   }
 
   public void closeIdle(String endpoint) {
-    links.closeIdle(endpoint);
+    pools.closeIdle(endpoint);
   }
 
   /** Forgets all endpoints: nothing will be sent any more. */
@@ -149,7 +149,7 @@
 
   /** Starts an attempt that is given up at the given time, and must not begin after another. */
   public void send(Exchange exchange, int number, String endpoint, double endsAt, double startBy) {
-    Flight flight = new Flight(exchange, number, endpoint, clock.getAsDouble(), endsAt, startBy);
+    InFlight flight = new InFlight(exchange, number, endpoint, clock.getAsDouble(), endsAt, startBy);
     flights.computeIfAbsent(exchange.id(), id -> new HashMap<>()).put(number, flight);
     counters.add(Counter.ATTEMPTS_SENT);
     start(flight);
@@ -159,13 +159,13 @@
   public void probe(String endpoint) {
     double now = clock.getAsDouble();
     counters.add(Counter.PROBES_SENT);
-    start(new Flight(null, 0, endpoint, now, now + 2 * links.connectTimeout(),
+    start(new InFlight(null, 0, endpoint, now, now + 2 * pools.connectTimeout(),
         Double.POSITIVE_INFINITY));
   }
 
   /** Gives up one attempt. */
   public void cancel(long id, int number) {
-    Flight flight = flights.getOrDefault(id, Map.of()).get(number);
+    InFlight flight = flights.getOrDefault(id, Map.of()).get(number);
     if (flight != null) {
       giveUp(flight, Result.CANCELLED);
     }
@@ -173,7 +173,7 @@
 
   /** The client of a request has gone: what of its attempts is not written whole must not run. */
   public void abandon(long id) {
-    for (Flight flight : List.copyOf(flights.getOrDefault(id, Map.of()).values())) {
+    for (InFlight flight : List.copyOf(flights.getOrDefault(id, Map.of()).values())) {
       if (!flight.link.written) {
         giveUp(flight, Result.CANCELLED);
       }
@@ -182,29 +182,29 @@
 
   /** Ends the time of all attempts of a request. */
   public void expire(long id) {
-    for (Flight flight : List.copyOf(flights.getOrDefault(id, Map.of()).values())) {
+    for (InFlight flight : List.copyOf(flights.getOrDefault(id, Map.of()).values())) {
       giveUp(flight, Result.TIMEOUT);
     }
   }
 
-  private void start(Flight flight) {
-    Pool pool = links.pool(flight.endpoint);
+  private void start(InFlight flight) {
+    Pool pool = pools.pool(flight.endpoint);
     flight.timer = at(flight.endsAt, () -> giveUp(flight, Result.TIMEOUT));
     if (pool == null) {
       land(flight, Result.CONNECT_FAILED, null);
       return;
     }
-    Link link = links.idle(pool);
+    PooledConnection link = pools.idle(pool);
     if (link != null) {
       counters.check(link.flight == null && !link.closed, "an idle connection is open and has nothing out");
       link.flight = flight;
       flight.link = link;
       write(link);
-    } else if (links.hasRoom(pool)) {
-      links.connect(new Link(pool, flight));
+    } else if (pools.hasRoom(pool)) {
+      pools.connect(new PooledConnection(pool, flight));
     } else {
       // Guards against a cache that is blamed, and skipped, for this proxy's own shortage.
-      LOG.warn("all upstream connections are in use: " + links.connections());
+      LOG.warn("all upstream connections are in use: " + pools.connections());
       land(flight, Result.NOT_SENT, null);
     }
   }
@@ -213,11 +213,11 @@
    * The one place where a request leaves. Guards against one that waited for its connection, while its client
    * went away or the time ended in which its repeat is dropped.
    */
-  private void write(Link link) {
-    Flight flight = link.flight;
+  private void write(PooledConnection link) {
+    InFlight flight = link.flight;
     Pool pool = link.pool;
     if (!flight.isProbe() && (!flight.exchange.isWanted() || clock.getAsDouble() >= flight.startBy)) {
-      links.release(link, false);
+      pools.release(link, false);
       land(flight, Result.NOT_SENT, null);
       return;
     }
@@ -242,12 +242,12 @@
     });
   }
 
-  private void end(Link link, Result afterWriting) {
-    Flight flight = link.flight;
+  private void end(PooledConnection link, Result afterWriting) {
+    InFlight flight = link.flight;
     Stream stream = link.stream;
     link.stream = null;
     boolean written = link.written;
-    links.close(link);
+    pools.close(link);
     if (stream != null) {
       counters.add(Counter.VALUES_CUT_OFF);
       stream.fail();
@@ -259,21 +259,21 @@
   }
 
   /** Stops waiting. What was never written whole never ran, and so the time can't have run out there. */
-  private void giveUp(Flight flight, Result result) {
+  private void giveUp(InFlight flight, Result result) {
     if (flight.over) {
       return;
     }
-    Link link = flight.link;
+    PooledConnection link = flight.link;
     boolean written = link != null && link.written;
     if (link != null && link.connection == null) {
       link.flight = null; // the connection may still be made, and serve the next
     } else if (link != null) {
-      links.close(link);
+      pools.close(link);
     }
     land(flight, written ? result : flight.isProbe() ? Result.TIMEOUT : Result.NOT_SENT, null);
   }
 
-  private void land(Flight flight, Result result, Answer answer) {
+  private void land(InFlight flight, Result result, Answer answer) {
     if (flight.over) {
       return;
     }
@@ -285,7 +285,7 @@
       loop.execute(() -> reports.probed(flight.endpoint, elapsed, result));
       return;
     }
-    Map<Integer, Flight> own = flights.get(flight.exchange.id());
+    Map<Integer, InFlight> own = flights.get(flight.exchange.id());
     own.remove(flight.number);
     if (own.isEmpty()) {
       flights.remove(flight.exchange.id());
--- a/src/test/java/beampoint/discovery/WatchTest.java
+++ b/src/test/java/beampoint/discovery/WatchTest.java
@@ -116,10 +116,10 @@
         peer.beSilent();
       }
     })) {
-      follow(discovery, Watch.SILENCE_MS);
+      follow(discovery, Watch.HEARTBEAT_TIMEOUT_MS);
       assertEquals(44, next().version());
       assertEquals(6, waits.size());
-      assertTrue(Collections.max(waits) + Watch.SILENCE_MS < 6000, "waits: " + waits);
+      assertTrue(Collections.max(waits) + Watch.HEARTBEAT_TIMEOUT_MS < 6000, "waits: " + waits);
       assertTrue(Collections.max(waits) <= 150, "waits: " + waits);
     }
   }
@@ -345,7 +345,7 @@
       peer.beSilent();
     })) {
       watch = new Watch(transport, loop, counters, new Random(1), Address.parse(discovery.address()), 41,
-          lists::add, () -> watch.followLater(), Watch.SILENCE_MS, Watch.ANSWER_MS);
+          lists::add, () -> watch.followLater(), Watch.HEARTBEAT_TIMEOUT_MS, Watch.ANSWER_TIMEOUT_MS);
       loop.execute(watch::follow);
       assertEquals(HostList.Health.TERMINATING, next().hosts().get(0).health());
       long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - backAt.get());
@@ -424,8 +424,8 @@
   /** All ways in which a call can fail: what discovery has is told within 6 s of its being reached. */
   @Test
   void noWayToFailMakesTheNextCallWaitForLong() {
-    long longestWait = 3 * Watch.LONGEST_WAIT_MS / 2;
-    assertTrue(Watch.SILENCE_MS + longestWait + Watch.ANSWER_MS < 6000 - 1000);
-    assertTrue(Watch.ANSWER_MS + longestWait < 2000);
+    long longestWait = 3 * Watch.LONGEST_BACKOFF_MS / 2;
+    assertTrue(Watch.HEARTBEAT_TIMEOUT_MS + longestWait + Watch.ANSWER_TIMEOUT_MS < 6000 - 1000);
+    assertTrue(Watch.ANSWER_TIMEOUT_MS + longestWait < 2000);
   }
 }
--- a/src/test/java/beampoint/policy/ColdFleetTest.java
+++ b/src/test/java/beampoint/policy/SlowStartFleetTest.java
@@ -31,7 +31,7 @@
  * What instances that share nothing send a cold cache together: beside N, which the settings allow it in the
  * stated time, only 2 root N + 2 are put down to chance, however many instances there are.
  */
-class ColdFleetTest {
+class SlowStartFleetTest {
 
   private static final Rules RULES = new Rules(1_000, 3, 2_000, 0.14, 20_000, 10_000);
   private static final int SEEDS = 6;
--- a/src/test/java/beampoint/policy/ColdBudgetTest.java
+++ b/src/test/java/beampoint/policy/SlowStartTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.api.Test;
 
 /** What a hundred instances that share nothing send a cold cache together, beside what it bears. */
-class ColdBudgetTest {
+class SlowStartTest {
 
   private static final int INSTANCES = 100;
   private static final int CACHES = 150;
