--- /dev/null
+++ b/src/test/java/beampoint/policy/RepeatWindowTest.java
@@ -0,0 +1,72 @@
+package beampoint.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.Action;
+import beampoint.Balancer.DedupGroup;
+import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.EndpointState;
+import beampoint.Balancer.Idempotency;
+import beampoint.Balancer.ListKind;
+import beampoint.Balancer.ListReceived;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Send;
+import beampoint.Balancer.SetTimer;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Until when an attempt may begin, and how soon the list is asked for again. */
+class RepeatWindowTest {
+
+  private static Send sent(List<Action> actions) {
+    return (Send) actions.stream().filter(Send.class::isInstance).findFirst().orElseThrow();
+  }
+
+  /** Guards against a repeat whose connection comes up when it is not dropped any more. */
+  @Test
+  void aRepeatOfAKeyedRequestMustBeginWithinTheWindowOfItsFirstSend() {
+    Fixture f = new Fixture(Fixture.type(Idempotency.KEYED, DedupGroup.ALL)).withFleet(4);
+    for (int key = 0; key < 10; key++) {
+      f.served(key); // further attempts are a part of the requests
+    }
+    double first = f.now;
+    long id = f.nextId();
+    Send send = sent(f.read(7));
+    assertTrue(send.startBy() > 1e15, "the first may begin whenever it can");
+    f.now += 100;
+    Send again = sent(f.end(id, 0, send.endpoint(), 100, Result.RESET));
+    assertEquals(first + 2_000, again.startBy());
+    f.now += 100;
+    Send last = sent(f.end(id, 1, again.endpoint(), 100, Result.RESET));
+    assertEquals(first + 2_000, last.startBy(), "counted from the first, whatever came after it");
+  }
+
+  @Test
+  void whatNeverRanOrIsSafeMayBeginWhenever() {
+    for (Idempotency effect : Idempotency.values()) {
+      Fixture f = new Fixture(Fixture.type(effect, DedupGroup.ALL)).withFleet(4);
+      Send send = sent(f.read(7));
+      Result result = effect == Idempotency.SAFE ? Result.RESET : Result.CONNECT_FAILED;
+      assertTrue(sent(f.end(0, 0, send.endpoint(), 10, result)).startBy() > 1e15, effect.name());
+    }
+  }
+
+  /** Guards against a list that is asked for when what it has counts as told: after 6 s, whatever failed. */
+  @Test
+  void aListThatMustBeAskedForIsAskedForAgainWithinSeconds() {
+    Fixture f = new Fixture(Fixture.settings(List.of(), false, Fixture.READ));
+    List<Endpoint> known = List.of(Fixture.cache(0, EndpointState.RUNNING, 0));
+    double unanswered = delay(f.list(ListKind.REMEMBERED, known));
+    assertTrue(unanswered <= 2_500, "no answer: " + unanswered);
+    for (int i = 0; i < 50; i++) {
+      double failed = delay(f.balancer.handle(f.now, new ListReceived(ListKind.UNAVAILABLE, List.of())));
+      assertTrue(failed <= 2_500, "failed: " + failed);
+    }
+  }
+
+  private static double delay(List<Action> actions) {
+    return actions.stream().filter(SetTimer.class::isInstance).mapToDouble(a -> ((SetTimer) a).delay())
+        .findFirst().orElseThrow();
+  }
+}
--- a/src/test/java/beampoint/serve/CloseCrossingTest.java
+++ b/src/test/java/beampoint/serve/CloseCrossingTest.java
@@ -195,6 +195,34 @@
     }
   }
 
+  /** Guards against a request that is begun after the shutdown, and against clients that hold that up. */
+  @Test
+  void aRestingClientSeesTheEndAndWhatItSaysThenIsNotBegunNorHoldsUpTheShutdown() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client resting = new Client(proxy)) {
+      proxy.sendTo("cache");
+      assertEquals("MN", resting.ask("mn\r\n"));
+      CountDownLatch drained = new CountDownLatch(1);
+      Thread end = new Thread(() -> {
+        try {
+          proxy.proxy.drain();
+          drained.countDown();
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+      });
+      long begun = System.nanoTime();
+      end.start();
+      assertNull(resting.line(), "an orderly end, and no reset");
+      resting.say(READ);
+      assertNull(resting.line(), "nor then");
+      await(drained); // though this client closes nothing
+      long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun);
+      assertTrue(took < 2000, "ended after " + took + " ms");
+      assertEquals(0, proxy.proxy.counters().get(Counter.REQUESTS_TAKEN));
+    }
+  }
+
   private static void await(CountDownLatch latch) {
     try {
       assertTrue(latch.await(5, TimeUnit.SECONDS));
