--- a/src/test/java/beampoint/policy/SlowStartFleetTest.java
+++ b/src/test/java/beampoint/policy/SlowStartFleetTest.java
@@ -162,7 +162,7 @@
     return all;
   }
 
-  /** Two days of forty on which instances that have just started know no rate of theirs, and draw too well. */
+  /** Days on which instances that have just started know no rate of theirs, and draw too well. */
   @Test
   void theSumIsBorneByThirtyOfWhichHalfStartAnewOnTheWorstDays() {
     for (long seed : new long[] {22, 37}) {
