--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -43,10 +43,11 @@
   /** The heartbeat time-out: an empty line comes every 2 s, and what it should tell counts after 6 s. */
   public static final long HEARTBEAT_TIMEOUT_MS = 3000;
   /** Until an answer begins, with its connection: who answers at all does so at once. */
-  public static final long ANSWER_TIMEOUT_MS = 600;
+  public static final long ANSWER_TIMEOUT_MS = 200;
   private static final long FIRST_BACKOFF_MS = 100;
-  static final long LONGEST_BACKOFF_MS = 400; // what is told counts soon after it could be heard
+  static final long LONGEST_BACKOFF_MS = 150; // what is told counts soon after it could be heard
   private static final long PAUSE_MS = 1;
+  private static final int MOST_LATE = 6; // calls without an answer that are read on
   private static final int MAX_TEXT = 8 * 1024 * 1024;
 
   private final ScheduledExecutorService loop;
@@ -234,6 +235,9 @@
     }
     call = null;
     late.add(own);
+    if (late.size() > MOST_LATE) {
+      drop(late.iterator().next());
+    }
     listen(own, silenceMs - answerMs, () -> end(own, "not answered"));
     counters.add(Counter.WATCHES_BROKEN);
     broken.run();
--- a/src/main/java/beampoint/policy/cold/SlowStart.java
+++ b/src/main/java/beampoint/policy/cold/SlowStart.java
@@ -9,7 +9,7 @@
 
   private static final double SERVED_FADE = 8000; // in ms: service counts half after this, as taking does
   private static final double BEST_KEPT = 0.9999; // of the best service, with each outcome
-  private static final double LOT = 1.5; // of its part, that a lot lets through: the turns do the rest
+  private static final double LOT = 2; // of its part, that a lot lets through: the turns do the rest
 
   /** The part of its capacity that a cache has at a time. */
   public double warmth(Node node, double now) {
@@ -33,9 +33,9 @@
    * Where that is under one request, lots are drawn: one saved up by each of many would be too much.
    */
   public boolean mayTake(Node node, Request r) {
-    double asked = facts.taken.rate(facts.now, SERVED_FADE) * node.points / facts.points.size();
+    double taken = facts.taken.rate(facts.now, SERVED_FADE, facts.startedAt) / facts.points.size();
     double window = facts.settings.rules().fallWindow();
-    boolean drawn = gap(node) <= window || r.turn * gap(node) * asked <= LOT;
+    boolean drawn = gap(node) <= window || r.turn * gap(node) * taken * node.points <= LOT;
     return !isCold(node) || drawn && facts.now + window / 2 + gap(node) >= node.pacedUntil;
   }
 
--- a/src/main/java/beampoint/policy/state/Mean.java
+++ b/src/main/java/beampoint/policy/state/Mean.java
@@ -37,6 +37,11 @@
     return count(now, halfLife) * Math.log(2) / halfLife;
   }
 
+  /** The same where observing began at a time: what was before it is not missing. */
+  public double rate(double now, double halfLife, double since) {
+    return rate(now, halfLife) / Math.max(1e-9, 1 - Math.pow(0.5, (now - since) / halfLife));
+  }
+
   /** What is left of the observations' sum, as of the last one. */
   public double sum() {
     return sum;
