Watch: a field that nothing read is gone

From reading the change again: Call.answered was written and never asked; who is answered is told by its timer. Behaviour is the same. WatchTest, KnownRedTest and MainTest pass.

--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -71,7 +71,6 @@
     private final InetSocketAddress address;
     private final String host;
     private Connection<?> connection;
-    private boolean answered; // its head has come
     private boolean heard; // a list, or the empty line that stands for no change
     private Future<?> connecting;
     private Future<?> silence;
@@ -214,7 +213,6 @@
 
   /** The first call that is answered is the one; others that wait beside it are given up. */
   private void answered(Call own) {
-    own.answered = true;
     listen(own, silenceMs, () -> end(own, "silent"));
     if (late.remove(own)) {
       drop(call);
