Limits on processes and servers: 4,096 members, bans and list entries in one exchange

Bounds that a fleet of 2,300 proxies and 610 cache nodes met, or came near: 1,000 bans, 1,024 peers, 2,048 members of a view, 1,000 messages that wait, 8 processes of one proxy, 2,000 proxies or caches and 16 zones of a scenario. Each is now sized by need with its reason beside it, and tested one below, at, and one above. A view of 4,097 members with names of 100 characters fits in one exchange of 1.3 MB (1 MB before). Processes of one proxy are counted by ranges of locks: two calls where there is one, seven before. A ban file that no process would read is not written, and the call is told that it was not stored. Descriptors for exchanges of views are set aside (they were not).

The check came only after a whole read, now at the byte.

What stays: 16 exchanges of views and 16 operators' calls at once (descriptors and memory; each is short), 32 news of a datagram. ScenarioTest's text for caches.count names 4096 in place of 2000.

--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -47,8 +47,9 @@
   private static final long FIRST_BACKOFF_MS = 100;
   static final long LONGEST_BACKOFF_MS = 150; // what is told counts soon after it could be heard
   private static final long PAUSE_MS = 1;
-  private static final int MOST_LATE = 6; // calls without an answer that are read on
-  private static final int MAX_TEXT = 8 * 1024 * 1024;
+  private static final int MAX_LATE_CALLS = 6; // without an answer that are read on
+  /** Of one list: 4,096 entries of 512 bytes, as indented ones with long names have. */
+  static final int MAX_LIST_BYTES = 4_096 * 512;
 
   private final ScheduledExecutorService loop;
   private final Counters counters;
@@ -233,7 +234,7 @@
     }
     call = null;
     late.add(own);
-    if (late.size() > MOST_LATE) {
+    if (late.size() > MAX_LATE_CALLS) {
       drop(late.iterator().next());
     }
     listen(own, silenceMs - answerMs, () -> end(own, "not answered"));
@@ -246,11 +247,10 @@
       String text = own.text.take(bytes.get(i));
       if (text != null) {
         line(own, text);
+      } else if (own.text.length() > MAX_LIST_BYTES) {
+        end(own, "list too long");
       }
     }
-    if (own.text.length() > MAX_TEXT) {
-      end(own, "list too long");
-    }
   }
 
   private void line(Call own, String text) {
--- a/src/main/java/beampoint/emulator/Scenario.java
+++ b/src/main/java/beampoint/emulator/Scenario.java
@@ -24,6 +24,8 @@
 
   private static final int VERSION = 1;
   private static final double DAY = 24 * 3600;
+  private static final int MAX_PROCESSES = 4_096; // proxies, and cache nodes: nearly twice what is planned
+  private static final int MAX_ZONES = 1_024;
 
   /** A class of requests: its part of all, the mean work at a cache, and its rules. */
   public record Kind(String name, double share, double work, boolean write, RequestClass rules) {}
@@ -96,7 +98,7 @@
       throw top.wrong("version", "this program reads version " + VERSION + " only");
     }
     double length = 1000 * top.number("seconds", Double.NaN, 1, DAY);
-    int zones = top.whole("zones", 1, 1, 16);
+    int zones = top.whole("zones", 1, 1, MAX_ZONES);
     List<Kind> kinds = new ArrayList<>();
     for (Yaml kind : top.list("classes", 1)) {
       kinds.add(kind(kind));
@@ -114,7 +116,7 @@
     }
     Scenario scenario = new Scenario(top.text("name", "unnamed"), (long) top.number("seed", 1, 0, 1e15),
         length, 1000 * top.number("warm_up_seconds", 0, 0, length / 1000),
-        top.whole("proxies", Double.NaN, 1, 2000), zones, top.number("zone_ms", 1, 0, 1000),
+        top.whole("proxies", Double.NaN, 1, MAX_PROCESSES), zones, top.number("zone_ms", 1, 0, 1000),
         top.number("network_ms", 0.2, 0, 1000), limits(top.fields("settings")), rules(top.fields("rules")),
         prices(top.fields("prices")), top.number("over_share_worth", 1, 0, 1), List.copyOf(kinds),
         List.copyOf(tenants), keys(top.fields("keys")), caches(top.fields("caches")),
@@ -168,7 +170,7 @@
   }
 
   private static Caches caches(Yaml fields) throws InputException {
-    Caches caches = new Caches(fields.whole("count", Double.NaN, 1, 2000),
+    Caches caches = new Caches(fields.whole("count", Double.NaN, 1, MAX_PROCESSES),
         fields.whole("cores", 2, 1, 1024), fields.whole("queue", 40, 0, 1_000_000),
         fields.whole("memory_keys", 2000, 1, 50_000_000), fields.whole("connections", 1000, 1, 1_000_000),
         fields.number("handshake_ms", 0.5, 0, 1000), fields.number("idle_ms", 10_000, 1, 3_600_000),
--- a/src/main/java/beampoint/fleet/message/Codec.java
+++ b/src/main/java/beampoint/fleet/message/Codec.java
@@ -1,6 +1,7 @@
 package beampoint.fleet.message;
 
 import beampoint.fleet.message.Message.Kind;
+import beampoint.settings.FleetSettings;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -18,17 +19,25 @@
 public final class Codec {
 
   /** The most bytes of a datagram: no usual network cuts it. */
-  public static final int MOST_BYTES = 1_400;
+  public static final int MAX_DATAGRAM_BYTES = 1_400;
 
-  /** The most bytes of a whole view. */
-  public static final int MOST_BYTES_OF_A_VIEW = 1 << 20;
+  /** The most members of a whole view: all others that a proxy may be told of, and itself. */
+  public static final int MAX_VIEW_MEMBERS = FleetSettings.MAX_MEMBERS + 1;
+
+  /**
+   * The most bytes of one member in a view: two names of the longest that a configuration may have, an
+   * address of up to 100 characters and the figures.
+   */
+  private static final int MAX_VIEW_MEMBER_BYTES = 320;
+
+  /** The most bytes of a whole view: a fleet of the largest size fits in one exchange. */
+  public static final int MAX_VIEW_BYTES = MAX_VIEW_MEMBERS * MAX_VIEW_MEMBER_BYTES;
 
-  private static final int MOST_NEWS_OF_A_VIEW = 2_048;
   private static final int VERSION = 1;
-  private static final int MOST_NEWS = 32;
-  private static final int MOST_TEXT = 200;
+  private static final int MAX_NEWS = 32; // of a datagram, which holds fewer of any usual length
+  private static final int MAX_TEXT_LENGTH = 200; // of a name or an address
   private static final CBORFactory FORM = CBORFactory.builder()
-      .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(4).maxStringLength(MOST_TEXT)
+      .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(4).maxStringLength(MAX_TEXT_LENGTH)
           .maxNumberLength(20).build())
       .build();
 
@@ -42,7 +51,7 @@
   public byte[] write(Message message) {
     for (int news = message.news().size(); ; news--) {
       byte[] bytes = write(message, news);
-      if (bytes.length <= MOST_BYTES || news == 0) {
+      if (bytes.length <= MAX_DATAGRAM_BYTES || news == 0) {
         return bytes;
       }
     }
@@ -57,9 +66,17 @@
     });
   }
 
-  /** The bytes of a whole view. */
+  /**
+   * The bytes of a whole view. Guards against one that nobody reads: where addresses are so long that not all
+   * members fit, some of the last are left out, of which datagrams tell.
+   */
   public byte[] writeView(List<News> view) {
-    return bytes(view, out -> { });
+    for (int members = view.size(); ; members -= 1 + members / 16) {
+      byte[] bytes = bytes(view.subList(0, members), out -> { });
+      if (bytes.length <= MAX_VIEW_BYTES) {
+        return bytes;
+      }
+    }
   }
 
   /** What stands between the beginning and the news. */
@@ -88,7 +105,7 @@
   public List<News> readView(byte[] bytes) throws FormException {
     try (JsonParser in = FORM.createParser(bytes)) {
       begin(in);
-      return newsToTheEnd(in, MOST_NEWS_OF_A_VIEW);
+      return newsToTheEnd(in, MAX_VIEW_MEMBERS);
     } catch (IOException | RuntimeException e) {
       throw new FormException("no view: " + e.getMessage());
     }
@@ -129,7 +146,7 @@
 
   /** Reads a message of this cluster. */
   public Message read(byte[] bytes, int length) throws FormException {
-    if (length > MOST_BYTES) {
+    if (length > MAX_DATAGRAM_BYTES) {
       throw new FormException("longer than a datagram of members: " + length);
     }
     try (JsonParser in = FORM.createParser(bytes, 0, length)) {
@@ -138,7 +155,7 @@
       long number = number(in);
       String about = text(in);
       expect(in, JsonToken.START_ARRAY);
-      return new Message(kind, number, news(in), about, newsToTheEnd(in, MOST_NEWS));
+      return new Message(kind, number, news(in), about, newsToTheEnd(in, MAX_NEWS));
     } catch (IOException | RuntimeException e) {
       throw new FormException("no message: " + e.getMessage());
     }
@@ -170,7 +187,7 @@
     expect(in, JsonToken.VALUE_STRING);
     String text = in.getText();
     // Guards against a name that can be read and not written, which who passes it on would fall over.
-    if (text.length() > MOST_TEXT || !text.chars().allMatch(c -> c >= ' ' && c <= '~')) {
+    if (text.length() > MAX_TEXT_LENGTH || !text.chars().allMatch(c -> c >= ' ' && c <= '~')) {
       throw new FormException("with a text that is no name");
     }
     return text;
--- a/src/main/java/beampoint/fleet/transport/Datagrams.java
+++ b/src/main/java/beampoint/fleet/transport/Datagrams.java
@@ -5,6 +5,7 @@
 import beampoint.fleet.message.Codec;
 import beampoint.fleet.message.FormException;
 import beampoint.fleet.message.Message;
+import beampoint.settings.FleetSettings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -30,7 +31,11 @@
  */
 public final class Datagrams {
 
-  private static final int MOST_WAITING = 1_000;
+  /**
+   * Messages that have been read and wait for the loop: one of each member, as after a pause of the loop in
+   * which all have sent. Guards against memory that grows while messages come faster than they are taken.
+   */
+  static final int MAX_WAITING = FleetSettings.MAX_MEMBERS;
 
   private final Codec codec;
   private final Executor loop;
@@ -51,7 +56,7 @@
         .setSelectorRunnersCount(1)
         .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setCorePoolSize(1).setMaxPoolSize(1)
             .setThreadFactory(task -> new Thread(task, "members")))
-        .setReadBufferSize(2 * Codec.MOST_BYTES)
+        .setReadBufferSize(2 * Codec.MAX_DATAGRAM_BYTES)
         .build();
     transport.setProcessor(FilterChainBuilder.stateless().add(new TransportFilter()).add(new Events())
         .build());
@@ -66,7 +71,7 @@
       byte[] bytes = new byte[message.remaining()];
       message.get(bytes);
       message.tryDispose();
-      if (waiting.incrementAndGet() > MOST_WAITING) {
+      if (waiting.incrementAndGet() > MAX_WAITING) {
         waiting.decrementAndGet();
         counters.add(Counter.MEMBER_MESSAGES_DROPPED);
       } else {
--- a/src/main/java/beampoint/fleet/transport/Views.java
+++ b/src/main/java/beampoint/fleet/transport/Views.java
@@ -33,9 +33,15 @@
  */
 public final class Views {
 
-  private static final int MOST_OPEN = 16;
-  private static final long LONGEST_MS = 2_000;
-  private static final int HEAD = 4;
+  /**
+   * Exchanges that may be open at once, whoever began them. Each member begins one in 30 s with a member that
+   * it draws, so in a fleet of any size about one in 30 s comes to each, and lasts milliseconds. What is more
+   * would take descriptors and, at 1.3 MB a view, memory that requests need; who is turned away asks another
+   * member at its next turn, and hears of changes by datagrams meanwhile.
+   */
+  public static final int MAX_EXCHANGES = 16;
+  private static final long MAX_EXCHANGE_MS = 2_000;
+  private static final int LENGTH_BYTES = 4;
 
   private final TCPNIOTransport transport;
   private final ScheduledExecutorService loop;
@@ -73,17 +79,17 @@
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
       Buffer bytes = ctx.getMessage();
-      int length = bytes.remaining() < HEAD ? 0 : bytes.getInt(bytes.position());
-      if (length < 0 || length > Codec.MOST_BYTES_OF_A_VIEW) {
+      int length = bytes.remaining() < LENGTH_BYTES ? 0 : bytes.getInt(bytes.position());
+      if (length < 0 || length > Codec.MAX_VIEW_BYTES) {
         counters.add(Counter.MEMBER_MESSAGES_DROPPED);
         ctx.getConnection().terminateSilently();
         return ctx.getStopAction();
       }
-      if (bytes.remaining() < HEAD || bytes.remaining() < HEAD + length) {
+      if (bytes.remaining() < LENGTH_BYTES || bytes.remaining() < LENGTH_BYTES + length) {
         return ctx.getStopAction(bytes);
       }
       byte[] view = new byte[length];
-      bytes.position(bytes.position() + HEAD);
+      bytes.position(bytes.position() + LENGTH_BYTES);
       bytes.get(view);
       Connection<?> connection = ctx.getConnection();
       loop.execute(() -> take(connection, view, answers));
@@ -99,10 +105,10 @@
 
   /** Guards against peers that connect and say nothing, or too many at once. */
   private void watch(Connection<?> connection) {
-    if (open.incrementAndGet() > MOST_OPEN) {
+    if (open.incrementAndGet() > MAX_EXCHANGES) {
       connection.terminateSilently();
     } else {
-      loop.schedule(connection::terminateSilently, LONGEST_MS, TimeUnit.MILLISECONDS);
+      loop.schedule(connection::terminateSilently, MAX_EXCHANGE_MS, TimeUnit.MILLISECONDS);
     }
   }
 
@@ -124,7 +130,7 @@
   @SuppressWarnings("unchecked") // all connections of a TCP transport have socket addresses
   private void write(Connection<?> connection, List<News> view) {
     byte[] bytes = codec.writeView(view);
-    Buffer frame = transport.getMemoryManager().allocate(HEAD + bytes.length);
+    Buffer frame = transport.getMemoryManager().allocate(LENGTH_BYTES + bytes.length);
     frame.putInt(bytes.length).put(bytes).flip();
     ((Connection<SocketAddress>) connection).write(frame, new EmptyCompletionHandler<>() { });
   }
--- a/src/main/java/beampoint/handover/BanFile.java
+++ b/src/main/java/beampoint/handover/BanFile.java
@@ -12,6 +12,7 @@
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -31,11 +32,15 @@
  */
 public final class BanFile implements Closeable {
 
-  /** Nodes that may be known to have been out: calls name nodes of the list only, but that changes. */
-  public static final int MOST = 1000;
+  /**
+   * Nodes that may be known to have been out: a whole list of them, and those that were replaced within the
+   * time for which a call back is kept.
+   */
+  public static final int MAX_BANS = 4_096;
   private static final Log LOG = Log.of("handover");
   private static final int VERSION = 1;
-  private static final long MAX_BYTES = 1024 * 1024;
+  /** Of the file: all bans with names as long as those of DNS may be. Guards against a file that is none. */
+  static final int MAX_FILE_BYTES = 2 * 1024 * 1024;
   private static final double KEPT_MS = 600_000; // after a call back, longer than any cache needs to warm up
   private static final int LOCK_TRIES = 25;
   private static final long LOCK_WAIT_MS = 2;
@@ -68,7 +73,7 @@
     bans.values().removeIf(b -> !b.isOut() && now - b.until() > KEPT_MS);
     Ban ban = bans.get(node);
     if (out && (ban == null || !ban.isOut())) {
-      if (bans.size() >= MOST) {
+      if (bans.size() >= MAX_BANS) {
         return false;
       }
       bans.put(node, new Ban(node, now, Double.POSITIVE_INFINITY));
@@ -88,13 +93,20 @@
     return merge(read());
   }
 
-  /** Stores what is known, with what another process has stored meanwhile; returns what is new of that. */
+  /**
+   * Stores what is known, with what another process has stored meanwhile; returns what is new of that. Guards
+   * against a file that no process would read: one that would be too long is not written.
+   */
   public List<Ban> store() throws IOException {
     FileLock lock = lock();
     try {
       List<Ban> changed = merge(read());
       Path next = path.resolveSibling(path.getFileName() + "." + ProcessHandle.current().pid());
-      Files.writeString(next, json());
+      byte[] bytes = json().getBytes(StandardCharsets.UTF_8);
+      if (bytes.length > MAX_FILE_BYTES) {
+        throw new IOException("too long: " + bytes.length + " bytes, " + MAX_FILE_BYTES + " at most");
+      }
+      Files.write(next, bytes);
       Files.move(next, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
       seen = FileStamp.of(path);
       return changed;
@@ -132,7 +144,7 @@
     List<Ban> changed = new ArrayList<>();
     for (Ban other : others) {
       Ban own = bans.get(other.node());
-      if (own == null ? bans.size() < MOST : own.changedAt() < other.changedAt()) {
+      if (own == null ? bans.size() < MAX_BANS : own.changedAt() < other.changedAt()) {
         bans.put(other.node(), other);
         changed.add(other);
       }
@@ -142,7 +154,7 @@
 
   private List<Ban> read() {
     try {
-      if (Files.size(path) > MAX_BYTES) {
+      if (Files.size(path) > MAX_FILE_BYTES) {
         throw new JsonParseException("too long");
       }
       return parse(Files.readString(path));
--- a/src/main/java/beampoint/handover/Presence.java
+++ b/src/main/java/beampoint/handover/Presence.java
@@ -14,7 +14,11 @@
  */
 public final class Presence implements Closeable {
 
-  private static final int SEATS = 8;
+  /**
+   * Processes of one proxy that can be told apart: no more can be started by mistake than a machine holds.
+   * They cost nothing until they are there, as free seats are asked for in one call.
+   */
+  static final int MAX_PROCESSES = 1_024;
 
   private final FileChannel file;
   private final int seat;
@@ -24,42 +28,49 @@
     file = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ,
         StandardOpenOption.WRITE);
     int free = 0;
-    FileLock lock = lock(free, false);
-    while (lock == null && ++free < SEATS) {
-      lock = lock(free, false);
+    FileLock lock = lock(free, 1, false);
+    while (lock == null && ++free < MAX_PROCESSES) {
+      lock = lock(free, 1, false);
     }
     if (lock == null) {
       file.close();
-      throw new IOException("more processes than seats: " + SEATS);
+      throw new IOException("more processes of this proxy than there may be: " + MAX_PROCESSES);
     }
     seat = free;
     sits = lock;
   }
 
-  private FileLock lock(int at, boolean shared) throws IOException {
+  private FileLock lock(int from, int seats, boolean shared) throws IOException {
     try {
-      return file.tryLock(at, 1, shared);
+      return file.tryLock(from, seats, shared);
     } catch (OverlappingFileLockException e) {
       return null; // held by another proxy in this Java machine, as tests have them
     }
   }
 
-  /** A shared lock is asked for and given back: two that look at once do not take each other for a holder. */
-  private boolean isHeld(int at) throws IOException {
-    FileLock lock = lock(at, true);
+  /**
+   * How many of these seats are held by others: none in one call, else by halves. A shared lock is asked for
+   * and given back: two that look at once do not take each other for a holder.
+   */
+  private int held(int from, int seats) throws IOException {
+    if (seats == 0) {
+      return 0;
+    }
+    FileLock lock = lock(from, seats, true);
     if (lock != null) {
       lock.release();
+      return 0;
+    }
+    if (seats == 1) {
+      return 1;
     }
-    return lock == null;
+    int half = seats / 2;
+    return held(from, half) + held(from + half, seats - half);
   }
 
   /** How many processes there are, this one among them. */
   public int count() throws IOException {
-    int count = 1;
-    for (int i = 0; i < SEATS; i++) {
-      count += i != seat && isHeld(i) ? 1 : 0;
-    }
-    return count;
+    return 1 + held(0, seat) + held(seat + 1, MAX_PROCESSES - seat - 1);
   }
 
   @Override
--- a/src/main/java/beampoint/ops/Calls.java
+++ b/src/main/java/beampoint/ops/Calls.java
@@ -37,10 +37,14 @@
  */
 public final class Calls {
 
-  /** Connections that may be open at once; the longest unfinished one makes room for the next. */
-  public static final int MOST = 16;
-  private static final long LONGEST_MS = 3000;
-  private static final int MAX_BODY = 16 * 1024;
+  /**
+   * Connections that may be open at once; the one that has been open longest makes room for the next. Each
+   * call is answered in the pass in which it is read, so a few are enough however many nodes are called out,
+   * and more would take descriptors from clients and cache nodes.
+   */
+  public static final int MAX_CONNECTIONS = 16;
+  private static final long MAX_CALL_MS = 3000;
+  private static final int MAX_BODY_BYTES = 16 * 1024; // of a call, which needs none
   private static final String DETACH = "/_cache-nodes/detach/";
   private static final String ATTACH = "/_cache-nodes/attach/";
 
@@ -116,11 +120,11 @@
   }
 
   private void opened(Connection<SocketAddress> connection) {
-    if (open.size() >= MOST) {
+    if (open.size() >= MAX_CONNECTIONS) {
       end(open.keySet().iterator().next());
     }
     Call call = new Call();
-    call.end = loop.schedule(() -> end(connection), LONGEST_MS, TimeUnit.MILLISECONDS);
+    call.end = loop.schedule(() -> end(connection), MAX_CALL_MS, TimeUnit.MILLISECONDS);
     open.put(connection, call);
   }
 
@@ -154,7 +158,7 @@
       }
     } else if (message instanceof HttpContent content) {
       call.body += content.bytes().remaining();
-      if (call.body > MAX_BODY) {
+      if (call.body > MAX_BODY_BYTES) {
         answer(connection, new Reply(413, "Content Too Large", "no call has a body"));
       } else if (content.last()) {
         answer(connection, carryOut(call.request));
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -15,6 +15,7 @@
 import beampoint.fleet.membership.MemberTerms;
 import beampoint.fleet.message.News;
 import beampoint.fleet.node.FleetNode;
+import beampoint.fleet.transport.Views;
 import beampoint.log.Log;
 import beampoint.ops.Calls;
 import beampoint.upstream.Upstreams;
@@ -43,7 +44,8 @@
 
   private static final Log LOG = Log.of("serve");
   private static final int RESERVED_DESCRIPTORS = 32; // for the machine, discovery and standard streams
-  private static final int OPS_DESCRIPTORS = Calls.MOST + 4; // for operators, and the files that are shared
+  private static final int OPS_DESCRIPTORS = Calls.MAX_CONNECTIONS + 4; // for operators, and the files that are shared
+  private static final int FLEET_DESCRIPTORS = Views.MAX_EXCHANGES + 4; // with both listeners
   private static final long POLL_MS = 100; // for what the other process of this proxy has stored
   private static final double HEARD_MS = 1500; // that a new process waits for discovery before it listens
   private static final int CLIENT_SHARE = 4; // of all descriptors; clients may hold a third
@@ -132,7 +134,8 @@
    * both together, so that each may have as many; the rest is for connections to cache nodes and origin.
    */
   private void share(int processes) {
-    int reserved = RESERVED_DESCRIPTORS + (config.ops() == null ? 0 : OPS_DESCRIPTORS);
+    int reserved = RESERVED_DESCRIPTORS + (config.ops() == null ? 0 : OPS_DESCRIPTORS)
+        + (config.fleet() == null ? 0 : FLEET_DESCRIPTORS);
     int own = Math.max(MIN_DESCRIPTORS, (config.sockets() - processes * reserved) / processes);
     budget.limit(config.memoryMb() * 1024L * 1024 / BUDGET_SHARE / processes);
     int clients = processes == 1 ? own / 2 : own * 2 / 3;
--- a/src/main/java/beampoint/settings/FleetSettings.java
+++ b/src/main/java/beampoint/settings/FleetSettings.java
@@ -15,9 +15,12 @@
 public record FleetSettings(String cluster, InetSocketAddress listen, Map<String, InetSocketAddress> peers,
     Map<String, InetSocketAddress> dial) {
 
-  /** Members that there may be at the most. */
-  public static final int MOST_MEMBERS = 1_024;
-  private static final int LONGEST_NAME = 100;
+  /**
+   * Other members that a proxy may be told of: nearly twice the largest fleet that is planned. Guards against
+   * a configuration whose list takes the memory of the proxy.
+   */
+  public static final int MAX_MEMBERS = 4_096;
+  private static final int MAX_NAME_LENGTH = 100;
 
   /** Reads the {@code fleet} object of a configuration that has one. */
   public static FleetSettings read(JsonFields fields) throws InputException {
@@ -29,8 +32,8 @@
       throws InputException {
     Map<String, InetSocketAddress> addresses = new TreeMap<>();
     int count = fields.index(list + ".count", 0);
-    if (count > MOST_MEMBERS) {
-      throw fields.malformed(list, "more than " + MOST_MEMBERS + ": " + count);
+    if (count > MAX_MEMBERS) {
+      throw fields.malformed(list, "more than " + MAX_MEMBERS + ": " + count);
     }
     for (int i = 0; i < count; i++) {
       String name = name(fields, list + "." + i + ".name");
@@ -43,8 +46,8 @@
 
   private static String name(JsonFields fields, String field) throws InputException {
     String name = fields.text(field);
-    if (name.isEmpty() || name.length() > LONGEST_NAME || !name.chars().allMatch(c -> c > ' ' && c <= '~')) {
-      throw fields.malformed(field, "not a name of 1 to " + LONGEST_NAME + " printable characters: '" + name
+    if (name.isEmpty() || name.length() > MAX_NAME_LENGTH || !name.chars().allMatch(c -> c > ' ' && c <= '~')) {
+      throw fields.malformed(field, "not a name of 1 to " + MAX_NAME_LENGTH + " printable characters: '" + name
           + "'");
     }
     return name;
--- a/src/test/java/beampoint/emulator/ScenarioTest.java
+++ b/src/test/java/beampoint/emulator/ScenarioTest.java
@@ -47,7 +47,7 @@
         {"seconds: 10", "seconds: -1", "day.yaml, line 2, field 'seconds': -1 is not from 1 to 86400"},
         {"seconds: 10", "seconds: soon", "day.yaml, line 2, field 'seconds': no number: 'soon'"},
         {"proxies: 2", "proxies: 2.5", "day.yaml, line 3, field 'proxies': no whole number: 2.5"},
-        {"count: 6", "count: 0", "day.yaml, line 7, field 'caches.count': 0 is not from 1 to 2000"},
+        {"count: 6", "count: 0", "day.yaml, line 7, field 'caches.count': 0 is not from 1 to 4096"},
         {"count: 6", "count: 6, colour: red", "day.yaml, line 7, field 'caches.colour': unknown"},
         {"quota_per_s: 100", "quota_per_s: 0", "day.yaml, line 6, field 'tenants[0].quota_per_s': 0 is not"},
         {"version: 1", "version: 2", "line 1, field 'version': this program reads version 1 only"},
@@ -65,6 +65,20 @@
     }
   }
 
+  /** Guards against limits that a fleet of the size planned meets: 2,300 proxies, 610 caches, 180 zones. */
+  @Test
+  void aFleetMayBeAsLargeAsPlannedAndNearlyTwiceThat() throws Exception {
+    String[][] largest = {{"proxies: 2", "proxies: %d", "4096"}, {"count: 6", "count: %d", "4096"},
+        {"proxies: 2", "proxies: 2\nzones: %d", "1024"}};
+    for (String[] each : largest) {
+      int limit = Integer.parseInt(each[2]);
+      Scenario.parse("day.yaml", DAY.replace(each[0], each[1].formatted(limit - 1)));
+      Scenario.parse("day.yaml", DAY.replace(each[0], each[1].formatted(limit)));
+      String problem = problem(DAY.replace(each[0], each[1].formatted(limit + 1)));
+      assertTrue(problem.contains((limit + 1) + " is not from 1 to " + limit), problem);
+    }
+  }
+
   /** A file that was cut off anywhere is told, or lacks at its end only what had a usual value. */
   @Test
   void aTruncatedFileIsNeverHalfRead() {
--- a/src/test/java/beampoint/fleet/message/CodecTest.java
+++ b/src/test/java/beampoint/fleet/message/CodecTest.java
@@ -36,7 +36,7 @@
         .mapToObj(i -> new News("x".repeat(150) + i, "10.0.0.9:7946", Status.ALIVE, i, false, "n3"))
         .toList());
     byte[] bytes = CODEC.write(long32);
-    assertTrue(bytes.length <= Codec.MOST_BYTES);
+    assertTrue(bytes.length <= Codec.MAX_DATAGRAM_BYTES);
     List<News> read = CODEC.read(bytes, bytes.length).news();
     assertTrue(!read.isEmpty() && read.size() < 30);
     assertEquals(long32.news().subList(0, read.size()), read);
@@ -67,7 +67,7 @@
     for (int i = 0; i < 100_000; i++) {
       byte[] odd = whole.clone();
       if (i % 3 == 0) {
-        odd = new byte[random.nextInt(Codec.MOST_BYTES)];
+        odd = new byte[random.nextInt(Codec.MAX_DATAGRAM_BYTES)];
         random.nextBytes(odd);
       }
       for (int changes = random.nextInt(4); changes >= 0 && odd.length > 0; changes--) {
@@ -83,4 +83,35 @@
     }
     assertTrue(refused > 90_000, "refused: " + refused);
   }
+
+  private static List<News> view(int members, int nameLength) {
+    return IntStream.range(0, members).mapToObj(i -> {
+      String name = "n".repeat(nameLength - 4) + (1_000 + i);
+      return new News(name, "1".repeat(94) + ":65535", Status.SUSPECT, Long.MAX_VALUE, true, name);
+    }).toList();
+  }
+
+  /** Guards against a limit that a fleet of the size planned meets: it would exchange no views at all. */
+  @Test
+  void aViewOfTheLargestFleetWithTheLongestNamesIsReadWholeAndOneMoreIsRefused() throws FormException {
+    for (int members : new int[] {2_300, Codec.MAX_VIEW_MEMBERS - 1, Codec.MAX_VIEW_MEMBERS}) {
+      List<News> view = view(members, 100);
+      byte[] bytes = CODEC.writeView(view);
+      assertTrue(bytes.length <= Codec.MAX_VIEW_BYTES, "bytes: " + bytes.length);
+      assertEquals(view, CODEC.readView(bytes));
+    }
+    byte[] oneMore = CODEC.writeView(view(Codec.MAX_VIEW_MEMBERS + 1, 20));
+    assertThrows(FormException.class, () -> CODEC.readView(oneMore));
+  }
+
+  /** Guards against a view that every member refuses for its length. */
+  @Test
+  void whatDoesNotFitAViewIsLeftOut() throws FormException {
+    List<News> view = view(Codec.MAX_VIEW_MEMBERS, 190);
+    byte[] bytes = CODEC.writeView(view);
+    assertTrue(bytes.length <= Codec.MAX_VIEW_BYTES, "bytes: " + bytes.length);
+    List<News> read = CODEC.readView(bytes);
+    assertTrue(read.size() > Codec.MAX_VIEW_MEMBERS / 2, "members: " + read.size());
+    assertEquals(view.subList(0, read.size()), read);
+  }
 }
--- a/src/test/java/beampoint/handover/BanFileTest.java
+++ b/src/test/java/beampoint/handover/BanFileTest.java
@@ -116,12 +116,47 @@
   @Test
   void bansAreBoundedAndThoseLongOverAreForgotten() {
     BanFile file = open();
-    for (int i = 0; i < BanFile.MOST; i++) {
-      assertTrue(file.change("n" + i, true, i));
+    for (int i = 0; i < BanFile.MAX_BANS; i++) {
+      assertTrue(file.change("n" + i, true, i), "the ban of number " + i);
     }
     assertFalse(file.change("one more", true, 5000));
     assertTrue(file.change("n0", true, 5000), "one that is out already takes no room");
     assertTrue(file.change("n0", false, 5000));
     assertTrue(file.change("one more", true, 5000 + 3_600_000));
   }
+
+  /** Guards against a limit under which a whole list can't be out, or be known to the next process. */
+  @Test
+  void asManyBansAsThereMayBeAreStoredAndKnownToTheNextProcess() throws IOException {
+    for (int bans : new int[] {BanFile.MAX_BANS - 1, BanFile.MAX_BANS, BanFile.MAX_BANS + 1}) {
+      BanFile file = new BanFile(directory.resolve("bans-" + bans), "n0");
+      int taken = 0;
+      for (int i = 0; i < bans; i++) {
+        String longestOfDns = "x".repeat(253 - 5) + (10_000 + i);
+        taken += file.change(longestOfDns, true, 1.7646e12 + i) ? 1 : 0;
+        file.change(longestOfDns, false, 1.7647e12 + i);
+      }
+      assertEquals(Math.min(bans, BanFile.MAX_BANS), taken);
+      file.store();
+      assertEquals(taken, new BanFile(directory.resolve("bans-" + bans), "n0").refresh().size());
+    }
+  }
+
+  /** A file that is longer would be left out by the next process, and cost all the bans in it. */
+  @Test
+  void aFileIsWrittenUpToTheLengthUpToWhichItIsRead() throws IOException {
+    BanFile one = with(open(), "a", true, 10);
+    int rest = (int) Files.size(path) - 1; // beside the name
+    assertEquals(1, one.bans().size());
+    for (int length : new int[] {BanFile.MAX_FILE_BYTES - 1, BanFile.MAX_FILE_BYTES}) {
+      Files.delete(path);
+      with(open(), "a".repeat(length - rest), true, 10);
+      assertEquals(length, Files.size(path));
+      assertEquals(1, open().refresh().size());
+    }
+    BanFile tooLong = open();
+    assertTrue(tooLong.change("a".repeat(BanFile.MAX_FILE_BYTES + 1 - rest), true, 10));
+    assertThrows(IOException.class, tooLong::store);
+    assertEquals(1, open().refresh().size(), "what was stored before stands");
+  }
 }
--- a/src/test/java/beampoint/handover/PresenceTest.java
+++ b/src/test/java/beampoint/handover/PresenceTest.java
@@ -1,9 +1,12 @@
 package beampoint.handover;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -38,4 +41,29 @@
       assertEquals(1, own.count(), "a process that was killed leaves nothing behind");
     }
   }
+
+  /** Guards against a limit on the processes of one proxy that a machine meets, and a count that misses some. */
+  @Test
+  void asManyProcessesAsThereMayBeAreCountedAndOneMoreIsRefused(@TempDir Path directory) throws Exception {
+    Path file = directory.resolve("processes");
+    List<Presence> all = new ArrayList<>();
+    try {
+      for (int i = 1; i <= Presence.MAX_PROCESSES; i++) {
+        all.add(new Presence(file));
+        if (i < 10 || i > Presence.MAX_PROCESSES - 2) {
+          assertEquals(i, all.get(0).count());
+          assertEquals(i, all.get(i - 1).count());
+        }
+      }
+      assertThrows(IOException.class, () -> new Presence(file));
+      all.remove(511).close();
+      assertEquals(Presence.MAX_PROCESSES - 1, all.get(0).count());
+      all.add(new Presence(file));
+      assertEquals(Presence.MAX_PROCESSES, all.get(600).count(), "a free seat is taken again");
+    } finally {
+      for (Presence presence : all) {
+        presence.close();
+      }
+    }
+  }
 }
--- a/src/test/java/beampoint/serve/ConfigTest.java
+++ b/src/test/java/beampoint/serve/ConfigTest.java
@@ -6,12 +6,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Balancer.Idempotency;
+import beampoint.settings.FleetSettings;
 import beampoint.settings.InputException;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.HeapMemoryManager;
@@ -71,6 +74,26 @@
     }
   }
 
+  /** Guards against a limit that a fleet of 2,300 members meets: it would not start. */
+  @Test
+  void aFleetMayHaveAsManyPeersAsThereMayBeMembersAndNoMore() throws Exception {
+    for (int peers : new int[] {2_300, FleetSettings.MAX_MEMBERS - 1, FleetSettings.MAX_MEMBERS}) {
+      assertEquals(peers, Config.read("config.json", withPeers(peers)).fleet().peers().size());
+    }
+    assertTrue(problem(withPeers(FleetSettings.MAX_MEMBERS + 1))
+        .contains("fleet.peers': more than " + FleetSettings.MAX_MEMBERS));
+  }
+
+  private static JsonObject withPeers(int peers) {
+    JsonObject json = good();
+    String list = IntStream.range(0, peers)
+        .mapToObj(i -> "{\"name\":\"n%d\",\"address\":\"127.0.0.1:%d\"}".formatted(i, 10_000 + i))
+        .collect(Collectors.joining(","));
+    json.add("fleet", JsonParser.parseString(
+        "{\"cluster\":\"c\",\"listen\":\"127.0.0.1:1\",\"peers\":[" + list + "]}"));
+    return json;
+  }
+
   /** What the new shape added: absent, it leaves a proxy of the old shape as it was. */
   @Test
   void crossingZonesIsFreeAndNoReportComesUnlessTheSettingsSaySo() throws Exception {
