--- a/src/main/java/beampoint/fleet/message/Codec.java
+++ b/src/main/java/beampoint/fleet/message/Codec.java
@@ -37,8 +37,8 @@
   private static final int MAX_NEWS = 32; // of a datagram, which holds fewer of any usual length
   private static final int MAX_TEXT_LENGTH = 200; // of a name or an address
   private static final CBORFactory FORM = CBORFactory.builder()
-      .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(4).maxStringLength(MAX_TEXT_LENGTH)
-          .maxNumberLength(20).build())
+      .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(4)
+          .maxStringLength(MAX_TEXT_LENGTH).maxNumberLength(20).build())
       .build();
 
   private final String cluster;
--- a/src/main/java/beampoint/settings/FleetSettings.java
+++ b/src/main/java/beampoint/settings/FleetSettings.java
@@ -46,9 +46,10 @@
 
   private static String name(JsonFields fields, String field) throws InputException {
     String name = fields.text(field);
-    if (name.isEmpty() || name.length() > MAX_NAME_LENGTH || !name.chars().allMatch(c -> c > ' ' && c <= '~')) {
-      throw fields.malformed(field, "not a name of 1 to " + MAX_NAME_LENGTH + " printable characters: '" + name
-          + "'");
+    boolean printable = name.chars().allMatch(c -> c > ' ' && c <= '~');
+    if (name.isEmpty() || name.length() > MAX_NAME_LENGTH || !printable) {
+      throw fields.malformed(field,
+          "not a name of 1 to " + MAX_NAME_LENGTH + " printable characters: '" + name + "'");
     }
     return name;
   }
--- a/src/test/java/beampoint/discovery/WatchLimitsTest.java
+++ b/src/test/java/beampoint/discovery/WatchLimitsTest.java
@@ -61,8 +61,8 @@
         say(peer, length);
         peer.beSilent();
       })) {
-        Watch watch = new Watch(transport, loop, new Counters(), new Random(1), Address.parse(discovery.address()), 0,
-            lists::add, () -> breaks.add(true), 10_000, 5_000);
+        Watch watch = new Watch(transport, loop, new Counters(), new Random(1),
+            Address.parse(discovery.address()), 0, lists::add, () -> breaks.add(true), 10_000, 5_000);
         loop.execute(watch::follow);
         if (length <= Watch.MAX_LIST_BYTES) {
           HostList list = lists.poll(10, TimeUnit.SECONDS);
--- a/src/test/java/beampoint/fleet/transport/ViewsTest.java
+++ b/src/test/java/beampoint/fleet/transport/ViewsTest.java
@@ -60,7 +60,8 @@
 
   private static List<News> view(int members) {
     return IntStream.range(0, members).mapToObj(i -> new News("proxy-" + i + "x".repeat(80),
-        "10.11.12.13:" + (10_000 + i), Status.ALIVE, 1L << 40, false, "proxy-" + i + "y".repeat(80))).toList();
+        "10.11.12.13:" + (10_000 + i), Status.ALIVE, 1L << 40, false, "proxy-" + i + "y".repeat(80)))
+        .toList();
   }
 
   /** Guards against a fleet that has grown past a limit of its exchanges, and learns by datagrams only. */
--- a/src/test/java/beampoint/handover/PresenceTest.java
+++ b/src/test/java/beampoint/handover/PresenceTest.java
@@ -44,7 +44,8 @@
 
   /** Guards against a limit on the processes of one proxy that a machine meets, and a count that misses some. */
   @Test
-  void asManyProcessesAsThereMayBeAreCountedAndOneMoreIsRefused(@TempDir Path directory) throws Exception {
+  void asManyProcessesAsThereMayBeAreCountedAndOneMoreIsRefused(@TempDir Path directory)
+      throws Exception {
     Path file = directory.resolve("processes");
     List<Presence> all = new ArrayList<>();
     try {
--- a/src/test/java/beampoint/serve/LargeListTest.java
+++ b/src/test/java/beampoint/serve/LargeListTest.java
@@ -88,7 +88,8 @@
     })) {
       List<String> hosts = hosts(caches, cache.address(), origin.address());
       told.complete(hosts);
-      Proxy proxy = new Proxy(ProxyFixture.config(hosts.subList(0, 1), 1024, discovery.address()), this::noting);
+      Config config = ProxyFixture.config(hosts.subList(0, 1), 1024, discovery.address());
+      Proxy proxy = new Proxy(config, this::noting);
       try {
         proxy.start();
         ListReceived whole = lists.poll(20, TimeUnit.SECONDS);
