--- a/src/test/java/beampoint/handover/PresenceTest.java
+++ b/src/test/java/beampoint/handover/PresenceTest.java
@@ -42,7 +42,7 @@
     }
   }
 
-  /** Guards against a limit on the processes of one proxy that a machine meets, and a count that misses some. */
+  /** Guards against a limit on processes that a machine meets, and a count that misses some. */
   @Test
   void asManyProcessesAsThereMayBeAreCountedAndOneMoreIsRefused(@TempDir Path directory)
       throws Exception {
