--- a/src/main/java/beampoint/discovery/HostList.java
+++ b/src/main/java/beampoint/discovery/HostList.java
@@ -18,7 +18,10 @@
   /** How a host stands. */
   public enum Health { READY, TERMINATING, GONE }
 
-  /** One entry; {@code host} is its name everywhere, {@code dial} where this proxy reaches it. */
+  /**
+   * One entry; {@code host} is its name everywhere, {@code dial} where this proxy reaches it, null where a
+   * host that is gone or drains has none: nothing new is sent there.
+   */
   public record Host(String host, InetSocketAddress dial, String site, String kind, int block, Health health,
       double share, double bornMs) {}
 
@@ -65,7 +68,7 @@
     };
     String dial = o.has("dial") ? o.get("dial").getAsString() : "";
     InetSocketAddress address = Address.parse(dial);
-    if (health != Health.GONE && address == null) {
+    if (health == Health.READY && address == null) {
       throw new JsonParseException(name + " has no address of the form host:port: '" + dial + "'");
     }
     return new Host(name, address, text(o, "site"), text(o, "class"), (int) number(o, "block", 0), health,
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -332,12 +332,12 @@
       }
       if (endpoint.state() == EndpointState.GONE) {
         upstreams.remove(endpoint.id());
-      } else {
+      } else if (host.dial() != null) { // else it drains, and what is out there ends as it may
         upstreams.place(endpoint.id(), host.dial(), endpoint.kind() == decisions.settings().originKind(),
             endpoint.startedAt());
-        if (endpoint.state() == EndpointState.DRAINING) {
-          upstreams.drain(endpoint.id());
-        }
+      }
+      if (endpoint.state() == EndpointState.DRAINING) {
+        upstreams.drain(endpoint.id());
       }
     }
     decisions.give(received(list, kind));
