Attempts at the origin tell the time that is left, as those at cache nodes did

Ruled out: the cache nodes' command (Writer.command set d anew, right in all lines), the end of the attempt (Upstreams: endsAt is never above the client's end), late connections (the time is taken at the write). Cause: HttpWriter.request handed the client's list on as it came, in Req-Extra.

Change: ParameterList writes the list with the time that is left for both protocols. An attempt with less than 1 ms left is not made; it told 1 ms.

--- a/src/main/java/beampoint/http/HttpWriter.java
+++ b/src/main/java/beampoint/http/HttpWriter.java
@@ -1,6 +1,7 @@
 package beampoint.http;
 
 import beampoint.buffer.Gather;
+import beampoint.request.ParameterList;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.memory.MemoryManager;
 
@@ -18,12 +19,14 @@
     return new Gather(memory).text("GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n").message();
   }
 
-  /** The request of a client, with its id and its list of names and values; a write has a body. */
-  public Buffer request(String host, Buffer key, Buffer id, Buffer list, Buffer body) {
+  /** The request of a client, with its id, its parameters and the time that is left; a write has a body. */
+  public Buffer request(String host, Buffer key, Buffer id, ParameterList parameters, long timeLeftMs,
+      Buffer body) {
     Gather out = new Gather(memory);
     out.text(body == null ? "GET /" : "PUT /").bytes(key);
     out.text(" HTTP/1.1\r\nHost: " + host + "\r\nReq-Id: ").bytes(id);
-    out.text("\r\nReq-Extra: ").bytes(list);
+    out.text("\r\nReq-Extra: ");
+    parameters.appendTo(out, timeLeftMs);
     if (body == null) {
       return out.text("\r\n\r\n").message();
     }
--- a/src/main/java/beampoint/memcache/CommandReader.java
+++ b/src/main/java/beampoint/memcache/CommandReader.java
@@ -3,6 +3,7 @@
 import beampoint.buffer.Budget;
 import beampoint.buffer.Collector;
 import beampoint.memcache.Command.Kind;
+import beampoint.request.ParameterList;
 import java.util.HashSet;
 import java.util.Set;
 import org.glassfish.grizzly.Buffer;
@@ -217,8 +218,8 @@
     if (!good || requestClass == null || wait < 0) {
       return Command.of(Kind.BAD, "CLIENT_ERROR class or time to wait missing");
     }
-    return new Command(kind, key, id, list, waitFrom, waitTo, null, requestClass, tenant, wait, again, null,
-        null);
+    return new Command(kind, key, id, new ParameterList(list, waitFrom, waitTo), null, requestClass, tenant,
+        wait, again, null, null);
   }
 
   private static int find(Buffer in, char sought, int from, int to) {
--- a/src/main/java/beampoint/memcache/Writer.java
+++ b/src/main/java/beampoint/memcache/Writer.java
@@ -13,15 +13,14 @@
     this.memory = memory;
   }
 
-  /** The command as the client sent it, but for the time that this proxy will wait. */
-  public Buffer command(Command command, long waitMs) {
-    Buffer list = command.list();
+  /** The command as the client sent it, but for the time that is left. */
+  public Buffer command(Command command, long timeLeftMs) {
     Buffer value = command.value();
     Gather out = new Gather(memory);
     out.text(value == null ? "mg " : "ms ").bytes(command.key());
     out.text(value == null ? " v O" : " " + value.remaining() + " O").bytes(command.id()).text(" P");
-    out.bytes(list, list.position(), command.waitFrom()).text(Long.toString(waitMs));
-    out.bytes(list, command.waitTo(), list.limit()).text("\r\n");
+    command.parameters().appendTo(out, timeLeftMs);
+    out.text("\r\n");
     if (value != null) {
       out.bytes(value).text("\r\n");
     }
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -211,12 +211,15 @@
 
   /**
    * The one place where a request leaves. Guards against one that waited for its connection, while its client
-   * went away or the time ended in which its repeat is dropped.
+   * went away, its own time or that in which its repeat is dropped ended. The server is told the time that is
+   * left now: never more than the client waits, nor than this proxy does.
    */
   private void write(PooledConnection link) {
     InFlight flight = link.flight;
     Pool pool = link.pool;
-    if (!flight.isProbe() && (!flight.exchange.isWanted() || clock.getAsDouble() >= flight.startBy)) {
+    double now = clock.getAsDouble();
+    long timeLeft = (long) Math.floor(flight.endsAt - now);
+    if (!flight.isProbe() && (!flight.exchange.isWanted() || now >= flight.startBy || timeLeft < 1)) {
       pools.release(link, false);
       land(flight, Result.NOT_SENT, null);
       return;
@@ -229,10 +232,10 @@
       request = pool.origin ? httpWriter.get("/alive", pool.host) : writer.line("mn");
     } else {
       Command command = flight.exchange.command();
-      long wait = Math.max(1, (long) (flight.endsAt - clock.getAsDouble()));
       request = pool.origin
-          ? httpWriter.request(pool.host, command.key(), command.id(), command.list(), command.value())
-          : writer.command(command, wait);
+          ? httpWriter.request(pool.host, command.key(), command.id(), command.parameters(), timeLeft,
+              command.value())
+          : writer.command(command, timeLeft);
     }
     link.connection.write(request, new EmptyCompletionHandler<>() {
       @Override
