--- a/src/test/java/beampoint/policy/BanTest.java
+++ b/src/test/java/beampoint/policy/BanTest.java
@@ -14,7 +14,6 @@
 import beampoint.Balancer.Refuse;
 import beampoint.Balancer.Result;
 import beampoint.Balancer.ShareChanged;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -25,11 +24,7 @@
   private static final int KEYS = 400;
 
   private static Map<Long, String> placement(Fixture f) {
-    Map<Long, String> placed = new HashMap<>();
-    for (long key = 0; key < KEYS; key++) {
-      placed.put(key, f.served(key));
-    }
-    return placed;
+    return f.placement(KEYS);
   }
 
   private static List<Action> call(Fixture f, String endpoint, boolean out) {
--- /dev/null
+++ b/src/test/java/beampoint/policy/ColdCacheTest.java
@@ -0,0 +1,151 @@
+package beampoint.policy;
+
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer;
+import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.EndpointState;
+import beampoint.Balancer.ListKind;
+import beampoint.Balancer.RequestGone;
+import beampoint.Balancer.Result;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** What a cold cache is sent while it warms up. */
+class ColdCacheTest {
+
+  @Test
+  void aColdCacheIsSentNoMoreThanItsPresentPart() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(4, EndpointState.RUNNING, f.now)));
+    long hot = 0;
+    while (!"cache-4".equals(f.served(hot))) {
+      hot++;
+    }
+    int cold = 0;
+    for (int i = 0; i < 400; i++) {
+      f.served(i);
+      cold += "cache-4".equals(f.served(hot)) ? 1 : 0;
+    }
+    assertTrue(cold < 800 / 4, "sent to the cold cache: " + cold);
+  }
+
+  private static int sentToCold(Fixture f, int requests, double apart, double elapsed) {
+    int cold = 0;
+    for (int i = 0; i < requests; i++) {
+      f.now += apart;
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(20_000 + i));
+      cold += "cache-3".equals(endpoint) ? 1 : 0;
+      f.end(id, 0, endpoint, elapsed, Result.OK);
+    }
+    return cold;
+  }
+
+  /** One cold cache beside three warm ones, at a balancer that may know its rate or nothing yet. */
+  private static Fixture besideAColdCache(int served, double elapsed) {
+    Fixture f = new Fixture(List.of(new Balancer.Tenant(100)), Fixture.READ).withFleet(3);
+    f.now = 10_000;
+    sentToCold(f, served, 20, elapsed);
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(3, EndpointState.RUNNING, f.now - 1_000)));
+    return f;
+  }
+
+  @Test
+  void aBalancerThatHasJustStartedDoesNotStarveAColdCacheOnceEvidenceComes() {
+    Fixture f = besideAColdCache(0, 0);
+    int cold = 0;
+    for (long key = 0; key < 100; key++) {
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(key));
+      cold += "cache-3".equals(endpoint) ? 1 : 0;
+      f.balancer.handle(f.now, new RequestGone(id));
+      f.end(id, 0, endpoint, 1, Result.CANCELLED); // no evidence yet
+    }
+    assertTrue(cold > 0, "without evidence");
+    assertTrue(cold < 100 / 4, "without evidence: " + cold);
+    f.now += 1_000;
+    cold = sentToCold(f, 200, 20, 20);
+    assertTrue(cold >= 200 / 16, "sent to the cold cache once its rate was known: " + cold);
+  }
+
+  @Test
+  void aColdCacheIsSentItsPartThoughAFleetThatIsNotIdleAnswersSlowly() {
+    Fixture f = besideAColdCache(100, 250);
+    int cold = sentToCold(f, 100, 20, 250);
+    assertTrue(cold >= 100 / 16, "sent to the cold cache: " + cold);
+  }
+
+  @Test
+  void cachesThatAreAllEmptyAndColdAreNotStarvedOfTheMissesThatFillThem() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    for (long key = 0; key < 2_000; key++) {
+      f.served(key);
+      f.now += 10;
+    }
+    List<Endpoint> cold = IntStream.range(0, 4)
+        .mapToObj(i -> Fixture.cache(i, EndpointState.RUNNING, f.now)).toList();
+    f.list(ListKind.CHANGES, cold);
+    int sent = 0;
+    for (long key = 0; key < 1_500; key++) {
+      long id = f.nextId();
+      String cache = Fixture.sentTo(f.read(key));
+      if (cache != null) {
+        sent++;
+        if ("origin".equals(Fixture.sentTo(f.end(id, 0, cache, 1, Result.MISS)))) {
+          f.end(id, 1, "origin", 5, Result.OK);
+        }
+      }
+      f.now += 2;
+    }
+    assertTrue(sent > 100, "sent: " + sent);
+    assertTrue(sent < 500, "sent: " + sent);
+  }
+
+  /** What many balancers together send a cache in its first window, as a part of all they send. */
+  private static double partOfACold(int instances) {
+    long cold = 0;
+    int all = 4_000;
+    List<Fixture> fleet = IntStream.range(0, instances).mapToObj(i -> Fixture.busy(10)).toList();
+    for (Fixture f : fleet) {
+      f.now += 10_000;
+      f.list(ListKind.CHANGES, List.of(Fixture.cache(3, EndpointState.RUNNING, f.now)));
+    }
+    for (int i = 0; i < all; i++) {
+      Fixture f = fleet.get(i % instances);
+      f.now += instances * 0.25;
+      cold += "cache-3".equals(f.served(5_000 + i)) ? 1 : 0;
+    }
+    return (double) cold / all;
+  }
+
+  @Test
+  void aColdCacheIsSentItsPresentPartByAnyNumberOfBalancersTogether() {
+    for (int instances : new int[] {1, 3, 400}) {
+      double part = partOfACold(instances);
+      assertTrue(part > 0 && part < 0.1 * 0.25 * 3, instances + " balancers: " + part);
+    }
+  }
+
+  @Test
+  void aCacheThatIsSeenWithAFreshStartIsColdAndNoLongerSkipped() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    Map<Long, String> before = f.placement();
+    long own =
+        before.keySet().stream().filter(k -> before.get(k).equals("cache-1")).findFirst().orElseThrow();
+    f.now += 3_000; // it has not been heard of since
+    long id = f.nextId();
+    f.read(own);
+    f.end(id, 0, "cache-1", 1, Result.RESET);
+    f.balancer.handle(f.now, new RequestGone(id));
+    assertNotEquals("cache-1", f.served(own));
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(1, EndpointState.RUNNING, f.now)));
+    Map<Long, String> after = f.placement();
+    long share = after.values().stream().filter("cache-1"::equals).count();
+    assertTrue(share > 0 && share < before.values().stream().filter("cache-1"::equals).count() / 2,
+        "share: " + share);
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/policy/EndpointHealthTest.java
@@ -0,0 +1,190 @@
+package beampoint.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.Action;
+import beampoint.Balancer.RequestGone;
+import beampoint.Balancer.Result;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** When a cache counts as slow, full or dead, is skipped, and is tried again. */
+class EndpointHealthTest {
+
+  @Test
+  void aBalancerThatSeldomSendsLearnsFromOneTimeOutThatACacheIsCrowded() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(2);
+    long id = f.nextId();
+    String crowded = Fixture.sentTo(f.read(5));
+    f.now += 1_000;
+    f.end(id, 0, crowded, 1_000, Result.TIMEOUT);
+    assertNotEquals(crowded, f.served(5));
+    f.now += 5_000;
+    assertEquals(crowded, f.served(5));
+  }
+
+  /** Ten requests a second to ten caches, of which one never answers; how many that one is sent. */
+  private static int sentToTheSlow(Fixture f, String slow, int requests) {
+    int sent = 0;
+    for (int i = 0; i < requests; i++) {
+      f.now += 100;
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(50_000 + id));
+      if (slow.equals(endpoint)) {
+        sent++;
+        f.now += 1_000;
+        f.end(id, 0, endpoint, 1_000, Result.TIMEOUT);
+      } else if (endpoint != null) {
+        f.end(id, 0, endpoint, 100, Result.OK);
+      }
+    }
+    return sent;
+  }
+
+  @Test
+  void aCacheThatTimesOutIsRememberedForMoreThanOneSendToIt() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(10);
+    String slow = f.served(7);
+    sentToTheSlow(f, slow, 200);
+    int sent = sentToTheSlow(f, slow, 1_000);
+    assertTrue(sent > 0, "it is tried again");
+    assertTrue(sent < 60, "of about 100 that are its own, sent all the same: " + sent);
+  }
+
+  @Test
+  void aCacheThatRefusesConnectionsIsSkippedAndTriedAgainLater() {
+    Fixture f = Fixture.busy(6);
+    f.now += 1_000; // no cache has answered since
+    long id = f.nextId();
+    String primary = Fixture.sentTo(f.read(5));
+    String second = Fixture.sentTo(f.end(id, 0, primary, 50, Result.CONNECT_FAILED));
+    assertNotNull(second);
+    assertNotEquals(primary, second);
+    assertEquals(second, f.served(5));
+    f.now += 10_000;
+    assertEquals(primary, f.served(5));
+  }
+
+  /** Guards against a cache that refuses new connections as it is full, and passes for a dead one. */
+  @Test
+  void aFullCacheBesideADeadOneKeepsWhatItCanServe() {
+    Fixture f = Fixture.busy(6);
+    String full = f.served(1);
+    String dead = null;
+    for (long key = 2; dead == null || dead.equals(full); key++) {
+      dead = f.served(key);
+    }
+    Map<String, Integer> sent = new HashMap<>();
+    int served = 0;
+    for (int i = 0; i < 400; i++) {
+      f.now += 10;
+      long id = f.nextId();
+      String to = Fixture.sentTo(f.read(i % 40));
+      for (int attempt = 0; to != null && attempt < 3; attempt++) {
+        sent.merge(i >= 200 ? to : "early", 1, Integer::sum);
+        // The full one serves on the connections that it has, and refuses half of what would need another.
+        boolean refused = to.equals(dead) || to.equals(full) && i % 2 == 0;
+        Result result = refused ? Result.CONNECT_FAILED : Result.OK;
+        List<Action> next = f.end(id, attempt, to, refused ? 1 : 10, result);
+        served += refused ? 0 : 1;
+        to = refused ? Fixture.sentTo(next) : null;
+      }
+    }
+    assertTrue(served >= 390, "served of 400: " + served);
+    assertTrue(sent.getOrDefault(full, 0) >= 10, "what the full one can serve: " + sent);
+    assertTrue(sent.getOrDefault(dead, 0) <= 6, "the dead one is tried now and then: " + sent);
+  }
+
+  @Test
+  void atMostHalfOfTheCachesAreSkipped() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(6);
+    for (long key = 0; key < 60; key++) {
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(key));
+      if (endpoint != null) {
+        f.end(id, 0, endpoint, 1, Result.CONNECT_FAILED);
+        f.balancer.handle(f.now, new RequestGone(id));
+      }
+    }
+    Map<String, Integer> reached = new HashMap<>();
+    for (long key = 100; key < 140; key++) {
+      String endpoint = Fixture.sentTo(f.read(key));
+      if (endpoint != null) {
+        reached.merge(endpoint, 1, Integer::sum);
+      }
+    }
+    assertTrue(reached.size() >= 3, reached.toString());
+  }
+
+  @Test
+  void aFullQueueIsNotTakenForAQuickCache() {
+    Fixture f = Fixture.busy(6);
+    String primary = f.served(5);
+    f.now += 3_000;
+    for (long key = 1_000; key < 1_040; key++) {
+      f.served(key);
+    }
+    for (int i = 0; i < 40; i++) {
+      long id = f.nextId();
+      if (primary.equals(Fixture.sentTo(f.read(5)))) {
+        f.end(id, 0, primary, 1, Result.FULL);
+        f.balancer.handle(f.now, new RequestGone(id));
+      }
+    }
+    assertNotEquals(primary, f.served(5));
+  }
+
+  /** Guards against refusals that uphold themselves: they end the evidence on which they rest. */
+  @Test
+  void whatLookedSlowIsTriedAgainSoonOnceNothingIsAsked() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(6);
+    Map<Long, String> out = new HashMap<>();
+    for (int i = 0; i < 100; i++) {
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(i));
+      if (endpoint != null) {
+        out.put(id, endpoint);
+      }
+    }
+    f.now += 900; // this balancer itself was late
+    out.forEach((id, endpoint) -> f.end(id, 0, endpoint, 900, Result.OK));
+    assertTrue(out.size() > 50, "sent: " + out.size());
+    assertNull(Fixture.sentTo(f.read(100)), "caches look slow");
+    int refused = 0;
+    while (Fixture.sentTo(f.read(101 + refused)) == null) {
+      f.now += 50;
+      refused++;
+    }
+    assertTrue(refused * 50 <= 1500, "refused for " + refused * 50 + " ms");
+  }
+
+  /** Guards against a cache that is skipped, and its keys missed elsewhere, as one connection broke. */
+  @Test
+  void aCacheThatAnswersOthersIsNotSkippedForABrokenConnection() {
+    Fixture f = Fixture.busy(4);
+    String own = f.served(1);
+    f.now += 10;
+    long id = f.nextId();
+    f.read(1);
+    f.end(id, 0, own, 1, Result.RESET);
+    f.balancer.handle(f.now, new RequestGone(id));
+    assertEquals(own, f.served(1));
+  }
+
+  /** Guards against a cache that looks jammed as long as one attempt is stuck on a silent connection. */
+  @Test
+  void anAttemptThatIsStuckAloneSaysNothingOfItsCache() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(1);
+    f.read(1); // never answered
+    for (int i = 0; i < 80; i++) {
+      f.now += 10;
+      assertEquals("cache-0", f.served(2));
+    }
+  }
+}
--- a/src/test/java/beampoint/policy/Fixture.java
+++ b/src/test/java/beampoint/policy/Fixture.java
@@ -17,11 +17,16 @@
 import beampoint.Balancer.Tenant;
 import beampoint.Balancer.WeightSource;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** Drives one decision module with events and a clock set by hand. */
 final class Fixture {
 
+  /** How many keys a placement has, where a test names no other number. */
+  static final int KEYS = 2_000;
+
   static final int CACHE = 0;
   static final int ORIGIN = 1;
   static final RequestClass READ = type(Idempotency.SAFE, DedupGroup.ALL);
@@ -87,6 +92,28 @@
     return this;
   }
 
+  /** Traffic among which a few requests for one key do not make that key a hot one. */
+  static Fixture busy(int caches) {
+    Fixture f = new Fixture(READ).withFleet(caches);
+    for (long key = 1_000; key < 1_400; key++) {
+      f.served(key);
+    }
+    return f;
+  }
+
+  /** Where reads of the keys from 0 on are sent, each by an idle balancer. */
+  Map<Long, String> placement(int keys) {
+    Map<Long, String> placed = new HashMap<>();
+    for (long key = 0; key < keys; key++) {
+      placed.put(key, served(key));
+    }
+    return placed;
+  }
+
+  Map<Long, String> placement() {
+    return placement(KEYS);
+  }
+
   List<Action> list(ListKind kind, List<Endpoint> endpoints) {
     return balancer.handle(now, new ListReceived(kind, endpoints));
   }
--- /dev/null
+++ b/src/test/java/beampoint/policy/IdleConnectionTest.java
@@ -0,0 +1,81 @@
+package beampoint.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer;
+import beampoint.Balancer.Action;
+import beampoint.Balancer.CloseIdle;
+import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.ListKind;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Settings;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/** Which idle connections are closed, where holding one has its price. */
+class IdleConnectionTest {
+
+  /** One of so many balancers before four caches; a hundred connections a cache cost what a new one does. */
+  private static Fixture priced(int balancers) {
+    Balancer.Prices prices = new Balancer.Prices(0.05, 0.05, 0, 0);
+    Settings s = Fixture.settings(List.of(), true, false, prices, Fixture.READ);
+    return new Fixture(new Settings(s.seed(), balancers, s.zone(), s.listPushed(), s.weightSource(),
+        s.originKind(), s.overShareWorth(), s.limits(), s.rules(), s.prices(), s.classes(), s.tenants()))
+        .withFleet(4);
+  }
+
+  /** Serves a read of each key, one in so many ms; how often connections to each cache were closed. */
+  private static Map<String, Integer> closes(Fixture f, double gap, LongStream keys) {
+    Map<String, Integer> closes = new HashMap<>();
+    keys.forEach(key -> {
+      f.now += gap;
+      long id = f.nextId();
+      List<Action> actions = new ArrayList<>(f.read(key));
+      actions.addAll(f.end(id, 0, Fixture.sentTo(actions), 10, Result.OK));
+      actions.stream().filter(CloseIdle.class::isInstance)
+          .forEach(a -> closes.merge(((CloseIdle) a).endpoint(), 1, Integer::sum));
+    });
+    return closes;
+  }
+
+  /** The same for ever other keys, over all caches. */
+  private static int closes(int balancers, double gap) {
+    return closes(priced(balancers), gap, LongStream.range(0, 200)).values().stream().mapToInt(n -> n).sum();
+  }
+
+  /** However often one balancer sends: the more of them there are, the more connections a cache holds. */
+  @Test
+  void connectionsAreHeldWhereTheyAreUsedOftenForTheLoadOfTheFleet() {
+    assertTrue(closes(20, 100) < 5);
+    assertTrue(closes(20, 1_000) < 5);
+    assertTrue(closes(400, 100) > 150);
+    assertTrue(closes(400, 1_000) > 150);
+  }
+
+  @Test
+  void aConnectionIsClosedOnceOthersAreUsedInItsPlace() {
+    Fixture lookUp = priced(60);
+    String endpoint = lookUp.served(5);
+    List<Long> keys = LongStream.range(10, 400).filter(k -> !lookUp.served(k).equals(endpoint)).boxed()
+        .toList();
+    Fixture f = priced(60);
+    assertEquals(endpoint, f.served(5));
+    assertEquals(1, closes(f, 100, LongStream.range(0, 2_000).map(i -> keys.get((int) i % keys.size())))
+        .get(endpoint));
+  }
+
+  /** Guards against hosts that are gone and stay in memory, as new ones come under new names all day. */
+  @Test
+  void aHostThatIsGoneLeavesNothingBehind() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(3);
+    String endpoint = f.served(1);
+    Endpoint host = Fixture.fleet(3).stream().filter(e -> e.id().equals(endpoint)).findFirst().orElseThrow();
+    List<Action> actions = f.list(ListKind.CHANGES, List.of(host.gone()));
+    assertTrue(actions.contains(new CloseIdle(endpoint)), actions.toString());
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/policy/PlacementTest.java
@@ -0,0 +1,149 @@
+package beampoint.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer;
+import beampoint.Balancer.DedupGroup;
+import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.EndpointState;
+import beampoint.Balancer.Idempotency;
+import beampoint.Balancer.ListKind;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Which caches a key goes to: the ring, its changes, and the spill to another cache. */
+class PlacementTest {
+
+  @Test
+  void equalListsGiveEqualPlacementsInAnyOrderAndNeverTheOrigin() {
+    Fixture one = new Fixture(Fixture.READ).withFleet(8);
+    Fixture other = new Fixture(Fixture.READ);
+    List<Endpoint> reversed = IntStream.rangeClosed(0, 8).mapToObj(i -> Fixture.fleet(8).get(8 - i)).toList();
+    other.list(ListKind.FULL, reversed);
+    Map<Long, String> placed = one.placement();
+    assertEquals(placed, other.placement());
+    assertFalse(placed.containsValue("origin"));
+  }
+
+  @Test
+  void aGoneCacheMovesOnlyItsOwnKeysAndItsReturnBringsThemBack() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(8);
+    Map<Long, String> before = f.placement();
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(3, EndpointState.GONE, 0)));
+    Map<Long, String> without = f.placement();
+    without.forEach((key, cache) -> {
+      assertNotEquals("cache-3", cache);
+      if (!before.get(key).equals("cache-3")) {
+        assertEquals(before.get(key), cache);
+      }
+    });
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(3)));
+    assertEquals(before, f.placement());
+  }
+
+  @Test
+  void aWarmingCacheTakesKeysInStepWithItsWarmUp() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    Map<Long, String> before = f.placement();
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(4, EndpointState.RUNNING, f.now)));
+    long last = 0;
+    for (int i = 0; i < 5; i++) {
+      f.now += 2_000;
+      Map<Long, String> placed = f.placement();
+      long own = placed.values().stream().filter("cache-4"::equals).count();
+      placed.forEach((key, cache) -> assertTrue(cache.equals("cache-4") || cache.equals(before.get(key))));
+      assertTrue(own >= last, "share fell from " + last + " to " + own);
+      last = own;
+    }
+    assertTrue(last > Fixture.KEYS / 10, "share when warm: " + last);
+  }
+
+  @Test
+  void aListThatMovesNoPointsCostsNoRing() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(8);
+    Logic logic = (Logic) f.balancer;
+    int before = logic.facts.points.changes();
+    f.list(ListKind.FULL, Fixture.fleet(8));
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(3)));
+    assertEquals(before, logic.facts.points.changes());
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(3, EndpointState.DRAINING, 0)));
+    assertEquals(before + 1, logic.facts.points.changes());
+  }
+
+  @Test
+  void aRingChangedInAnyOrderEqualsOneBuiltFromScratch() {
+    java.util.Random random = new java.util.Random(3);
+    Fixture changed = new Fixture(Fixture.READ).withFleet(12);
+    for (int i = 0; i < 60; i++) {
+      EndpointState state = random.nextInt(3) == 0 ? EndpointState.GONE : EndpointState.RUNNING;
+      changed.list(ListKind.CHANGES, List.of(Fixture.cache(random.nextInt(20), state, 0)));
+    }
+    changed.list(ListKind.FULL, Fixture.fleet(9));
+    assertEquals(new Fixture(Fixture.READ).withFleet(9).placement(), changed.placement());
+  }
+
+  @Test
+  void nothingNewGoesToADrainingCacheOrOneThatAFullListLacks() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(1, EndpointState.DRAINING, 0)));
+    assertFalse(f.placement().containsValue("cache-1"));
+    f.list(ListKind.FULL, Fixture.fleet(3));
+    assertFalse(f.placement().containsValue("cache-3"));
+  }
+
+  @Test
+  void aStaleListAfterARestartIsMendedByWhatComesAndAReplacementTakesItsPlace() {
+    Fixture f = new Fixture(Fixture.READ);
+    f.list(ListKind.REMEMBERED, Fixture.fleet(4));
+    f.list(ListKind.CHANGES, List.of(Fixture.cache(2, EndpointState.GONE, 0), Fixture.cache(7)));
+    Map<Long, String> placed = f.placement();
+    assertFalse(placed.containsValue("cache-2"));
+    assertTrue(placed.containsValue("cache-7"));
+  }
+
+  @Test
+  void aBusyPrimarySpillsToOneSecondCache() {
+    Fixture f = Fixture.busy(6);
+    String primary = f.served(5);
+    Map<String, Integer> sent = new HashMap<>();
+    for (int i = 0; i < 9; i++) {
+      sent.merge(Fixture.sentTo(f.read(5)), 1, Integer::sum);
+    }
+    assertEquals(2, sent.size(), sent.toString());
+    assertTrue(sent.get(primary) >= 2, sent.toString());
+  }
+
+  @Test
+  void aKeyHotterThanACacheIsServedByAsManyAsItFills() {
+    Fixture f = Fixture.busy(10);
+    Map<String, Integer> served = new HashMap<>();
+    for (int i = 0; i < 600; i++) {
+      served.merge(f.served(5), 1, Integer::sum);
+      f.served(2_000 + i);
+    }
+    assertTrue(served.size() >= 5, served.toString());
+  }
+
+  @Test
+  void aFleetWithRoomServesAKeyWhoseTwoCachesAreBehindForAMoment() {
+    Balancer.RequestClass worthy =
+        new Balancer.RequestClass(Idempotency.SAFE, DedupGroup.ALL, 2_000, 100, 1_500, 9, 0);
+    Fixture f = new Fixture(Fixture.READ, worthy).withFleet(40);
+    for (long key = 1_000; key < 1_400; key++) {
+      f.served(key);
+    }
+    f.read(5);
+    f.now += 60;
+    String other = Fixture.sentTo(f.read(5));
+    f.now += 60;
+    assertNotNull(other);
+    assertNotNull(Fixture.sentTo(f.read(5)));
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/policy/ProbeTest.java
@@ -0,0 +1,89 @@
+package beampoint.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer;
+import beampoint.Balancer.Action;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.SetTimer;
+import beampoint.Balancer.TimerFired;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** When an endpoint is probed before it is sent a request, and what follows from the answer. */
+class ProbeTest {
+
+  @Test
+  void anUnknownCacheIsProbedAndALateProbeSpillsToTheNext() {
+    Fixture f = new Fixture(true, Fixture.READ).withFleet(6);
+    List<Action> asked = f.read(5);
+    assertNull(Fixture.sentTo(asked));
+    String primary = ((Balancer.Probe) asked.get(0)).endpoint();
+    long first = f.nextId() - 1;
+    List<Action> answered = f.balancer.handle(f.now, new Balancer.ProbeEnded(primary, Result.OK, 2));
+    assertEquals(primary, Fixture.sentTo(answered));
+    f.end(first, 0, primary, 10, Result.OK);
+    long second = f.nextId();
+    f.read(5);
+    f.now += 50;
+    String next = Fixture.sentTo(f.balancer.handle(f.now, new TimerFired(second)));
+    assertNotNull(next);
+    assertNotEquals(primary, next);
+    assertNull(Fixture.sentTo(f.balancer.handle(f.now, new Balancer.ProbeEnded(primary, Result.OK, 60))));
+  }
+
+  @Test
+  void aProbeIsSentOnlyWhereBadOutcomesMakeItWorthItsPrice() {
+    Balancer.Prices prices = new Balancer.Prices(0, 0, 0.08, 0);
+    Fixture f = new Fixture(Fixture.settings(List.of(), true, true, prices, Fixture.READ)).withFleet(40);
+    for (long key = 0; key < 20; key++) {
+      long id = f.nextId();
+      List<Action> actions = f.read(key);
+      assertFalse(Fixture.has(actions, Balancer.Probe.class), "while caches do well, " + key);
+      f.end(id, 0, Fixture.sentTo(actions), 10, key == 12 ? Result.TIMEOUT : Result.OK);
+    }
+    for (long key = 100; key < 112; key++) {
+      long id = f.nextId();
+      List<Action> actions = f.read(key);
+      String endpoint = Fixture.sentTo(actions);
+      if (endpoint != null) {
+        f.end(id, 0, endpoint, 1_000, Result.TIMEOUT);
+      }
+    }
+    assertTrue(IntStream.range(200, 220).anyMatch(key -> Fixture.has(f.read(key), Balancer.Probe.class)),
+        "once many attempts come to nothing");
+  }
+
+  @Test
+  void aProbeIsNotWaitedForBeyondTheClientsTime() {
+    Fixture f = new Fixture(true, Fixture.READ).withFleet(6);
+    Balancer.RequestReceived last = new Balancer.RequestReceived(1, f.now + 20, 0, 0, 5, false);
+    List<Action> asked = f.balancer.handle(f.now, last);
+    assertTrue(asked.stream().anyMatch(a -> a instanceof SetTimer t && t.delay() < 20));
+  }
+
+  @Test
+  void aCacheWhoseProbeFailsIsSkippedForAWhile() {
+    Fixture f = new Fixture(true, Fixture.READ).withFleet(6);
+    String primary = ((Balancer.Probe) f.read(5).get(0)).endpoint();
+    String next = Fixture.sentTo(
+        f.balancer.handle(f.now, new Balancer.ProbeEnded(primary, Result.TIMEOUT, 50)));
+    assertNotNull(next);
+    assertNotEquals(primary, next);
+    f.end(0, 0, next, 10, Result.OK);
+    assertFalse(probed(f).contains(primary));
+    f.now += 20_000;
+    assertTrue(probed(f).contains(primary));
+  }
+
+  private static List<String> probed(Fixture f) {
+    return IntStream.range(0, 100).mapToObj(i -> f.read(100 + i)).flatMap(List::stream)
+        .filter(Balancer.Probe.class::isInstance).map(a -> ((Balancer.Probe) a).endpoint()).toList();
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/policy/RetryTest.java
@@ -0,0 +1,142 @@
+package beampoint.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer;
+import beampoint.Balancer.Action;
+import beampoint.Balancer.DedupGroup;
+import beampoint.Balancer.Endpoint;
+import beampoint.Balancer.EndpointState;
+import beampoint.Balancer.Fail;
+import beampoint.Balancer.Idempotency;
+import beampoint.Balancer.ListKind;
+import beampoint.Balancer.Refuse;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.SetTimer;
+import beampoint.Balancer.TimerFired;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Attempts after the first: at another cache, at the origin, or none where the effect forbids it. */
+class RetryTest {
+
+  @Test
+  void aMissGoesToTheOrigin() {
+    Fixture f = Fixture.busy(4);
+    String cache = f.served(5);
+    long id = f.nextId();
+    f.read(5);
+    assertEquals("origin", Fixture.sentTo(f.end(id, 0, cache, 2, Result.MISS)));
+  }
+
+  @Test
+  void aFailedFetchIsNotRepeatedAtAnOriginThatHasSinceBeenToldToDrain() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    long id = f.nextId();
+    assertEquals("origin", Fixture.sentTo(f.request(0, 0, 5, true)));
+    f.list(ListKind.CHANGES,
+        List.of(new Endpoint("origin", 0, Fixture.ORIGIN, 9, EndpointState.DRAINING, 1, 0)));
+    assertTrue(Fixture.has(f.end(id, 0, "origin", 5, Result.ERROR), Refuse.class));
+  }
+
+  @Test
+  void aWriteGoesStraightToTheOrigin() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    assertEquals("origin", Fixture.sentTo(f.request(0, 0, 5, true)));
+  }
+
+  @Test
+  void whatNeverRanDoesNotUseUpTheRetries() {
+    everyFirstAttemptEnds(Result.CONNECT_FAILED);
+    everyFirstAttemptEnds(Result.FULL);
+  }
+
+  private static void everyFirstAttemptEnds(Result result) {
+    Fixture f = Fixture.busy(6);
+    for (long key = 0; key < 20; key++) {
+      long id = f.nextId();
+      String endpoint = Fixture.sentTo(f.read(key));
+      String next = Fixture.sentTo(f.end(id, 0, endpoint, 1, result));
+      assertNotNull(next, result + ", request " + key);
+      f.end(id, 1, next, 10, Result.OK);
+      f.now += 2_000;
+    }
+  }
+
+  /** Guards against attempts that are all gone within a moment, and against a request parked till its end. */
+  @Test
+  void anOriginThatRefusesAConnectionIsAskedAgainAfterAPauseOrNotAtAll() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(4);
+    long id = f.nextId();
+    String cache = Fixture.sentTo(f.read(1));
+    assertEquals("origin", Fixture.sentTo(f.end(id, 0, cache, 10, Result.MISS)));
+    f.now += 100; // which the origin is now known to take
+    List<Action> actions = f.end(id, 1, "origin", 100, Result.CONNECT_FAILED);
+    assertNull(Fixture.sentTo(actions));
+    double pause = actions.stream().filter(SetTimer.class::isInstance).map(a -> ((SetTimer) a).delay())
+        .findFirst().orElseThrow();
+    assertTrue(pause >= 0 && pause <= 400, "pause: " + pause);
+    f.now += pause;
+    assertEquals("origin", Fixture.sentTo(f.balancer.handle(f.now, new TimerFired(id))));
+    f.end(id, 2, "origin", 20, Result.OK);
+    long late = f.nextId();
+    cache = Fixture.sentTo(f.read(2));
+    assertEquals("origin", Fixture.sentTo(f.end(late, 0, cache, 10, Result.MISS)));
+    f.now += 499.99;
+    assertTrue(Fixture.has(f.end(late, 1, "origin", 480, Result.CONNECT_FAILED), Refuse.class));
+  }
+
+  @Test
+  void repeatsAndRefusalsFollowTheEffectOfTheClass() {
+    for (Idempotency idempotency : Idempotency.values()) {
+      for (Result result : Result.values()) {
+        if (result == Result.OK || result == Result.MISS || result == Result.NOT_SENT) {
+          continue;
+        }
+        Fixture f = new Fixture(Fixture.type(idempotency, DedupGroup.CELL)).withFleet(6);
+        long id = f.nextId();
+        String endpoint = Fixture.sentTo(f.request(0, 0, 5, true));
+        List<Action> answer = f.end(id, 0, endpoint, 5, result);
+        if (result == Result.CONNECT_FAILED) { // asked again after a pause
+          f.now += 50;
+          answer = f.balancer.handle(f.now, new TimerFired(id));
+        }
+        boolean mayRefuse = result.neverRan || idempotency == Idempotency.SAFE;
+        boolean mayRepeat = mayRefuse || idempotency == Idempotency.KEYED;
+        String situation = idempotency + " after " + result + ": " + answer;
+        assertTrue(mayRefuse || !Fixture.has(answer, Refuse.class), situation);
+        assertEquals(mayRepeat, Fixture.sentTo(answer) != null, situation);
+        assertEquals(!mayRepeat, Fixture.has(answer, Fail.class), situation);
+      }
+    }
+  }
+
+  @Test
+  void aKeyedRequestIsNotRepeatedAfterItsWindow() {
+    Balancer.RequestClass keyed =
+        new Balancer.RequestClass(Idempotency.KEYED, DedupGroup.ALL, 100, 5_000, 9_000, 1, 0);
+    Fixture f = new Fixture(keyed).withFleet(4);
+    long id = f.nextId();
+    f.request(0, 0, 5, true);
+    f.now += 100;
+    List<Action> answer = f.end(id, 0, "origin", 100, Result.ERROR);
+    assertNull(Fixture.sentTo(answer));
+    assertTrue(Fixture.has(answer, Refuse.class));
+  }
+
+  @Test
+  void noAttemptIsMadeBeyondTheLimit() {
+    Fixture f = new Fixture(Fixture.READ).withFleet(6);
+    long id = f.nextId();
+    List<Action> answer = f.read(5);
+    int attempts = 0;
+    while (Fixture.sentTo(answer) != null) {
+      answer = f.end(id, attempts++, Fixture.sentTo(answer), 1, Result.MISS);
+    }
+    assertTrue(attempts <= 3, "attempts: " + attempts);
+    assertTrue(Fixture.has(answer, Refuse.class));
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/serve/ClientConnectionTest.java
@@ -0,0 +1,195 @@
+package beampoint.serve;
+
+import static beampoint.serve.ProxyFixture.READ;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.AttemptEnded;
+import beampoint.Balancer.Refuse;
+import beampoint.Balancer.RequestGone;
+import beampoint.Balancer.RequestReceived;
+import beampoint.Balancer.Result;
+import beampoint.Balancer;
+import beampoint.Stub;
+import beampoint.count.Counter;
+import beampoint.serve.ProxyFixture.Client;
+import java.net.SocketException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What clients do with their connections: they leave, send nonsense, or stop amid a command. */
+@Timeout(30)
+class ClientConnectionTest {
+
+  @Test
+  void aClientThatLeavesIsToldToTheModuleAndTheAttemptEndsAfterIt() throws Exception {
+    try (Stub cache = ScriptedCache.held();
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody())) {
+      proxy.sendTo("cache");
+      Client client = new Client(proxy);
+      client.say(READ);
+      cache.nextLine();
+      client.close();
+      assertEquals(1, proxy.module.next(RequestGone.class).id());
+      cache.ends.add(true);
+      AttemptEnded ended = proxy.ended();
+      assertEquals(Result.OK, ended.result());
+      assertTrue(ended.done());
+    }
+  }
+
+  @Test
+  void badInputCostsAnAnswerAndOverlongInputItsConnectionOnly() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client client = new Client(proxy); Client other = new Client(proxy)) {
+      assertEquals("ERROR", client.ask("hello\r\n"));
+      assertEquals("CLIENT_ERROR unknown class", client.ask("mg 1 v O1 Pc=none,d=100\r\n"));
+      assertEquals("MN", other.ask("mn\r\n"));
+      assertTrue(client.ask("x".repeat(6000)).startsWith("CLIENT_ERROR"));
+      assertNull(client.line());
+      assertEquals("MN", other.ask("mn\r\n"));
+      assertNull(other.ask("quit\r\n"));
+    }
+  }
+
+  /** Guards against a request that the module decides on, and never hears the end of, as its client left. */
+  @Test
+  void aRequestWhoseClientLeavesAtOnceIsNotToldAfterItsLeaving() throws Exception {
+    try (Stub cache = new Stub(Stub.Peer::beSilent);
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client last = new Client(proxy)) {
+      proxy.sendTo("cache");
+      for (int i = 0; i < 50; i++) {
+        try (Client leaving = new Client(proxy)) {
+          leaving.say("mg 1 v O" + i + " Pc=read,t=acme,d=100\r\n");
+        }
+      }
+      Set<Long> open = new HashSet<>();
+      Set<Long> gone = new HashSet<>();
+      last.say(READ.replace("4000", "200"));
+      int taken = 0;
+      while (taken < 51 || !open.isEmpty()) { // fails where an attempt never ends, as no event comes then
+        Balancer.Event event = proxy.module.next(Balancer.Event.class);
+        if (event instanceof RequestReceived e) {
+          assertFalse(gone.contains(e.id()), "request " + e.id() + " was told after its leaving");
+          open.add(e.id());
+          taken++;
+        } else if (event instanceof RequestGone e) {
+          gone.add(e.id());
+        } else if (event instanceof AttemptEnded e) {
+          open.remove(e.id());
+        }
+      }
+    }
+  }
+
+  /** Guards against a client that sends nonsense at full speed: each line of it costs an answer. */
+  @Test
+  void aClientThatGoesOnSendingWhatCanNotBeReadIsTurnedAway() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      client.say("nonsense\r\n".repeat(1000));
+      int answers = 0;
+      try {
+        while ("ERROR".equals(client.line())) {
+          answers++;
+        }
+      } catch (SocketException e) {
+        // reset, as not all that was sent has been read
+      }
+      assertTrue(answers <= 8, answers + " answers");
+      assertEquals(8, proxy.proxy.counters().get(Counter.BAD_COMMANDS));
+    }
+  }
+
+  /** Guards against one id that stands for two requests: an answer names its request by it. */
+  @Test
+  void anIdThatIsInUseIsNotTakenAgain() throws Exception {
+    try (Stub cache = ScriptedCache.held();
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy); Client other = new Client(proxy)) {
+      proxy.sendTo("cache");
+      client.say(READ);
+      cache.nextLine();
+      assertEquals("CLIENT_ERROR id in use", other.ask(READ));
+      cache.ends.add(true);
+      assertEquals("VA 0 O9b", client.line());
+      proxy.ended();
+      proxy.module.script = event -> event instanceof RequestReceived e
+          ? List.of(new Refuse(e.id(), 0)) : List.of();
+      assertEquals("SERVER_ERROR busy", other.ask(READ));
+      assertEquals("CLIENT_ERROR unknown tenant", other.ask(READ.replace("acme", "nobody")));
+    }
+  }
+
+  /** Guards against connections that are held and not used, or for half a command. */
+  @Test
+  void aClientThatSaysNothingOrHalfACommandIsClosed() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client idle = new Client(proxy); Client silent = new Client(proxy); Client half = new Client(proxy);
+        Client later = new Client(proxy)) {
+      assertEquals("MN", idle.ask("mn\r\n"));
+      assertEquals("MN", later.ask("mn\r\nms 1 5 O1"));
+      half.say("mg 7f3a v O9b Pc=re");
+      assertNull(silent.line());
+      assertNull(half.line());
+      assertNull(later.line());
+      assertEquals("MN", idle.ask("mn\r\n"));
+      assertEquals(3, proxy.proxy.counters().get(Counter.CLIENT_CONNECTIONS_CLOSED_STALE));
+    }
+  }
+
+  /** Guards against ends of connections that cost as much as faults: the library words a line for each. */
+  @Test
+  void aClientThatLeavesIsNoFaultOfTheFilters() throws Exception {
+    Logger library = Logger.getLogger("org.glassfish.grizzly");
+    List<String> worded = new CopyOnWriteArrayList<>();
+    Handler handler = new Handler() {
+      @Override
+      public void publish(LogRecord line) {
+        worded.add(line.getMessage());
+      }
+
+      @Override
+      public void flush() {
+        // nothing is held back
+      }
+
+      @Override
+      public void close() {
+        // nothing is open
+      }
+    };
+    handler.setLevel(Level.ALL);
+    library.setLevel(Level.ALL);
+    library.addHandler(handler);
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody())) {
+      proxy.module.script = event -> List.of();
+      try (Client resets = new Client(proxy)) {
+        resets.say(READ);
+        proxy.module.next(RequestReceived.class);
+        resets.socket.setSoLinger(true, 0);
+      }
+      proxy.module.next(RequestGone.class);
+      try (Client client = new Client(proxy)) {
+        client.say(READ);
+        proxy.module.next(RequestReceived.class);
+      }
+      proxy.module.next(RequestGone.class);
+      assertEquals(List.of(), worded.stream().filter(line -> line.contains("GRIZZLY0013")).toList());
+    } finally {
+      library.removeHandler(handler);
+      library.setLevel(null);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/serve/ConnectionLimitTest.java
@@ -0,0 +1,181 @@
+package beampoint.serve;
+
+import static beampoint.serve.ProxyFixture.READ;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import beampoint.Balancer.Refuse;
+import beampoint.Balancer.RequestGone;
+import beampoint.Balancer.RequestReceived;
+import beampoint.Balancer.Result;
+import beampoint.Stub;
+import beampoint.count.Counter;
+import beampoint.serve.ProxyFixture.Client;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Who gets a connection where descriptors are short. */
+@Timeout(30)
+class ConnectionLimitTest {
+
+  /** Guards against caches that are silent and hold every connection, so that nothing reaches the origin. */
+  @Test
+  void cachesLeaveConnectionsForTheOrigin() throws Exception {
+    try (Stub cache = new Stub(Stub.Peer::beSilent); Stub origin = new Stub(peer -> {
+      peer.head();
+      peer.say("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+      peer.beSilent();
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), origin.address(), 32 + 8);
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      for (int i = 0; i < 4; i++) {
+        client.say("mg " + i + " v O" + i + " Pc=read,d=4000\r\n");
+      }
+      assertEquals(Result.NOT_SENT, proxy.ended().result(), "of four one is the origin's");
+      proxy.sendTo("origin");
+      client.say("mg 5 v O5 Pc=read,d=4000\r\n");
+      assertEquals(Result.OK, proxy.ended().result());
+    }
+  }
+
+  /** Guards against slow writers that go before a crowd that has stopped, as the crowd is younger. */
+  @Test
+  void whoWritesSlowlyStaysWhileACrowdThatHasStoppedMakesRoom() throws Exception {
+    List<Client> crowd = new ArrayList<>();
+    // Of 140 descriptors clients may have 35 before they make room, a third of those amid a command.
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody(), 140);
+        Client slow = new Client(proxy); Client other = new Client(proxy)) {
+      proxy.module.script = event -> event instanceof RequestReceived e
+          ? List.of(new Refuse(e.id(), 0)) : List.of();
+      slow.say(READ.substring(0, 10));
+      for (int i = 0; i < 11; i++) {
+        crowd.add(new Client(proxy));
+      }
+      proxy.awaitClients(13); // who is accepted later would have moved later than the slow one
+      assertEquals("MN", other.ask("mn\r\n"), "by now all that were accepted are known");
+      slow.say(READ.substring(10, 20));
+      assertEquals("MN", other.ask("mn\r\n"));
+      assertEquals("MN", other.ask("mn\r\n"), "by now what the slow one wrote is read");
+      for (int i = 11; i < 41; i++) {
+        crowd.add(new Client(proxy));
+      }
+      proxy.awaitClients(43);
+      assertEquals("MN", other.ask("mn\r\n"), "by now all that were accepted are known");
+      assertNull(crowd.get(0).line(), "who has moved nothing for longest made room");
+      assertEquals("SERVER_ERROR busy", slow.ask(READ.substring(20)));
+      assertEquals(8, proxy.proxy.counters().get(Counter.CLIENT_CONNECTIONS_CLOSED_FULL));
+    } finally {
+      for (Client client : crowd) {
+        client.close();
+      }
+    }
+  }
+
+  /** Guards against crowds that connect and say nothing, and take the place of the usual clients. */
+  @Test
+  void crowdsThatSayNothingMakeRoomForThoseThatSpeak() throws Exception {
+    List<Client> crowd = new ArrayList<>();
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody(), 32 + 40)) {
+      List<Client> usual = new ArrayList<>();
+      for (int i = 0; i < 10; i++) {
+        usual.add(new Client(proxy));
+        assertEquals("MN", usual.get(i).ask("mn\r\n"));
+      }
+      for (int i = 0; i < 100; i++) {
+        crowd.add(new Client(proxy));
+      }
+      try (Client next = new Client(proxy)) {
+        assertEquals("MN", next.ask("mn\r\n"));
+      }
+      for (Client client : usual) {
+        assertEquals("MN", client.ask("mn\r\n"));
+        client.close();
+      }
+    } finally {
+      for (Client client : crowd) {
+        client.close();
+      }
+    }
+  }
+
+  /** Guards against clients that ask once and stay, until all that the clients' side may hold is taken. */
+  @Test
+  void clientsThatAskOnceAndStayMakeRoomBeforeAThirdOfTheDescriptorsIsTaken() throws Exception {
+    List<Client> crowd = new ArrayList<>();
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody(), 300)) {
+      for (int i = 0; i < 300 / 3; i++) {
+        crowd.add(new Client(proxy));
+        assertEquals("MN", crowd.get(i).ask("mn\r\n"));
+      }
+      assertNull(crowd.get(0).line(), "who was idle for longest made room");
+      assertEquals("MN", crowd.get(300 / 3 - 1).ask("mn\r\n"));
+    } finally {
+      for (Client client : crowd) {
+        client.close();
+      }
+    }
+  }
+
+  /** Guards against accepting without end, or not at all, once all descriptors for clients are taken. */
+  @Test
+  void clientsBeyondTheDescriptorsWaitOrTakeThePlaceOfIdleOnes() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody(), 32 + 8)) {
+      proxy.module.script = event -> List.of(); // requests stay open, so no connection is idle
+      Client[] busy = new Client[4];
+      for (int i = 0; i < busy.length; i++) {
+        busy[i] = new Client(proxy);
+        busy[i].say("mg 1 v O" + i + " Pc=read,d=4000\r\n");
+        proxy.module.next(RequestReceived.class);
+      }
+      try (Client waiting = new Client(proxy)) {
+        waiting.say("mn\r\n");
+        assertEquals(4, proxy.proxy.counters().get(Counter.CLIENT_CONNECTIONS));
+        busy[0].close();
+        assertEquals("MN", waiting.line());
+        busy[1].close();
+        proxy.module.next(RequestGone.class);
+        proxy.module.next(RequestGone.class);
+        try (Client next = new Client(proxy)) {
+          assertEquals("MN", next.ask("mn\r\n"));
+          assertNull(waiting.line(), "the idle one made room");
+        }
+      }
+      busy[2].close();
+      busy[3].close();
+    }
+  }
+
+  /** Guards against a request that is lost, or sent on twice, as its idle connection is just being closed. */
+  @Test
+  void aCommandThatWasReadIsAnsweredThoughItsConnectionWasIdleWhenRoomWasNeeded() throws Exception {
+    CountDownLatch held = new CountDownLatch(1);
+    List<Client> all = new ArrayList<>();
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody(), 32 + 2 * 40)) {
+      for (int i = 0; i < 28; i++) {
+        all.add(new Client(proxy));
+        assertEquals("MN", all.get(i).ask("mn\r\n"));
+      }
+      proxy.module.script = event -> {
+        if (event instanceof RequestReceived e) {
+          ProxyFixture.await(held);
+          return List.of(new Refuse(e.id(), 0));
+        }
+        return List.of();
+      };
+      all.get(27).say(READ); // holds the decision thread
+      proxy.module.next(RequestReceived.class);
+      all.add(new Client(proxy)); // one too many: the first is to make room
+      all.get(0).say(READ.replace("O9b", "Oidle"));
+      held.countDown();
+      assertEquals("SERVER_ERROR busy", all.get(0).line());
+      assertNull(all.get(1).line(), "the next that was idle made room");
+    } finally {
+      for (Client client : all) {
+        client.close();
+      }
+    }
+  }
+}
--- a/src/test/java/beampoint/serve/ProxyFixture.java
+++ b/src/test/java/beampoint/serve/ProxyFixture.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -19,6 +20,12 @@
 /** A proxy with a scripted module, among scripted peers on loopback, and a client that talks to it. */
 final class ProxyFixture implements AutoCloseable {
 
+  /** A client's read of a value. */
+  static final String READ = "mg 7f3a v O9b Pc=read,t=acme,d=4000\r\n";
+
+  /** A client's write of a value. */
+  static final String WRITE = "ms 7f3a 5 O9b Pc=put,t=acme,d=4000,k=5c\r\nhello\r\n";
+
   static final String SETTINGS = """
       {"discovery":"automatic","siblings":2,"zone":0,"localities":["a"],"skus":["m2","origin"],
        "family-info":{"mode":"aside","origin-kind":1},
@@ -174,6 +181,15 @@
     }
   }
 
+  /** Waits in a script of the module, which declares no exceptions. */
+  static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   Balancer.AttemptEnded ended() throws InterruptedException {
     return module.next(Balancer.AttemptEnded.class);
   }
--- /dev/null
+++ b/src/test/java/beampoint/serve/ProxyLifecycleTest.java
@@ -0,0 +1,217 @@
+package beampoint.serve;
+
+import static beampoint.serve.ProxyFixture.READ;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.AttemptEnded;
+import beampoint.Balancer.FollowList;
+import beampoint.Balancer.ListKind;
+import beampoint.Balancer.ListReceived;
+import beampoint.Balancer.Refuse;
+import beampoint.Balancer.RequestReceived;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Send;
+import beampoint.Stub;
+import beampoint.count.Counter;
+import beampoint.count.Counters;
+import beampoint.serve.ProxyFixture.Client;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The proxy from its start to its end: readiness, the list, faults of the module, SIGTERM. */
+@Timeout(30)
+class ProxyLifecycleTest {
+
+  /** Guards against use by the front while code is still being compiled, and answers are late. */
+  @Test
+  void aProxyIsReadyOnceItIsWarm() throws Exception {
+    ProxyFixture.Module module = new ProxyFixture.Module();
+    ProxyFixture.Module rehearsed = new ProxyFixture.Module();
+    CountDownLatch held = new CountDownLatch(1); // the rehearsal, until a client has asked
+    rehearsed.script = event -> {
+      ProxyFixture.await(held);
+      return List.of();
+    };
+    AtomicInteger made = new AtomicInteger();
+    List<String> hosts = List.of(ProxyFixture.host("cache", Stub.nobody(), "m2"));
+    Proxy proxy = new Proxy(ProxyFixture.config(hosts, 1024, Stub.nobody()),
+        settings -> made.getAndIncrement() == 0 ? module : rehearsed);
+    try {
+      proxy.startWarm();
+      try (Client client = new Client(proxy.port())) {
+        module.next(ListReceived.class);
+        client.say("mn\r\n");
+        held.countDown();
+        String answer = client.line();
+        assertEquals("SERVER_ERROR not ready", answer);
+        while (!answer.equals("MN")) {
+          answer = client.ask("mn\r\n");
+        }
+        assertEquals(0, proxy.counters().get(Counter.PROBES_SENT), "its questions to itself don't count");
+        // Its time is time without a proxy: where most proxies restart at once nobody else serves meanwhile.
+        int events = rehearsed.events.size();
+        assertTrue(events > 10 && events <= 100, "made-up events: " + events);
+      }
+    } finally {
+      proxy.stop();
+    }
+  }
+
+  /** Guards against a list that is asked for behind the module's back, which costs discovery work. */
+  @Test
+  void aListThatMustBeAskedForIsAskedForByTheModuleAlone() throws Exception {
+    String list = "{\"seq\":2,\"whole\":true,\"hosts\":["
+        + ProxyFixture.host("s-2", "127.0.0.1:1", "m2") + "]}\n";
+    ProxyFixture.Module module = new ProxyFixture.Module();
+    module.script = event -> event instanceof ListReceived e && e.kind() == ListKind.REMEMBERED
+        ? List.of(new FollowList()) : List.of();
+    try (Stub discovery = new Stub(peer -> {
+      peer.head();
+      peer.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(list.length())
+          + "\r\n" + list + "\r\n");
+    })) {
+      Proxy proxy = new Proxy(ProxyFixture.config(List.of(), 1024, discovery.address(),
+          ProxyFixture.SETTINGS.replace("automatic", "subscribe")), settings -> module);
+      try {
+        proxy.start();
+        assertEquals(ListKind.REMEMBERED, module.next(ListReceived.class).kind());
+        ListReceived full = module.next(ListReceived.class);
+        assertEquals(ListKind.FULL, full.kind());
+        assertEquals("s-2", full.endpoints().get(0).id());
+        assertEquals(ListKind.UNAVAILABLE, module.next(ListReceived.class).kind());
+        assertEquals("GET /discovery/hosts?watch=1&from=1 HTTP/1.1", discovery.nextLine());
+        assertNull(module.events.poll(500, TimeUnit.MILLISECONDS), "nobody asked again");
+        assertEquals(1, discovery.connections());
+      } finally {
+        proxy.stop();
+      }
+    }
+  }
+
+  /** Guards against a fault in the module that ends the proxy, or leaves its request without an answer. */
+  @Test
+  void anExceptionOfTheModuleFailsItsRequestAndTheProxyLives() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.module.script = event -> {
+        throw new IllegalStateException("a fault, as the test has it");
+      };
+      assertEquals("SERVER_ERROR failed", client.ask(READ));
+      proxy.module.script = event -> event instanceof RequestReceived e
+          ? List.of(new Refuse(e.id(), 0)) : List.of();
+      assertEquals("SERVER_ERROR busy", client.ask(READ));
+      assertEquals(1, proxy.proxy.counters().get(Counter.LOGIC_EXCEPTIONS));
+    }
+  }
+
+  @Test
+  void anOpenRequestIsAnsweredBeforeTheEndAndIdleClientsAreClosed() throws Exception {
+    try (Stub cache = ScriptedCache.held();
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client busy = new Client(proxy); Client idle = new Client(proxy)) {
+      proxy.sendTo("cache");
+      assertEquals("MN", idle.ask("mn\r\n"));
+      busy.say(READ);
+      cache.nextLine();
+      Thread end = new Thread(() -> {
+        try {
+          proxy.proxy.drain();
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+      });
+      end.start();
+      try (Client late = new Client(proxy)) {
+        String ready = late.ask("mn\r\n");
+        while (ready.equals("MN")) {
+          ready = late.ask("mn\r\n"); // until the end has begun
+        }
+        assertEquals("SERVER_ERROR not ready", ready, "clients still come for a while");
+      }
+      assertNull(idle.line());
+      cache.ends.add(true);
+      assertEquals("VA 0 O9b", busy.line());
+      busy.line();
+      assertNull(busy.line());
+      end.join(5000);
+      assertFalse(end.isAlive());
+    }
+  }
+
+  /**
+   * After SIGTERM clients send on every connection that stays open: what is taken then is answered, and a
+   * connection that ends has brought whole answers only.
+   */
+  @Test
+  void clientsThatGoOnSendingAfterASigtermGetAnAnswerOrAnEndWithNothingTaken() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody())) {
+      proxy.module.script = event -> event instanceof RequestReceived e ? List.of(new Refuse(e.id(), 0))
+          : List.of();
+      AtomicInteger answers = new AtomicInteger();
+      ExecutorService clients = Executors.newFixedThreadPool(6);
+      List<Future<String>> ends = new ArrayList<>();
+      CountDownLatch sending = new CountDownLatch(6);
+      for (int i = 0; i < 6; i++) {
+        String prefix = "Oc" + i + "n";
+        Client client = new Client(proxy);
+        ends.add(clients.submit(() -> {
+          for (int n = 0; ; n++) {
+            String line;
+            try {
+              line = client.ask(READ.replace("O9b", prefix + n));
+            } catch (IOException e) {
+              return "end"; // the request crossed the end of its connection
+            }
+            if (!"SERVER_ERROR busy".equals(line)) {
+              client.close();
+              return line == null ? "end" : line;
+            }
+            answers.incrementAndGet();
+            sending.countDown();
+          }
+        }));
+      }
+      sending.await();
+      proxy.proxy.drain();
+      for (Future<String> end : ends) {
+        assertEquals("end", end.get(5, TimeUnit.SECONDS));
+      }
+      clients.shutdown();
+      Counters counters = proxy.proxy.counters();
+      assertEquals(answers.get(), counters.get(Counter.REQUESTS_TAKEN), "what was taken was answered");
+      assertEquals(0, counters.get(Counter.ANSWERS_OVERDUE));
+    }
+  }
+
+  /** Guards against a request that is still open when the SIGKILL comes: its time is cut short. */
+  @Test
+  void whatNobodyAnswersIsFailedBeforeTheEnd() throws Exception {
+    try (Stub cache = ScriptedCache.silent();
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.module.script = event -> event instanceof RequestReceived e
+          ? List.of(new Send(e.id(), "cache", 0))
+          : event instanceof AttemptEnded e ? List.of(new Refuse(e.id(), 0)) : List.of();
+      client.say(READ.replace("4000", "60000"));
+      cache.nextLine();
+      long before = System.nanoTime();
+      proxy.proxy.drain();
+      double took = (System.nanoTime() - before) / 1e6;
+      assertTrue(took < 1700, "a SIGKILL comes a deadline of 1 s and 0.7 s later; took " + took);
+      assertEquals("SERVER_ERROR busy", client.line(), "the module answers, its attempt timed out");
+      assertEquals(Result.TIMEOUT, proxy.ended().result());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/serve/ProxyRequestTest.java
@@ -0,0 +1,219 @@
+package beampoint.serve;
+
+import static beampoint.serve.ProxyFixture.READ;
+import static beampoint.serve.ProxyFixture.WRITE;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.AttemptEnded;
+import beampoint.Balancer.ListReceived;
+import beampoint.Balancer.Refuse;
+import beampoint.Balancer.RequestReceived;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.Send;
+import beampoint.Stub;
+import beampoint.serve.ProxyFixture.Client;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Requests through the proxy on sockets, with a scripted module: values, writes, order and sizes. */
+@Timeout(30)
+class ProxyRequestTest {
+
+  @Test
+  void aValueGoesFromTheCacheNodeToTheClient() throws Exception {
+    try (Stub cache = ScriptedCache.answering("VA 5 O9b h1 Linflight=1\r\nab\r\nc\r\n");
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      assertEquals("VA 5 O9b", client.ask(READ));
+      assertEquals("ab\r\nc\r\n", client.bytes(7));
+      String sent = cache.nextLine();
+      assertTrue(sent.matches("mg 7f3a v O9b Pc=read,t=acme,d=[1-3]\\d{3}"), sent);
+      RequestReceived request = proxy.module.next(RequestReceived.class);
+      assertEquals(0x7f3a, request.key());
+      assertEquals(0, request.requestClass());
+      assertEquals(0, request.tenant());
+      AttemptEnded ended = proxy.ended();
+      assertEquals(Result.OK, ended.result());
+      assertTrue(ended.done());
+    }
+  }
+
+  @Test
+  void theModuleIsToldWhatAClientMarksAsAskedAgain() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.module.script = event -> event instanceof RequestReceived e
+          ? List.of(new Refuse(e.id(), 0)) : List.of();
+      client.ask(READ);
+      assertFalse(proxy.module.next(RequestReceived.class).again());
+      client.ask(READ.replace("O9b", "O9c").replace("d=4000", "d=4000,r=1"));
+      assertTrue(proxy.module.next(RequestReceived.class).again());
+    }
+  }
+
+  @Test
+  void aSecondRequestUsesTheSameConnection() throws Exception {
+    try (Stub cache = ScriptedCache.answering("VA 0 O9b\r\n\r\n");
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      for (int i = 0; i < 3; i++) {
+        assertEquals("VA 0 O9b", client.ask(READ));
+        assertEquals("", client.line());
+        proxy.ended();
+      }
+      assertEquals(1, cache.connections());
+    }
+  }
+
+  @Test
+  void theOriginIsAskedByHttpForReadsAndWrites() throws Exception {
+    try (Stub origin = new Stub(peer -> {
+      for (String head = peer.head(); head != null; head = peer.head()) {
+        boolean write = head.startsWith("PUT");
+        peer.say("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n"
+            + (write && !peer.bytes(5).equals("hello") ? "garbled" : write ? "receipt" : "a value"));
+      }
+    }); ProxyFixture proxy = new ProxyFixture(Stub.nobody(), origin.address());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("origin");
+      assertEquals("VA 7 O9b", client.ask(READ));
+      assertEquals("a value", client.line());
+      assertEquals("HD O9b creceipt", client.ask(WRITE));
+      assertEquals("GET /7f3a HTTP/1.1", origin.nextLine());
+      assertEquals("Host: " + origin.address(), origin.nextLine());
+      assertEquals("Req-Id: 9b", origin.nextLine());
+      assertEquals("Req-Extra: c=read,t=acme,d=4000", origin.nextLine());
+      assertTrue(proxy.module.next(RequestReceived.class).id() > 0);
+      assertTrue(proxy.module.next(RequestReceived.class).write());
+    }
+  }
+
+  @Test
+  void answersComeInTheOrderOfTheCommands() throws Exception {
+    try (Stub cache = new Stub(peer -> {
+      String line = peer.line();
+      if (line.contains("Oslow")) {
+        peer.stub().ends.take(); // until the quick one has been answered
+      }
+      peer.say("VA 0 O" + (line.contains("Oslow") ? "slow" : "quick") + "\r\n\r\n");
+      peer.beSilent();
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      client.say("mg 1 v Oslow Pc=read,d=4000\r\nmg 2 v Oquick Pc=read,d=4000\r\nmn\r\n");
+      assertEquals(2, proxy.ended().id(), "the quick one ends first");
+      cache.ends.add(true);
+      assertEquals("VA 0 Oslow", client.line());
+      client.line();
+      assertEquals("VA 0 Oquick", client.line());
+      client.line();
+      assertEquals("MN", client.line());
+    }
+  }
+
+  @Test
+  void theLargestValueGoesThroughWholeInBothDirections() throws Exception {
+    String value = "0123456789abcdef".repeat(4096);
+    try (Stub origin = new Stub(peer -> {
+      for (String head = peer.head(); head != null; head = peer.head()) {
+        boolean write = head.startsWith("PUT ");
+        String answer = !write ? value : peer.bytes(value.length()).equals(value) ? "done" : "torn";
+        peer.say("HTTP/1.1 200 OK\r\nContent-Length: " + answer.length() + "\r\n\r\n" + answer);
+      }
+    }); ProxyFixture proxy = new ProxyFixture(Stub.nobody(), origin.address());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("origin");
+      client.say("ms 1 65536 Oa Pc=put,d=4000\r\n" + value + "\r\n");
+      assertEquals("HD Oa cdone", client.line());
+      assertEquals("VA 65536 Ob", client.ask("mg 1 v Ob Pc=read,d=4000\r\n"));
+      assertEquals(value, client.bytes(65536));
+    }
+  }
+
+  /** Guards against answers that are torn or mixed where a client reads slowly and a socket is full. */
+  @Test
+  void aSlowReaderGetsAllItsAnswersWholeAndInOrder() throws Exception {
+    String value = "0123456789abcdef".repeat(4096);
+    int count = 80;
+    try (Stub cache = new Stub(peer -> {
+      for (String line = peer.line(); line != null; line = peer.line()) {
+        peer.say("VA 65536 " + line.split(" ")[3] + "\r\n" + value + "\r\n");
+      }
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy.port, 4096)) {
+      proxy.sendTo("cache");
+      for (int i = 0; i < count; i++) {
+        client.say("mg " + i + " v O" + i + " Pc=read,d=9000\r\n");
+      }
+      for (int i = 0; i < 20; i++) {
+        proxy.ended(); // these answers are on their way while nobody reads
+      }
+      for (int i = 0; i < count; i++) {
+        assertEquals("VA 65536 O" + i, client.line());
+        assertEquals(value, client.bytes(65536));
+        client.line();
+      }
+    }
+  }
+
+  @Test
+  void countersAreToldOnRequest() throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      assertEquals("SERVER_ERROR busy", client.ask(READ));
+      client.say("stats\r\n");
+      StringBuilder stats = new StringBuilder();
+      for (String line = client.line(); !line.equals("END"); line = client.line()) {
+        stats.append(line).append('\n');
+      }
+      assertTrue(stats.toString().contains("STAT requests_taken 1\n"), stats.toString());
+      assertTrue(stats.toString().contains("STAT attempts_connect_failed 1\n"), stats.toString());
+      assertTrue(stats.toString().contains("STAT answered_refused 1\n"), stats.toString());
+    }
+  }
+
+  /** Guards against connections, or a place in memory, kept for a host that is gone or has been replaced. */
+  @Test
+  void aNewHostAtAnOldAddressInheritsNoConnection() throws Exception {
+    try (Stub cache = ScriptedCache.held(); Stub discovery = new Stub(peer -> {
+      peer.head();
+      peer.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      peer.stub().ends.take(); // the first request is out
+      String list = "{\"seq\":2,\"whole\":true,\"hosts\":["
+          + ProxyFixture.host("next", cache.address(), "m2") + "]}\n";
+      peer.say(Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+      peer.beSilent();
+    })) {
+      ProxyFixture.Module module = new ProxyFixture.Module();
+      module.script = event -> event instanceof RequestReceived e
+          ? List.of(new Send(e.id(), e.id() == 1 ? "cache" : "next", 0)) : List.of();
+      Proxy proxy = new Proxy(ProxyFixture.config(List.of(ProxyFixture.host("cache", cache.address(), "m2")),
+          1024, discovery.address()), settings -> module);
+      try {
+        proxy.start();
+        try (Client client = new Client(proxy.port())) {
+          module.next(ListReceived.class);
+          client.say(READ);
+          cache.nextLine();
+          discovery.ends.add(true);
+          assertEquals("next", module.next(ListReceived.class).endpoints().get(0).id());
+          cache.ends.add(true);
+          assertEquals("VA 0 O9b", client.line());
+          assertEquals("", client.line());
+          assertTrue(cache.ends.take(), "the connection to the host that is gone is closed");
+          cache.ends.add(true);
+          assertEquals("VA 0 O9b", client.ask(READ));
+          assertEquals(2, cache.connections());
+        }
+      } finally {
+        proxy.stop();
+      }
+    }
+  }
+}
