Requests before the first list: held until discovery was heard; a drain was broken at restarts

Discovery is back at 10.476 s and answers all calls that wait, at every proxy in that moment; the next call, its 0.2 s and its wait play no part. At 11.97 s 64 proxies are killed, at 13.98 s they start, at 14.19 s they listen, at 14.29 to 14.34 s their first list comes, at 14.40 to 14.48 s they are warm. Clients that kept the address ask as soon as it listens: 54 of the 64 decided requests before their first list, on the list of the configuration. What discovery had told meanwhile (13.54 s) counts from the first moment of a process, so its grace was over.

Change: a request that is read before discovery was heard waits for it, at most until a call has not been answered (0.2 s, as who answers at all does so at once) or half of its time is over (refused later it costs its client more).

--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -66,6 +66,7 @@
   private Call before; // at the address that was left, until the new one has brought something
   private final Set<Call> late = new LinkedHashSet<>(); // without an answer, beside those made after them
   private long wait = FIRST_BACKOFF_MS;
+  private Runnable afterCall = () -> { }; // told of each outcome of a call
 
   /** One watch, from its connection to its end. */
   private static final class Call {
@@ -127,6 +128,16 @@
         .filter(own -> own.connection == connection).findFirst().orElse(null);
   }
 
+  /** Runs a task with every sign of a call's outcome: a list, no change, no answer in time, or its end. */
+  public void afterEachCall(Runnable task) {
+    afterCall = task;
+  }
+
+  /** True while a call is out. */
+  public boolean isAsking() {
+    return call != null;
+  }
+
   /** Asks for the changes from the last version on; a watch that is open is given up. */
   public void follow() {
     drop(call);
@@ -240,6 +251,7 @@
     listen(own, silenceMs - answerMs, () -> end(own, "not answered"));
     counters.add(Counter.WATCHES_BROKEN);
     broken.run();
+    afterCall.run();
   }
 
   private void take(Call own, Buffer bytes) {
@@ -274,6 +286,7 @@
       counters.add(Counter.LISTS_RECEIVED);
       listed.accept(list);
     }
+    afterCall.run();
   }
 
   /**
@@ -299,6 +312,7 @@
     if (!replaced) {
       counters.add(Counter.WATCHES_BROKEN);
       broken.run();
+      afterCall.run();
     }
   }
 
--- a/src/main/java/beampoint/serve/Decisions.java
+++ b/src/main/java/beampoint/serve/Decisions.java
@@ -57,6 +57,7 @@
   private final Set<String> idsInUse = new HashSet<>(); // of these, as the clients word them
   private long lastId;
   private double endsBy = Double.POSITIVE_INFINITY;
+  private final FirstList firstList;
 
   Decisions(Balancer balancer, Settings settings, Directory directory, Counters counters, Clock clock,
       Loop loop, BooleanSupplier ready, Predicate<String> isOut) {
@@ -68,6 +69,7 @@
     this.loop = loop;
     this.ready = ready;
     this.isOut = isOut;
+    this.firstList = new FirstList(loop);
   }
 
   /** Takes what carries out the decisions; before the first event. */
@@ -131,17 +133,28 @@
     idsInUse.add(id(command));
     // Queued, as its place in the order of answers must stand before the module may answer.
     loop.execute(() -> {
-      if (!exchange.isWanted()) {
-        return; // the client has left: the module must not hear of its leaving first, and of it after that
-      }
       long id = exchange.id(); // the timer outlasts the exchange and must not keep it
       loop.after(notAfter + LATE_MS - clock.getAsDouble(), () -> failLate(id));
-      give(new RequestReceived(exchange.id(), Math.min(notAfter, endsBy), directory.tenant(command),
-          requestClass, Directory.key(command.key()), command.kind() == Command.Kind.WRITE, command.again()));
+      // By half of its time it is decided in any case: what is refused later than that costs its client more.
+      firstList.whenKnown((notAfter - clock.getAsDouble()) / 2, () -> begin(exchange, requestClass));
     });
     return exchange;
   }
 
+  private void begin(Exchange exchange, int requestClass) {
+    if (!exchange.isWanted()) {
+      return; // the client has left: the module must not hear of its leaving first, and of it after that
+    }
+    Command command = exchange.command();
+    give(new RequestReceived(exchange.id(), Math.min(exchange.notAfter(), endsBy), directory.tenant(command),
+        requestClass, Directory.key(command.key()), command.kind() == Command.Kind.WRITE, command.again()));
+  }
+
+  /** Discovery was heard, or can't be for now: requests wait for its first list no longer. */
+  void heardDiscovery() {
+    firstList.known();
+  }
+
   /** Guards against a request that the module forgot: whatever was taken is answered. */
   private void failLate(long id) {
     Exchange exchange = exchanges.get(id);
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -114,6 +114,7 @@
         config.known().version(), list -> listed(list, list.whole() ? ListKind.FULL : ListKind.CHANGES),
         this::watchBroken, Watch.HEARTBEAT_TIMEOUT_MS, Watch.ANSWER_TIMEOUT_MS);
     decisions.carryOutWith(upstreams, watch);
+    watch.afterEachCall(decisions::heardDiscovery);
     this.reload = new Reload(config, this.directory, decisions, upstreams, watch, counters, loop);
     this.fleet = config.fleet() == null ? null : new FleetNode(config.fleet(), name, config.seed(),
         MemberTerms.usual(), settings.siblings(), decisions::siblings, transport, loop, clock, counters);
@@ -193,6 +194,8 @@
     loop.execute(() -> {
       if (decisions.settings().listPushed()) {
         watch.follow();
+      } else if (!watch.isAsking()) {
+        decisions.heardDiscovery(); // nothing comes until the module asks for it
       }
     });
     return ops;
