--- /dev/null
+++ b/src/test/java/beampoint/policy/GoneRequestTest.java
@@ -0,0 +1,44 @@
+package beampoint.policy;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer;
+import beampoint.Balancer.Action;
+import beampoint.Balancer.RequestGone;
+import beampoint.Balancer.Result;
+import beampoint.Balancer.TimerFired;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Nothing more is sent for a request whose client has gone. */
+class GoneRequestTest {
+
+  @ParameterizedTest
+  @EnumSource(Result.class)
+  void neitherAFetchNorARepeatFollowsWhateverBecomesOfTheAttempt(Result result) {
+    Fixture f = new Fixture(Fixture.READ).withFleet(6);
+    long id = f.nextId();
+    String endpoint = Fixture.sentTo(f.read(5));
+    assertNotNull(endpoint);
+    f.balancer.handle(f.now, new RequestGone(id));
+    f.now += 20;
+    assertNull(Fixture.sentTo(f.end(id, 0, endpoint, 20, result)));
+  }
+
+  @Test
+  void aProbeThatWasAwaitedIsFollowedByNothing() {
+    Fixture f = new Fixture(true, Fixture.READ).withFleet(6);
+    long id = f.nextId();
+    List<Action> asked = f.read(5);
+    assertTrue(asked.get(0) instanceof Balancer.Probe);
+    String primary = ((Balancer.Probe) asked.get(0)).endpoint();
+    f.balancer.handle(f.now, new RequestGone(id));
+    f.now += 50;
+    assertNull(Fixture.sentTo(f.balancer.handle(f.now, new TimerFired(id))));
+    assertNull(Fixture.sentTo(f.balancer.handle(f.now, new Balancer.ProbeEnded(primary, Result.OK, 50))));
+  }
+}
