--- a/src/test/java/beampoint/cli/MainTest.java
+++ b/src/test/java/beampoint/cli/MainTest.java
@@ -70,6 +70,25 @@
     }
   }
 
+  /** Nine in ten restarted proxies are to be ready within 10 s, also while discovery is down. */
+  @Test
+  void aProcessIsReadyWithinSecondsThoughDiscoveryIsDown(@TempDir Path dir) throws Exception {
+    long begunAt = System.nanoTime();
+    Process process = serve(writeConfig(dir, Stub.nobody()));
+    try (BufferedReader log = process.inputReader()) {
+      boolean listens = false;
+      boolean warm = false;
+      while (!listens || !warm) {
+        String line = log.readLine();
+        listens |= line.contains("n0 listens on");
+        warm |= line.contains("n0 is warm");
+      }
+      assertTrue((System.nanoTime() - begunAt) / 1e9 < 10);
+    } finally {
+      process.destroyForcibly();
+    }
+  }
+
   /** Guards against a start that is spent on reading one word, or on code that is made to join texts. */
   @Test
   void theOneWordServeStartsWithoutTheCommandLinesModel(@TempDir Path dir) throws Exception {
