Member study: slopes of a member's cost over the fleet's size, with one command

The figures of membership were points for one size each, of the machine and the emulator together. The study prints for each size CPU (one member's events replayed alone, with its codec, all machines in the fleet, and with the emulator), bytes (datagrams, whole views, a member's worst second), heap of a table, and the time until a crash is known to all, with a line over N and over log2 N and its worst residual.

The emulator counts the bytes of whole views, which it left out before, keeps who lives in each view by what has changed rather than by comparing all views, and no longer makes a copy of each message that is read.

--- a/src/main/java/beampoint/emulator/MemberFleet.java
+++ b/src/main/java/beampoint/emulator/MemberFleet.java
@@ -8,16 +8,14 @@
 import beampoint.fleet.membership.MemberTerms;
 import beampoint.fleet.membership.Membership;
 import beampoint.fleet.message.Codec;
-import beampoint.fleet.message.FormException;
 import beampoint.fleet.message.Message;
 import beampoint.fleet.message.News;
 import beampoint.fleet.message.Status;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashSet;
+import java.util.BitSet;
 import java.util.List;
-import java.util.Objects;
-import java.util.Set;
+import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -31,11 +29,18 @@
   /** Who was declared dead, by whom, and when; {@code lived} tells that it was wrong. */
   public record Death(double at, int of, int by, boolean lived) {}
 
-  private final class Host {
+  /** What one member was told, and when. */
+  public record TimedEvent(double at, MemberEvent event) {}
+
+  private static final class Host {
     final int number;
     Membership membership; // null while it is down
+    long seed;
+    double startedAt;
     int life;
     boolean paused;
+    final BitSet living = new BitSet(); // in its view, kept by what it says has changed
+    List<TimedEvent> recorded; // null where nobody asked for it
     final List<Runnable> waiting = new ArrayList<>(); // for the end of its pause
 
     Host(int number) {
@@ -47,16 +52,18 @@
   private final MemberTerms terms;
   private final UniformRandomProvider random;
   private final UniformRandomProvider seeds;
-  private final Codec codec = new Codec("emulated");
   private final List<Host> hosts = new ArrayList<>();
-  private final List<News> known = new ArrayList<>();
+  private final List<News> known;
   private final double[][] losses;
   private final List<Death> deaths = new ArrayList<>();
   private double delay = 0.5;
   private double jitter = 2;
   private double repeats;
   private long messages;
-  private long bytes;
+  private final MemberTraffic traffic;
+  private final MemberWire wire = new MemberWire(new Codec("emulated"));
+  private LongSupplier nanoClock = () -> 0;
+  private long machineNanos;
 
   /** So many members that all know each other's addresses. */
   public MemberFleet(int members, MemberTerms terms, long seed) {
@@ -64,15 +71,23 @@
     this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
     this.seeds = RandomSource.SPLIT_MIX_64.create(seed);
     this.losses = new double[members][members];
-    for (int i = 0; i < members; i++) {
-      known.add(new News(name(i), "10.0.0." + i + ":7946", Status.ALIVE, 0, false, name(i)));
-    }
+    this.traffic = new MemberTraffic(members);
+    this.known = known(members);
     for (int i = 0; i < members; i++) {
       hosts.add(new Host(i));
       start(i);
     }
   }
 
+  /** So many members, as each knows the others before it has heard of them. */
+  public static List<News> known(int members) {
+    List<News> known = new ArrayList<>();
+    for (int i = 0; i < members; i++) {
+      known.add(new News(name(i), "10.0.0." + i + ":7946", Status.ALIVE, 0, false, name(i)));
+    }
+    return known;
+  }
+
   private static String name(int number) {
     return String.format("n%04d", number);
   }
@@ -96,12 +111,37 @@
     host.life++;
     host.paused = false;
     host.waiting.clear();
-    host.membership = new Membership(terms, name(member), known.get(member).address(), known,
-        RandomSource.XO_SHI_RO_256_PP.create(seeds.nextLong()), clock.now());
+    host.seed = seeds.nextLong();
+    host.startedAt = clock.now();
+    host.membership = asAtItsStart(member);
+    host.living.set(0, known.size());
     int life = host.life;
     clock.after(random.nextDouble() * terms.step(), () -> tick(host, life));
   }
 
+  /** A machine as the member's present one was at its start: the same events give the same actions. */
+  public Membership asAtItsStart(int member) {
+    Host host = hosts.get(member);
+    return new Membership(terms, name(member), known.get(member).address(), known,
+        RandomSource.XO_SHI_RO_256_PP.create(host.seed), host.startedAt);
+  }
+
+  /** The events of a member from now on, in a list that grows with them. */
+  public List<TimedEvent> record(int member) {
+    hosts.get(member).recorded = new ArrayList<>();
+    return hosts.get(member).recorded;
+  }
+
+  /** Measures the state machines' own time, apart from the emulator's, by a clock of the caller's. */
+  public void measureBy(LongSupplier nanoseconds) {
+    nanoClock = nanoseconds;
+  }
+
+  /** What the state machines have taken so far. */
+  public long machineNanos() {
+    return machineNanos;
+  }
+
   public void kill(int member) {
     hosts.get(member).membership = null;
     hosts.get(member).life++;
@@ -156,15 +196,7 @@
 
   /** True where all that run see the same members live. */
   public boolean isOfOneView() {
-    return hosts.stream().map(h -> h.membership).filter(Objects::nonNull).map(MemberFleet::living).distinct()
-        .count() <= 1;
-  }
-
-  private static Set<String> living(Membership membership) {
-    Set<String> names = new HashSet<>();
-    membership.view().stream().filter(n -> n.status() == Status.ALIVE || n.status() == Status.SUSPECT)
-        .forEach(n -> names.add(n.member()));
-    return names;
+    return hosts.stream().filter(h -> h.membership != null).map(h -> h.living).distinct().count() <= 1;
   }
 
   public List<Death> deaths() {
@@ -175,9 +207,14 @@
     return messages;
   }
 
-  /** Of all messages together. */
+  /** Of all datagrams together. */
   public long bytes() {
-    return bytes;
+    return traffic.datagramBytes();
+  }
+
+  /** What they sent, whole views included. */
+  public MemberTraffic traffic() {
+    return traffic;
   }
 
   private void tick(Host host, int life) {
@@ -201,9 +238,16 @@
   }
 
   private void give(Host host, MemberEvent event) {
-    if (host.membership != null) {
-      host.membership.handle(clock.now(), event).forEach(action -> carryOut(host, action));
+    if (host.membership == null) {
+      return;
     }
+    if (host.recorded != null) {
+      host.recorded.add(new TimedEvent(clock.now(), event));
+    }
+    long begin = nanoClock.getAsLong();
+    List<MemberAction> actions = host.membership.handle(clock.now(), event);
+    machineNanos += nanoClock.getAsLong() - begin;
+    actions.forEach(action -> carryOut(host, action));
   }
 
   private void carryOut(Host host, MemberAction action) {
@@ -211,33 +255,34 @@
       send(host, hosts.get(number(a.to().member())), a.message());
     } else if (action instanceof Exchange a) {
       exchange(host, hosts.get(number(a.with().member())));
-    } else if (action instanceof Changed a && a.now().status() == Status.DEAD) {
-      int of = number(a.now().member());
-      deaths.add(new Death(clock.now(), of, host.number, hosts.get(of).membership != null));
+    } else if (action instanceof Changed a) {
+      changed(host, number(a.now().member()), a.now().status());
+    }
+  }
+
+  private void changed(Host by, int of, Status status) {
+    by.living.set(of, status == Status.ALIVE || status == Status.SUSPECT);
+    if (status == Status.DEAD) {
+      deaths.add(new Death(clock.now(), of, by.number, hosts.get(of).membership != null));
     }
   }
 
   private void send(Host from, Host to, Message message) {
-    byte[] sent = codec.write(message);
+    MemberWire.Datagram sent = wire.datagram(message);
     messages++;
-    bytes += sent.length;
+    traffic.datagram(from.number, clock.now(), sent.bytes());
     if (random.nextDouble() < losses[from.number][to.number]) {
       return;
     }
-    deliver(to, sent);
+    deliver(to, sent.arrives());
     if (random.nextDouble() < repeats) {
-      deliver(to, sent);
+      deliver(to, sent.arrives());
     }
   }
 
-  private void deliver(Host to, byte[] sent) {
-    clock.after(delay + jitter * random.nextDouble(), () -> whenAwake(to, () -> {
-      try {
-        give(to, new MemberEvent.Received(codec.read(sent, sent.length)));
-      } catch (FormException e) {
-        throw new IllegalStateException(e);
-      }
-    }));
+  private void deliver(Host to, Message message) {
+    clock.after(delay + jitter * random.nextDouble(),
+        () -> whenAwake(to, () -> give(to, new MemberEvent.Received(message))));
   }
 
   /** A connection: it stands where both directions do, and loses nothing. */
@@ -246,14 +291,20 @@
     if (!stands || other.membership == null || other.paused) {
       return;
     }
-    List<News> asked = one.membership.view();
+    List<News> asked = view(one);
     clock.after(3 * (delay + jitter), () -> {
       if (other.membership != null) {
-        List<News> answer = other.membership.view();
+        List<News> answer = view(other);
         give(other, new MemberEvent.ViewReceived(asked));
         clock.after(delay + jitter,
             () -> whenAwake(one, () -> give(one, new MemberEvent.ViewReceived(answer))));
       }
     });
   }
+
+  private List<News> view(Host of) {
+    List<News> view = of.membership.view();
+    traffic.view(of.number, clock.now(), wire.bytesOfView(view));
+    return view;
+  }
 }
--- /dev/null
+++ b/src/test/java/beampoint/emulator/MemberScaleStudy.java
@@ -0,0 +1,250 @@
+package beampoint.emulator;
+
+import beampoint.emulator.MemberFleet.Death;
+import beampoint.emulator.MemberFleet.TimedEvent;
+import beampoint.fleet.membership.MemberAction;
+import beampoint.fleet.membership.MemberEvent;
+import beampoint.fleet.membership.MemberTerms;
+import beampoint.fleet.membership.Membership;
+import beampoint.fleet.message.Codec;
+import beampoint.fleet.message.FormException;
+import beampoint.fleet.message.Message;
+import beampoint.fleet.message.News;
+import beampoint.fleet.message.Status;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+
+/**
+ * How the cost of a member grows with the fleet, in virtual time; figures of docs/fleet/membership.md:
+ * {@code mvn -q -B test -Dtest=MemberScaleStudy -DargLine="-Xmx4g -Dstudy.sizes=100,400,1000,2300"}. It takes
+ * minutes, and is no part of the build's tests.
+ */
+class MemberScaleStudy {
+
+  private static final int[] SIZES = Arrays.stream(System.getProperty("study.sizes", "100,400,1000,2300")
+      .split(",")).mapToInt(Integer::parseInt).toArray();
+  private static final int SEED = Integer.getInteger("study.seed", 1);
+  private static final MemberTerms TERMS = MemberTerms.usual();
+  private static final double LOSS = 0.01;
+  private static final double MEASURED_FROM = 10_000; // ms
+  private static final double MEASURED_TO = 40_000; // so that each member's exchange is in it once
+  private static final int CRASHES = 2;
+  private static final double AFTER_CRASH = 7_000; // ms
+  private static final int REPLAYS = 40; // of which the first half warms up
+  private static final int HEAP_COPIES = 10;
+  private static final int NEWS_OF_A_PART = 1_000; // of a view, for a codec that reads no more at once
+  private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
+  private final Codec codec = new Codec("emulated");
+
+  /** One row of figures for each size, by their names. */
+  private final Map<String, double[]> figures = new LinkedHashMap<>();
+
+  @Test
+  void slopes() throws FormException {
+    for (int i = 0; i < SIZES.length; i++) {
+      measureFleet(i, SIZES[i]);
+      put("heap bytes a member's table", i, heapOfOne(SIZES[i]));
+      put("whole view, bytes", i, codec.writeView(MemberFleet.known(SIZES[i])).length);
+      System.out.println("done: " + SIZES[i] + " members, seed " + SEED);
+    }
+    print();
+  }
+
+  private void put(String name, int index, double value) {
+    figures.computeIfAbsent(name, n -> new double[SIZES.length])[index] = value;
+  }
+
+  private void measureFleet(int index, int members) throws FormException {
+    MemberFleet fleet = new MemberFleet(members, TERMS, SEED);
+    fleet.measureBy(System::nanoTime);
+    fleet.loseEverywhere(LOSS);
+    List<TimedEvent> recorded = fleet.record(0);
+    fleet.runTo(MEASURED_FROM);
+    fleet.traffic().forgetWorst();
+    long datagrams = fleet.traffic().datagramBytes();
+    long views = fleet.traffic().viewBytes();
+    long messages = fleet.messages();
+    long machine = fleet.machineNanos();
+    long wall = System.nanoTime();
+    long cpu = THREADS.getCurrentThreadCpuTime();
+    fleet.runTo(MEASURED_TO);
+    cpu = THREADS.getCurrentThreadCpuTime() - cpu;
+    wall = System.nanoTime() - wall;
+    double machineShare = (fleet.machineNanos() - machine) / (double) wall;
+    double memberSeconds = members * (MEASURED_TO - MEASURED_FROM) / 1_000;
+    replay(index, fleet, List.copyOf(recorded));
+    put("CPU ms a member a second, machine in the fleet", index, cpu * machineShare / 1e6 / memberSeconds);
+    put("CPU ms a member a second, with emulator", index, cpu / 1e6 / memberSeconds);
+    put("messages a member a second", index, (fleet.messages() - messages) / memberSeconds);
+    double datagramBytes = (fleet.traffic().datagramBytes() - datagrams) / memberSeconds;
+    double viewBytes = (fleet.traffic().viewBytes() - views) / memberSeconds;
+    put("bytes a member a second, datagrams", index, datagramBytes);
+    put("bytes a member a second, whole views", index, viewBytes);
+    put("bytes a member a second, all", index, datagramBytes + viewBytes);
+    put("bytes in a member's worst second", index, fleet.traffic().worstSecond());
+    put("crash known to all, ms, worst of " + CRASHES, index, crashes(fleet, members));
+    long wrong = fleet.deaths().stream().filter(Death::lived).count();
+    put("false positives", index, wrong);
+  }
+
+  private static double crashes(MemberFleet fleet, int members) {
+    double worst = 0;
+    for (int i = 0; i < CRASHES; i++) {
+      int victim = 1 + i * members / 3;
+      int others = members - 1 - i;
+      double at = fleet.now();
+      fleet.kill(victim);
+      fleet.runTo(at + AFTER_CRASH);
+      List<Death> known = fleet.deaths().stream().filter(d -> d.of() == victim).toList();
+      long knowing = known.stream().map(Death::by).distinct().count();
+      double last = known.stream().mapToDouble(Death::at).max().orElse(0) - at;
+      worst = Math.max(worst, knowing < others ? Double.POSITIVE_INFINITY : last);
+    }
+    return worst;
+  }
+
+  /** Plays one member's events again, alone, as a process of its own would meet them. */
+  private void replay(int index, MemberFleet fleet, List<TimedEvent> recorded) throws FormException {
+    List<List<byte[]>> written = new ArrayList<>();
+    for (TimedEvent event : recorded) {
+      written.add(write(event.event()));
+    }
+    double seconds = (MEASURED_TO - MEASURED_FROM) / 1_000;
+    double[] alone = new double[REPLAYS];
+    double[] withCodec = new double[REPLAYS];
+    double[] ofViews = new double[REPLAYS];
+    for (int i = 0; i < REPLAYS; i++) {
+      alone[i] = replay(fleet.asAtItsStart(0), recorded, null, ofViews, i) / 1e6 / seconds;
+      ofViews[i] /= 1e6 * seconds;
+      withCodec[i] = replay(fleet.asAtItsStart(0), recorded, written, new double[REPLAYS], i) / 1e6 / seconds;
+    }
+    put("CPU ms a member a second, machine alone", index, median(alone));
+    put("CPU ms a member a second, of that views", index, median(ofViews));
+    put("CPU ms a member a second, machine and codec", index, median(withCodec));
+  }
+
+  private double replay(Membership membership, List<TimedEvent> recorded, List<List<byte[]>> written,
+      double[] ofViews, int run) throws FormException {
+    int next = 0;
+    while (next < recorded.size() && recorded.get(next).at() < MEASURED_FROM) {
+      membership.handle(recorded.get(next).at(), recorded.get(next).event());
+      next++;
+    }
+    double views = 0;
+    long begin = THREADS.getCurrentThreadCpuTime();
+    for (; next < recorded.size(); next++) {
+      TimedEvent event = recorded.get(next);
+      boolean isView = event.event() instanceof MemberEvent.ViewReceived;
+      long at = isView ? System.nanoTime() : 0;
+      MemberEvent came = written == null ? event.event() : read(event.event(), written.get(next));
+      List<MemberAction> actions = membership.handle(event.at(), came);
+      if (written != null) {
+        for (MemberAction action : actions) {
+          write(action, membership);
+        }
+      }
+      views += isView ? System.nanoTime() - at : 0;
+    }
+    double taken = THREADS.getCurrentThreadCpuTime() - begin;
+    ofViews[run] = views;
+    return taken;
+  }
+
+  private void write(MemberAction action, Membership membership) {
+    if (action instanceof MemberAction.Send send) {
+      codec.write(send.message());
+    } else if (action instanceof MemberAction.Exchange) {
+      codec.writeView(membership.view());
+    }
+  }
+
+  private List<byte[]> write(MemberEvent event) {
+    List<byte[]> written = new ArrayList<>();
+    if (event instanceof MemberEvent.Received e) {
+      written.add(codec.write(e.message()));
+    } else if (event instanceof MemberEvent.ViewReceived e) {
+      for (int i = 0; i < e.view().size(); i += NEWS_OF_A_PART) {
+        written.add(codec.writeView(e.view().subList(i, Math.min(e.view().size(), i + NEWS_OF_A_PART))));
+      }
+    }
+    return written;
+  }
+
+  private MemberEvent read(MemberEvent event, List<byte[]> written) throws FormException {
+    if (event instanceof MemberEvent.Received) {
+      Message message = codec.read(written.get(0), written.get(0).length);
+      return new MemberEvent.Received(message);
+    }
+    if (event instanceof MemberEvent.ViewReceived) {
+      List<News> view = new ArrayList<>();
+      for (byte[] part : written) {
+        view.addAll(codec.readView(part));
+      }
+      return new MemberEvent.ViewReceived(view);
+    }
+    return event;
+  }
+
+  /** What a member holds that has read a whole view, each entry with texts of its own. */
+  private double heapOfOne(int members) throws FormException {
+    List<News> known = MemberFleet.known(members);
+    Membership[] copies = new Membership[HEAP_COPIES];
+    long before = heap();
+    for (int i = 0; i < HEAP_COPIES; i++) {
+      List<News> read = ((MemberEvent.ViewReceived) read(new MemberEvent.ViewReceived(known),
+          write(new MemberEvent.ViewReceived(known)))).view();
+      copies[i] = new Membership(TERMS, "n0000", "10.0.0.0:7946", List.of(),
+          RandomSource.XO_SHI_RO_256_PP.create(i), 0);
+      copies[i].handle(0, new MemberEvent.ViewReceived(read));
+      for (double time = TERMS.step(); time < 400 * TERMS.step(); time += TERMS.step()) {
+        copies[i].handle(time, new MemberEvent.Tick()); // until all rumours have been told
+        copies[i].handle(time, new MemberEvent.Received(
+            new Message(Message.Kind.GOSSIP, 0, read.get(1), "", List.of())));
+      }
+    }
+    double used = heap() - before;
+    long living = Arrays.stream(copies).mapToLong(m -> m.view().stream()
+        .filter(n -> n.status() == Status.ALIVE || n.status() == Status.SUSPECT).count()).sum();
+    System.out.println("heap of " + living + " entries that live: " + (long) used);
+    return used / HEAP_COPIES;
+  }
+
+  private static long heap() {
+    for (int i = 0; i < 4; i++) {
+      System.gc();
+    }
+    return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+  }
+
+  /** Of the second half, in which all is compiled. */
+  private static double median(double[] values) {
+    double[] last = Arrays.copyOfRange(values, values.length / 2, values.length);
+    Arrays.sort(last);
+    return last[last.length / 2];
+  }
+
+  private void print() {
+    double[] x = Arrays.stream(SIZES).asDoubleStream().toArray();
+    double[] logarithms = Arrays.stream(x).map(n -> Math.log(n) / Math.log(2)).toArray();
+    figures.forEach((name, values) -> {
+      StringBuilder row = new StringBuilder(String.format("%-46s", name));
+      for (double value : values) {
+        row.append(String.format(" %12.4g", value));
+      }
+      LeastSquares line = LeastSquares.fit(x, values);
+      LeastSquares logarithmic = LeastSquares.fit(logarithms, values);
+      row.append(String.format(" | %.4g + %.4g N, worst residual %.3g | %.4g + %.4g log2 N, worst residual %.3g",
+          line.atZero(), line.slope(), line.worstResidual(), logarithmic.atZero(), logarithmic.slope(),
+          logarithmic.worstResidual()));
+      System.out.println(row);
+    });
+  }
+}
--- a/src/test/java/beampoint/fleet/membership/RecordedDecisionsTest.java
+++ b/src/test/java/beampoint/fleet/membership/RecordedDecisionsTest.java
@@ -19,7 +19,7 @@
 /**
  * The decisions of the state machine, event for event, against those that were recorded before it was made
  * cheaper: a change of its data structures may change none of them. The lines of this run are written to
- * {@code target/member-decisions.txt}; a change that is meant to change decisions replaces the resource by it.
+ * {@code target/member-decisions.txt}; who means to change decisions replaces the resource by that file.
  */
 class RecordedDecisionsTest {
 
@@ -35,7 +35,7 @@
     return new RecordedFleet(members, terms, RecordedFleet.knownMembers(members), seed);
   }
 
-  /** Loss, bursts, pauses, one-sided cuts, crashes, orderly ends and restarts, drawn from the fleet's seed. */
+  /** Loss, bursts, pauses, one-sided cuts, crashes, orderly ends and restarts, drawn by the fleet's seed. */
   private static String troubles(RecordedFleet fleet, int rounds) {
     int size = fleet.size();
     fleet.loss(0.02);
@@ -114,7 +114,8 @@
     }
     runs.put("troubles-40", () -> troubles(fleet(40, USUAL, 5), 12));
     runs.put("troubles-100", () -> troubles(fleet(100, USUAL, 6), 5));
-    runs.put("seeds-only-60", () -> troubles(new RecordedFleet(60, USUAL, RecordedFleet.knownMembers(3), 7), 5));
+    runs.put("seeds-only-60", () -> troubles(
+        new RecordedFleet(60, USUAL, RecordedFleet.knownMembers(3), 7), 5));
     runs.put("too-many-50", () -> troubles(
         new RecordedFleet(50, withRoomFor(30), RecordedFleet.knownMembers(5), 8), 5));
     runs.put("odd-start-20", () -> troubles(new RecordedFleet(20, USUAL, oddStart(), 9), 6));
--- a/src/test/java/beampoint/fleet/membership/RecordedFleet.java
+++ b/src/test/java/beampoint/fleet/membership/RecordedFleet.java
@@ -18,9 +18,9 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
- * Membership state machines on a network in virtual time, with a digest over the text of every action of every
- * event. It depends on nothing but the state machine, so that a digest stays the same as long as the decisions
- * do, whatever becomes of the emulator.
+ * Membership state machines on a network in virtual time, with a digest over the text of every action of
+ * every event. It depends on nothing but the state machine, so that a digest stays the same as long as the
+ * decisions do, whatever becomes of the emulator.
  */
 final class RecordedFleet {
 
@@ -235,8 +235,9 @@
   }
 
   private void write(News news) {
-    text.append(news.member()).append('|').append(news.address()).append('|').append(news.status()).append('|')
-        .append(news.incarnation()).append('|').append(news.deaf()).append('|').append(news.by()).append(' ');
+    text.append(news.member()).append('|').append(news.address()).append('|').append(news.status())
+        .append('|').append(news.incarnation()).append('|').append(news.deaf()).append('|').append(news.by())
+        .append(' ');
   }
 
   private void carryOut(Host host, MemberAction action) {
