--- a/src/test/java/beampoint/fleet/membership/RecordedDecisionsTest.java
+++ b/src/test/java/beampoint/fleet/membership/RecordedDecisionsTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -131,11 +132,11 @@
 
   @Test
   void everyDecisionIsAsRecorded() throws IOException {
-    StringBuilder lines = new StringBuilder();
-    runs().forEach((name, run) -> lines.append(name).append(' ').append(run.get()).append('\n'));
+    String lines = List.copyOf(runs().entrySet()).parallelStream()
+        .map(run -> run.getKey() + ' ' + run.getValue().get() + '\n').collect(Collectors.joining());
     Files.writeString(Path.of("target", "member-decisions.txt"), lines);
     try (InputStream recorded = getClass().getResourceAsStream("member-decisions.txt")) {
-      assertEquals(new String(recorded.readAllBytes(), StandardCharsets.UTF_8), lines.toString());
+      assertEquals(new String(recorded.readAllBytes(), StandardCharsets.UTF_8), lines);
     }
   }
 }
