Member study: a settled fleet apart from one that starts at once; room for 4,096 members

The study now measures a fleet that has settled, and the start of all on lines of its own; and bytes and time of a whole view, as at a join.

The table holds 4,096 members, 1,024 before: sized for 2,300, with room for restarts under new names.

--- a/src/main/java/beampoint/emulator/MemberFleet.java
+++ b/src/main/java/beampoint/emulator/MemberFleet.java
@@ -48,6 +48,8 @@
     }
   }
 
+  private static final long FIRST_INCARNATION = 1; // with which a member begins
+
   private final Clock clock = new Clock(0);
   private final MemberTerms terms;
   private final UniformRandomProvider random;
@@ -65,25 +67,35 @@
   private LongSupplier nanoClock = () -> 0;
   private long machineNanos;
 
-  /** So many members that all know each other's addresses. */
+  /** So many members that all know each other's addresses, and have heard of none yet. */
   public MemberFleet(int members, MemberTerms terms, long seed) {
+    this(terms, seed, known(members, 0));
+  }
+
+  /** The same long after they were started: none is news to another. */
+  public static MemberFleet settled(int members, MemberTerms terms, long seed) {
+    return new MemberFleet(terms, seed, known(members, FIRST_INCARNATION));
+  }
+
+  private MemberFleet(MemberTerms terms, long seed, List<News> known) {
+    int members = known.size();
     this.terms = terms;
     this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
     this.seeds = RandomSource.SPLIT_MIX_64.create(seed);
     this.losses = new double[members][members];
     this.traffic = new MemberTraffic(members);
-    this.known = known(members);
+    this.known = known;
     for (int i = 0; i < members; i++) {
       hosts.add(new Host(i));
       start(i);
     }
   }
 
-  /** So many members, as each knows the others before it has heard of them. */
-  public static List<News> known(int members) {
+  /** So many members, as each knows the others; under incarnation 0 before it has heard of them. */
+  public static List<News> known(int members, long incarnation) {
     List<News> known = new ArrayList<>();
     for (int i = 0; i < members; i++) {
-      known.add(new News(name(i), "10.0.0." + i + ":7946", Status.ALIVE, 0, false, name(i)));
+      known.add(new News(name(i), "10.0.0." + i + ":7946", Status.ALIVE, incarnation, false, name(i)));
     }
     return known;
   }
--- a/src/main/java/beampoint/fleet/membership/MemberTerms.java
+++ b/src/main/java/beampoint/fleet/membership/MemberTerms.java
@@ -10,7 +10,7 @@
  * @param stillAfter a pause between two of its own events after which it stood still
  * @param deafAfter how long it may hear nobody before it holds itself for deaf
  * @param failuresOfDoubt probes in a row without one answer after which it doubts itself
- * @param mostMembers that it keeps in mind
+ * @param mostMembers that it keeps in its table, those that are gone included
  */
 public record MemberTerms(double step, double probeEvery, double answerWithin, double suspectFor,
     double stillAfter, double deafAfter, int failuresOfDoubt, int mostMembers) {
@@ -21,8 +21,11 @@
     return new MemberTerms(step, probeEvery, answerWithin, 0, never, never, Integer.MAX_VALUE, mostMembers);
   }
 
+  /** Sized for a fleet of 2,300, with room for members that came back under new names. */
+  private static final int MOST_MEMBERS = 4_096;
+
   /** A pause of 3 s is outlived, a crash known within 5 s. */
   public static MemberTerms usual() {
-    return new MemberTerms(100, 400, 150, 3_400, 500, 1_200, 8, 1_024);
+    return new MemberTerms(100, 400, 150, 3_400, 500, 1_200, 8, MOST_MEMBERS);
   }
 }
--- a/src/main/java/beampoint/fleet/membership/Membership.java
+++ b/src/main/java/beampoint/fleet/membership/Membership.java
@@ -19,8 +19,8 @@
  * confirmed run out sooner, who is suspected is told so with the next probe, and a member that has reason to
  * doubt itself accuses nobody. A state machine: a time and an event in, actions out.
  *
- * <p>An event costs O(log N) in a fleet of N. Whole views cost O(N), and a member that comes or goes moves the
- * references of an index; a pause or the end of a doubt restarts all suspicions there are.
+ * <p>An event costs O(log N) in a fleet of N. Whole views cost O(N), and a member that comes or goes moves
+ * the references of an index; a pause or the end of a doubt restarts all suspicions there are.
  */
 public final class Membership {
 
--- a/src/main/java/beampoint/fleet/membership/Prober.java
+++ b/src/main/java/beampoint/fleet/membership/Prober.java
@@ -8,8 +8,8 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
- * Probing (SWIM, section 3.1): asks members for a sign of life, has others ask one that gave no direct answer,
- * and accuses one that nobody reached.
+ * Probing (SWIM, section 3.1): asks members for a sign of life, has others ask one that gave no direct
+ * answer, and accuses one that nobody reached.
  */
 final class Prober {
 
--- a/src/main/java/beampoint/fleet/membership/SortedPeers.java
+++ b/src/main/java/beampoint/fleet/membership/SortedPeers.java
@@ -7,8 +7,8 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
- * Peers in the order of their names, by index. Finding and drawing cost O(log N); adding and removing move the
- * references behind, which are some kilobytes for thousands of members.
+ * Peers in the order of their names, by index. Finding and drawing cost O(log N); adding and removing move
+ * the references behind, which are some kilobytes for thousands of members.
  */
 final class SortedPeers {
 
--- a/src/test/java/beampoint/emulator/MemberScaleStudy.java
+++ b/src/test/java/beampoint/emulator/MemberScaleStudy.java
@@ -31,13 +31,15 @@
   private static final int[] SIZES = Arrays.stream(System.getProperty("study.sizes", "100,400,1000,2300")
       .split(",")).mapToInt(Integer::parseInt).toArray();
   private static final int SEED = Integer.getInteger("study.seed", 1);
+  private static final int MOST_AT_START = Integer.getInteger("study.most.at.start", Integer.MAX_VALUE);
+  private static final int WARM_UP_SIZE = 100;
   private static final MemberTerms TERMS = MemberTerms.usual();
   private static final double LOSS = 0.01;
   private static final double MEASURED_FROM = 10_000; // ms
   private static final double MEASURED_TO = 40_000; // so that each member's exchange is in it once
   private static final int CRASHES = 2;
   private static final double AFTER_CRASH = 7_000; // ms
-  private static final int REPLAYS = 40; // of which the first half warms up
+  private static final int REPLAYS = 200; // of which the first half warms up
   private static final int HEAP_COPIES = 10;
   private static final int NEWS_OF_A_PART = 1_000; // of a view, for a codec that reads no more at once
   private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
@@ -49,21 +51,34 @@
 
   @Test
   void slopes() throws FormException {
+    measureFleet(0, WARM_UP_SIZE);
+    figures.clear();
     for (int i = 0; i < SIZES.length; i++) {
       measureFleet(i, SIZES[i]);
-      put("heap bytes a member's table", i, heapOfOne(SIZES[i]));
-      put("whole view, bytes", i, codec.writeView(MemberFleet.known(SIZES[i])).length);
+      if (SIZES[i] <= MOST_AT_START) {
+        massStart(i, SIZES[i]);
+      }
+      List<News> known = MemberFleet.known(SIZES[i], 1);
+      put("heap bytes a member's table", i, heapOfOne(known));
+      wholeView(i, known);
       System.out.println("done: " + SIZES[i] + " members, seed " + SEED);
     }
     print();
   }
 
   private void put(String name, int index, double value) {
-    figures.computeIfAbsent(name, n -> new double[SIZES.length])[index] = value;
+    figures.computeIfAbsent(name, n -> nothing())[index] = value;
+  }
+
+  private static double[] nothing() {
+    double[] values = new double[SIZES.length];
+    Arrays.fill(values, Double.NaN);
+    return values;
   }
 
+  /** A fleet that has run for long, and then crashes of single members. */
   private void measureFleet(int index, int members) throws FormException {
-    MemberFleet fleet = new MemberFleet(members, TERMS, SEED);
+    MemberFleet fleet = MemberFleet.settled(members, TERMS, SEED);
     fleet.measureBy(System::nanoTime);
     fleet.loseEverywhere(LOSS);
     List<TimedEvent> recorded = fleet.record(0);
@@ -91,8 +106,43 @@
     put("bytes a member a second, all", index, datagramBytes + viewBytes);
     put("bytes in a member's worst second", index, fleet.traffic().worstSecond());
     put("crash known to all, ms, worst of " + CRASHES, index, crashes(fleet, members));
-    long wrong = fleet.deaths().stream().filter(Death::lived).count();
-    put("false positives", index, wrong);
+    long falsePositives = fleet.deaths().stream().filter(Death::lived).count();
+    put("false positives", index, falsePositives);
+  }
+
+  /** All members start at once, and each is news to all others. */
+  private void massStart(int index, int members) {
+    MemberFleet fleet = new MemberFleet(members, TERMS, SEED);
+    fleet.loseEverywhere(LOSS);
+    fleet.runTo(MEASURED_FROM);
+    long datagrams = fleet.traffic().datagramBytes();
+    long cpu = THREADS.getCurrentThreadCpuTime();
+    fleet.runTo(2 * MEASURED_FROM);
+    double memberSeconds = members * MEASURED_FROM / 1_000;
+    put("all start at once: CPU ms, with emulator", index,
+        (THREADS.getCurrentThreadCpuTime() - cpu) / 1e6 / memberSeconds);
+    put("all start at once: datagram bytes a second", index,
+        (fleet.traffic().datagramBytes() - datagrams) / memberSeconds);
+    put("all start at once: bytes in worst second", index, fleet.traffic().worstSecond());
+  }
+
+  /** What a member that joins exchanges: the view's length, and the time to write, read and merge it. */
+  private void wholeView(int index, List<News> known) throws FormException {
+    double[] written = new double[REPLAYS];
+    double[] readAndMerged = new double[REPLAYS];
+    for (int i = 0; i < REPLAYS; i++) {
+      long begin = THREADS.getCurrentThreadCpuTime();
+      List<byte[]> parts = write(new MemberEvent.ViewReceived(known));
+      long middle = THREADS.getCurrentThreadCpuTime();
+      Membership joining = new Membership(TERMS, known.get(0).member(), known.get(0).address(), List.of(),
+          RandomSource.XO_SHI_RO_256_PP.create(i), 0);
+      joining.handle(0, read(new MemberEvent.ViewReceived(known), parts));
+      written[i] = (middle - begin) / 1e6;
+      readAndMerged[i] = (THREADS.getCurrentThreadCpuTime() - middle) / 1e6;
+    }
+    put("whole view, bytes", index, codec.writeView(known).length);
+    put("whole view, CPU ms to write", index, median(written));
+    put("whole view, CPU ms to read and join by", index, median(readAndMerged));
   }
 
   private static double crashes(MemberFleet fleet, int members) {
@@ -194,8 +244,7 @@
   }
 
   /** What a member holds that has read a whole view, each entry with texts of its own. */
-  private double heapOfOne(int members) throws FormException {
-    List<News> known = MemberFleet.known(members);
+  private double heapOfOne(List<News> known) throws FormException {
     Membership[] copies = new Membership[HEAP_COPIES];
     long before = heap();
     for (int i = 0; i < HEAP_COPIES; i++) {
@@ -235,16 +284,17 @@
     double[] x = Arrays.stream(SIZES).asDoubleStream().toArray();
     double[] logarithms = Arrays.stream(x).map(n -> Math.log(n) / Math.log(2)).toArray();
     figures.forEach((name, values) -> {
-      StringBuilder row = new StringBuilder(String.format("%-46s", name));
+      StringBuilder row = new StringBuilder(String.format("%-48s", name));
       for (double value : values) {
         row.append(String.format(" %12.4g", value));
       }
-      LeastSquares line = LeastSquares.fit(x, values);
-      LeastSquares logarithmic = LeastSquares.fit(logarithms, values);
-      row.append(String.format(" | %.4g + %.4g N, worst residual %.3g | %.4g + %.4g log2 N, worst residual %.3g",
-          line.atZero(), line.slope(), line.worstResidual(), logarithmic.atZero(), logarithmic.slope(),
-          logarithmic.worstResidual()));
-      System.out.println(row);
+      System.out.println(row + " | " + text(LeastSquares.fit(x, values), "N") + " | "
+          + text(LeastSquares.fit(logarithms, values), "log2 N"));
     });
   }
+
+  private static String text(LeastSquares line, String unit) {
+    return String.format("%.4g + %.4g %s, worst residual %.2g", line.atZero(), line.slope(), unit,
+        line.worstResidual());
+  }
 }
