Member study: several members' events replayed, and the part without whole views

One member's events gave 3.6 times the CPU at 2,300 members of that at 100, as chance decides how many whole views one member meets in 30 s. Eight members spread over the fleet are replayed now, and the part of the whole views stands on a line of its own. The warm-up is a fleet of 400.

--- a/src/test/java/beampoint/emulator/MemberScaleStudy.java
+++ b/src/test/java/beampoint/emulator/MemberScaleStudy.java
@@ -32,20 +32,23 @@
       .split(",")).mapToInt(Integer::parseInt).toArray();
   private static final int SEED = Integer.getInteger("study.seed", 1);
   private static final int MOST_AT_START = Integer.getInteger("study.most.at.start", Integer.MAX_VALUE);
-  private static final int WARM_UP_SIZE = 100;
+  private static final int WARM_UP_SIZE = 400;
   private static final MemberTerms TERMS = MemberTerms.usual();
   private static final double LOSS = 0.01;
   private static final double MEASURED_FROM = 10_000; // ms
   private static final double MEASURED_TO = 40_000; // so that each member's exchange is in it once
   private static final int CRASHES = 2;
   private static final double AFTER_CRASH = 7_000; // ms
-  private static final int REPLAYS = 200; // of which the first half warms up
+  private static final int REPLAYED_MEMBERS = 8;
+  private static final int REPLAYS = 40; // of each, of which the first half warms up
   private static final int HEAP_COPIES = 10;
   private static final int NEWS_OF_A_PART = 1_000; // of a view, for a codec that reads no more at once
   private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
   private final Codec codec = new Codec("emulated");
 
+  private double nanosOfViews; // of the last replay
+
   /** One row of figures for each size, by their names. */
   private final Map<String, double[]> figures = new LinkedHashMap<>();
 
@@ -81,7 +84,11 @@
     MemberFleet fleet = MemberFleet.settled(members, TERMS, SEED);
     fleet.measureBy(System::nanoTime);
     fleet.loseEverywhere(LOSS);
-    List<TimedEvent> recorded = fleet.record(0);
+    Map<Integer, List<TimedEvent>> recorded = new LinkedHashMap<>();
+    for (int i = 0; i < REPLAYED_MEMBERS; i++) {
+      int member = i * members / REPLAYED_MEMBERS;
+      recorded.put(member, fleet.record(member));
+    }
     fleet.runTo(MEASURED_FROM);
     fleet.traffic().forgetWorst();
     long datagrams = fleet.traffic().datagramBytes();
@@ -95,7 +102,7 @@
     wall = System.nanoTime() - wall;
     double machineShare = (fleet.machineNanos() - machine) / (double) wall;
     double memberSeconds = members * (MEASURED_TO - MEASURED_FROM) / 1_000;
-    replay(index, fleet, List.copyOf(recorded));
+    replay(index, fleet, recorded);
     put("CPU ms a member a second, machine in the fleet", index, cpu * machineShare / 1e6 / memberSeconds);
     put("CPU ms a member a second, with emulator", index, cpu / 1e6 / memberSeconds);
     put("messages a member a second", index, (fleet.messages() - messages) / memberSeconds);
@@ -161,58 +168,80 @@
     return worst;
   }
 
-  /** Plays one member's events again, alone, as a process of its own would meet them. */
-  private void replay(int index, MemberFleet fleet, List<TimedEvent> recorded) throws FormException {
+  /** CPU of one member's events, in ns: all, of that whole views, and with its codec. */
+  private record Replayed(double all, double ofViews, double withCodec) {}
+
+  /** Plays the events of some members again, each alone, as a process of its own would meet them. */
+  private void replay(int index, MemberFleet fleet, Map<Integer, List<TimedEvent>> recorded)
+      throws FormException {
+    double all = 0;
+    double ofViews = 0;
+    double withCodec = 0;
+    for (Map.Entry<Integer, List<TimedEvent>> member : recorded.entrySet()) {
+      Replayed replayed = replay(fleet, member.getKey(), List.copyOf(member.getValue()));
+      all += replayed.all();
+      ofViews += replayed.ofViews();
+      withCodec += replayed.withCodec();
+    }
+    double perSecond = 1e6 * REPLAYED_MEMBERS * (MEASURED_TO - MEASURED_FROM) / 1_000;
+    put("CPU ms a member a second, machine alone", index, all / perSecond);
+    put("CPU ms a member a second, of that views", index, ofViews / perSecond);
+    put("CPU ms a member a second, machine without views", index, (all - ofViews) / perSecond);
+    put("CPU ms a member a second, machine and codec", index, withCodec / perSecond);
+  }
+
+  private Replayed replay(MemberFleet fleet, int member, List<TimedEvent> recorded) throws FormException {
     List<List<byte[]>> written = new ArrayList<>();
     for (TimedEvent event : recorded) {
       written.add(write(event.event()));
     }
-    double seconds = (MEASURED_TO - MEASURED_FROM) / 1_000;
-    double[] alone = new double[REPLAYS];
-    double[] withCodec = new double[REPLAYS];
+    double[] all = new double[REPLAYS];
     double[] ofViews = new double[REPLAYS];
+    double[] withCodec = new double[REPLAYS];
     for (int i = 0; i < REPLAYS; i++) {
-      alone[i] = replay(fleet.asAtItsStart(0), recorded, null, ofViews, i) / 1e6 / seconds;
-      ofViews[i] /= 1e6 * seconds;
-      withCodec[i] = replay(fleet.asAtItsStart(0), recorded, written, new double[REPLAYS], i) / 1e6 / seconds;
+      all[i] = replayOnce(fleet.asAtItsStart(member), recorded, null);
+      ofViews[i] = nanosOfViews;
+      withCodec[i] = replayOnce(fleet.asAtItsStart(member), recorded, written);
     }
-    put("CPU ms a member a second, machine alone", index, median(alone));
-    put("CPU ms a member a second, of that views", index, median(ofViews));
-    put("CPU ms a member a second, machine and codec", index, median(withCodec));
+    return new Replayed(median(all), median(ofViews), median(withCodec));
   }
 
-  private double replay(Membership membership, List<TimedEvent> recorded, List<List<byte[]>> written,
-      double[] ofViews, int run) throws FormException {
+  private double replayOnce(Membership membership, List<TimedEvent> recorded, List<List<byte[]>> written)
+      throws FormException {
     int next = 0;
     while (next < recorded.size() && recorded.get(next).at() < MEASURED_FROM) {
       membership.handle(recorded.get(next).at(), recorded.get(next).event());
       next++;
     }
-    double views = 0;
+    nanosOfViews = 0;
     long begin = THREADS.getCurrentThreadCpuTime();
-    for (; next < recorded.size(); next++) {
+    for (; next < recorded.size() && recorded.get(next).at() <= MEASURED_TO; next++) {
       TimedEvent event = recorded.get(next);
       boolean isView = event.event() instanceof MemberEvent.ViewReceived;
       long at = isView ? System.nanoTime() : 0;
       MemberEvent came = written == null ? event.event() : read(event.event(), written.get(next));
       List<MemberAction> actions = membership.handle(event.at(), came);
+      if (isView) {
+        writeView(membership, written != null); // it is sent as well, before or after
+      }
+      nanosOfViews += isView ? System.nanoTime() - at : 0;
       if (written != null) {
-        for (MemberAction action : actions) {
-          write(action, membership);
-        }
+        actions.forEach(this::write);
       }
-      views += isView ? System.nanoTime() - at : 0;
     }
-    double taken = THREADS.getCurrentThreadCpuTime() - begin;
-    ofViews[run] = views;
-    return taken;
+    return THREADS.getCurrentThreadCpuTime() - begin;
+  }
+
+  private void writeView(Membership membership, boolean withCodec) {
+    List<News> view = membership.view();
+    if (withCodec) {
+      codec.writeView(view);
+    }
   }
 
-  private void write(MemberAction action, Membership membership) {
+  private void write(MemberAction action) {
     if (action instanceof MemberAction.Send send) {
       codec.write(send.message());
-    } else if (action instanceof MemberAction.Exchange) {
-      codec.writeView(membership.view());
     }
   }
 
