--- a/src/main/java/beampoint/emulator/MemberFleet.java
+++ b/src/main/java/beampoint/emulator/MemberFleet.java
@@ -15,6 +15,7 @@
 import java.util.Arrays;
 import java.util.BitSet;
 import java.util.List;
+import java.util.function.IntPredicate;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -26,8 +27,12 @@
  */
 public final class MemberFleet {
 
-  /** Who was declared dead, by whom, and when; {@code lived} tells that it was wrong. */
-  public record Death(double at, int of, int by, boolean lived) {}
+  /**
+   * Who was declared dead, or became known as dead, to whom and when; {@code lived} tells that it was wrong.
+   *
+   * @param ranFor for how long the member had run since it was started, in ms; 0 where it was down
+   */
+  public record Death(double at, int of, int by, boolean lived, double ranFor) {}
 
   /** What one member was told, and when. */
   public record TimedEvent(double at, MemberEvent event) {}
@@ -117,6 +122,11 @@
     return clock.now();
   }
 
+  /** Plans something for a time. */
+  public void at(double time, Runnable task) {
+    clock.at(time, task);
+  }
+
   /** Starts a member, or one that is down again: it knows the addresses and nothing else. */
   public void start(int member) {
     Host host = hosts.get(member);
@@ -208,7 +218,13 @@
 
   /** True where all that run see the same members live. */
   public boolean isOfOneView() {
-    return hosts.stream().filter(h -> h.membership != null).map(h -> h.living).distinct().count() <= 1;
+    return isOfOneView(member -> true);
+  }
+
+  /** True where all that run, of some members, see the same members live. */
+  public boolean isOfOneView(IntPredicate among) {
+    return hosts.stream().filter(host -> host.membership != null && among.test(host.number))
+        .map(host -> host.living).distinct().count() <= 1;
   }
 
   public List<Death> deaths() {
@@ -275,7 +291,9 @@
   private void changed(Host by, int of, Status status) {
     by.living.set(of, status == Status.ALIVE || status == Status.SUSPECT);
     if (status == Status.DEAD) {
-      deaths.add(new Death(clock.now(), of, by.number, hosts.get(of).membership != null));
+      Host dead = hosts.get(of);
+      boolean lived = dead.membership != null;
+      deaths.add(new Death(clock.now(), of, by.number, lived, lived ? clock.now() - dead.startedAt : 0));
     }
   }
 
--- a/src/main/java/beampoint/emulator/MemberTraffic.java
+++ b/src/main/java/beampoint/emulator/MemberTraffic.java
@@ -7,48 +7,74 @@
 
   private static final double SECOND = 1_000; // ms
 
-  private final long[] second; // the one that is being counted, by member
-  private final long[] inSecond;
-  private final long[] worst;
+  /** The bytes of each member's present second, and of its worst. */
+  private static final class Seconds {
+    private final long[] present;
+    private final long[] bytes;
+    private final long[] worst;
+
+    Seconds(int members) {
+      this.present = new long[members];
+      this.bytes = new long[members];
+      this.worst = new long[members];
+    }
+
+    void add(int member, double now, int sent) {
+      long second = (long) (now / SECOND);
+      if (present[member] != second) {
+        present[member] = second;
+        bytes[member] = 0;
+      }
+      bytes[member] += sent;
+      worst[member] = Math.max(worst[member], bytes[member]);
+    }
+
+    void forgetWorst() {
+      Arrays.fill(worst, 0);
+    }
+
+    long worst() {
+      return Arrays.stream(worst).max().orElse(0);
+    }
+  }
+
+  private final Seconds all;
+  private final Seconds datagrams;
   private long datagramBytes;
   private long views;
   private long viewBytes;
 
   MemberTraffic(int members) {
-    this.second = new long[members];
-    this.inSecond = new long[members];
-    this.worst = new long[members];
+    this.all = new Seconds(members);
+    this.datagrams = new Seconds(members);
   }
 
   void datagram(int from, double now, int bytes) {
     datagramBytes += bytes;
-    add(from, now, bytes);
+    datagrams.add(from, now, bytes);
+    all.add(from, now, bytes);
   }
 
   void view(int from, double now, int bytes) {
     views++;
     viewBytes += bytes;
-    add(from, now, bytes);
-  }
-
-  private void add(int from, double now, int bytes) {
-    long present = (long) (now / SECOND);
-    if (second[from] != present) {
-      second[from] = present;
-      inSecond[from] = 0;
-    }
-    inSecond[from] += bytes;
-    worst[from] = Math.max(worst[from], inSecond[from]);
+    all.add(from, now, bytes);
   }
 
   /** Begins anew with the worst seconds. */
   public void forgetWorst() {
-    Arrays.fill(worst, 0);
+    all.forgetWorst();
+    datagrams.forgetWorst();
   }
 
   /** What a member sent in its worst second, for the member for which that is the most. */
   public long worstSecond() {
-    return Arrays.stream(worst).max().orElse(0);
+    return all.worst();
+  }
+
+  /** The same without whole views. */
+  public long worstSecondOfDatagrams() {
+    return datagrams.worst();
   }
 
   /** Of all datagrams. */
--- /dev/null
+++ b/src/test/java/beampoint/emulator/MemberFaultStudy.java
@@ -0,0 +1,43 @@
+package beampoint.emulator;
+
+import org.junit.jupiter.api.Test;
+
+/**
+ * Faults of a fleet of full size; figures of docs/fleet/membership.md:
+ * {@code mvn -q -B test -Dtest=MemberFaultStudy -DargLine="-Xmx4g -Dstudy.size=2300"}. It takes minutes, and
+ * is no part of the build's tests.
+ */
+class MemberFaultStudy {
+
+  private static final FleetTopology TOPOLOGY = FleetTopology.of(Integer.getInteger("study.size", 2_300));
+  private static final long SEED = Long.getLong("study.seed", 1);
+  private static final double CUT_FOR = 1_000 * Integer.getInteger("study.cut.seconds", 180);
+
+  private static MemberFaults faults() {
+    return new MemberFaults(TOPOLOGY, SEED);
+  }
+
+  private static void print(MemberFaults.Outcome outcome) {
+    System.out.println(TOPOLOGY.members() + " members, seed " + SEED + ": " + outcome);
+  }
+
+  @Test
+  void zone() {
+    print(faults().zoneLost(17));
+  }
+
+  @Test
+  void rack() {
+    print(faults().rackLost(90));
+  }
+
+  @Test
+  void restarts() {
+    print(faults().restarts());
+  }
+
+  @Test
+  void region() {
+    print(faults().regionCut(3, CUT_FOR));
+  }
+}
