Slow start: the fleet's sum is tested at 400, 1,000 and 2,300 instances, and for starvation

Need: the bound N + 2 root N + 2 on what all send a cold cache was tested up to 100 instances; 2,300 are coming.

Change: two tests more in SlowStartFleetTest, 6 s together; those there are untouched. Instances are told of a restart in at most 100 groups: each run makes one request at the least, so that 2,300 runs at small rates took minutes of virtual time, past the warm-up.

--- a/src/test/java/beampoint/policy/SlowStartFleetTest.java
+++ b/src/test/java/beampoint/policy/SlowStartFleetTest.java
@@ -36,6 +36,10 @@
 
   private static final Rules RULES = new Rules(1_000, 3, 2_000, 0.14, 20_000, 10_000);
   private static final int SEEDS = 6;
+  /** In so many groups instances are told, lest as many runs of one request at the least take minutes. */
+  private static final int MOST_GROUPS = 100;
+  /** At the size of docs/CAPACITY.md one cache does so many requests a ms. */
+  private static final double COMING_CAPACITY = 4.26;
 
   /** A request that a cold cache was sent, and whether by one that had been told of its start. */
   private record Sent(double at, boolean told) {}
@@ -53,6 +57,7 @@
     private double now = 1_000_000;
     private double start; // of the cold caches
     private int cold;
+    private long sentCold;
     private double worst = Double.NEGATIVE_INFINITY;
 
     Day(long seed, int instances, int caches, double capacity) {
@@ -93,8 +98,11 @@
       sent.clear();
       told.clear();
       List<Endpoint> entries = list(drained);
+      int groups = Math.min(instances, MOST_GROUPS);
       for (int i = 0; i < instances; i++) {
-        run(within / instances, 0.6);
+        if (i * groups / instances != (i - 1) * groups / instances || i == 0) {
+          run(within / groups, 0.6);
+        }
         Fixture f = fleet.get(i);
         f.now = now;
         told.add(f);
@@ -121,6 +129,7 @@
     private void count(String endpoint, Sent next) {
       Deque<Sent> window = sent.computeIfAbsent(endpoint, e -> new ArrayDeque<>());
       window.add(next);
+      sentCold++;
       while (window.peekFirst().at < now - RULES.fallWindow()) {
         window.pollFirst();
       }
@@ -196,4 +205,37 @@
       }
     }
   }
+
+  /** Fleets in which most instances send a cold cache nothing in most windows. */
+  @ParameterizedTest
+  @ValueSource(ints = {400, 1_000, 2_300})
+  void theSumIsBorneByLargeFleets(int instances) {
+    for (double capacity : new double[] {0.002, 0.005, 0.03, 0.1}) {
+      String at = instances + " instances, " + capacity + ", ";
+      Day few = new Day(0, instances, 15, capacity);
+      few.run(6_000, 0.9);
+      few.restart(3, 0, 1_000);
+      few.run(6_000, 0.9);
+      check(few, at + "three of fifteen");
+      check(halfAnew(0, instances, capacity), at + "all but one, and half of the instances anew");
+      Day shrunk = new Day(0, instances, 15, capacity);
+      shrunk.run(6_000, 0.9);
+      shrunk.restart(2, 8, 1_000);
+      shrunk.run(6_000, 0.9);
+      check(shrunk, at + "two, while eight drain");
+    }
+  }
+
+  /** As many instances, and as many requests of one for one cache, as at the size of docs/CAPACITY.md. */
+  @Test
+  void theSumIsBorneAndNoneStarvesAtTheComingSize() {
+    Day few = new Day(0, 2_300, 15, COMING_CAPACITY);
+    few.run(6_000, 0.9);
+    few.restart(3, 0, 1_000);
+    few.run(6_000, 0.9);
+    check(few, "three of fifteen");
+    double warmth = (RULES.warmth(0) + RULES.warmth(7_000)) / 2;
+    double evenPart = 3 * 0.9 * warmth * COMING_CAPACITY * 6_000;
+    assertTrue(few.sentCold >= evenPart / 2, "of an even part of " + evenPart + " sent " + few.sentCold);
+  }
 }
