--- a/src/benchmark/java/beampoint/benchmark/DecisionBenchmark.java
+++ b/src/benchmark/java/beampoint/benchmark/DecisionBenchmark.java
@@ -72,8 +72,8 @@
     long id = ++lastId;
     long key = keys[(int) (id % KEYS)];
     int tenant = (int) (id % 10);
-    String endpoint = Workload.sentTo(balancer.handle(now, new RequestReceived(id, now + 1_000, tenant, 0, key,
-        false)));
+    var received = new RequestReceived(id, now + 1_000, tenant, 0, key, false);
+    String endpoint = Workload.sentTo(balancer.handle(now, received));
     return endpoint == null ? null
         : balancer.handle(now, new AttemptEnded(id, 0, endpoint, ANSWER_MS, Result.OK, true));
   }
--- /dev/null
+++ b/src/benchmark/java/beampoint/benchmark/ScriptedPeers.java
@@ -0,0 +1,156 @@
+package beampoint.benchmark;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** All that a proxy talks to, on loopback: one listener for all cache nodes and the origin, and discovery. */
+final class ScriptedPeers implements AutoCloseable {
+
+  private static final int BACKLOG = 512;
+  private static final long HEARTBEAT_MS = 1_000;
+  private static final int STACK_BYTES = 128 * 1024;
+
+  private final byte[] value;
+  private final ServerSocket cache;
+  private final ServerSocket discovery;
+  private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private final String list;
+
+  /** What is done with a connection. */
+  private interface Service {
+    void serve(Socket socket) throws IOException, InterruptedException;
+  }
+
+  /** Cache nodes in so many zones; each answers every read with so many bytes. */
+  ScriptedPeers(int caches, int zones, int valueBytes) throws IOException {
+    value = new byte[valueBytes + 2];
+    Arrays.fill(value, (byte) 'v');
+    value[valueBytes] = '\r';
+    value[valueBytes + 1] = '\n';
+    cache = listen(this::serveCache);
+    list = list(caches, zones).toString();
+    discovery = listen(this::serveDiscovery);
+  }
+
+  /** The list of hosts as discovery writes it. */
+  static JsonObject list(int caches, int zones, String dial) {
+    JsonArray hosts = new JsonArray();
+    for (int i = 0; i <= caches; i++) {
+      JsonObject host = new JsonObject();
+      host.addProperty("host", i == caches ? "origin" : "cache-" + i);
+      host.addProperty("dial", dial);
+      host.addProperty("site", "z" + i % zones);
+      host.addProperty("class", i == caches ? "origin" : "cache");
+      host.addProperty("block", i / zones);
+      host.addProperty("health", "Ready");
+      host.addProperty("share", 1.0);
+      host.addProperty("born_ms", 0);
+      hosts.add(host);
+    }
+    JsonObject list = new JsonObject();
+    list.addProperty("seq", 1);
+    list.addProperty("whole", true);
+    list.add("hosts", hosts);
+    return list;
+  }
+
+  JsonObject list(int caches, int zones) {
+    return list(caches, zones, ServeProcess.HOST + ":" + cache.getLocalPort());
+  }
+
+  String discoveryAddress() {
+    return ServeProcess.HOST + ":" + discovery.getLocalPort();
+  }
+
+  private ServerSocket listen(Service service) throws IOException {
+    ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getByName(ServeProcess.HOST));
+    start(() -> accept(server, service));
+    return server;
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(null, task, "peer", STACK_BYTES);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void accept(ServerSocket server, Service service) {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        socket.setTcpNoDelay(true);
+        open.add(socket);
+        start(() -> play(socket, service));
+      }
+    } catch (IOException e) {
+      // closed at the end
+    }
+  }
+
+  private void play(Socket socket, Service service) {
+    try (socket) {
+      service.serve(socket);
+    } catch (IOException | InterruptedException e) {
+      // the other side has gone
+    } finally {
+      open.remove(socket);
+    }
+  }
+
+  private void serveCache(Socket socket) throws IOException {
+    InputStream in = new BufferedInputStream(socket.getInputStream());
+    for (String line = ServeProcess.line(in); line != null; line = ServeProcess.line(in)) {
+      if (!line.startsWith("mg ")) {
+        socket.getOutputStream().write("MN\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        continue;
+      }
+      String id = line.split(" ")[3];
+      byte[] head = ("VA " + (value.length - 2) + " " + id + " h1\r\n").getBytes(StandardCharsets.ISO_8859_1);
+      byte[] answer = Arrays.copyOf(head, head.length + value.length);
+      System.arraycopy(value, 0, answer, head.length, value.length);
+      socket.getOutputStream().write(answer);
+    }
+  }
+
+  private void serveDiscovery(Socket socket) throws IOException, InterruptedException {
+    InputStream in = new BufferedInputStream(socket.getInputStream());
+    for (String line = ServeProcess.line(in); line != null && !line.isEmpty(); line = ServeProcess.line(in)) {
+      // the head; whatever it asks for is the whole list first
+    }
+    say(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    chunk(socket, list + "\n");
+    while (!socket.isClosed()) {
+      Thread.sleep(HEARTBEAT_MS);
+      chunk(socket, "\n");
+    }
+  }
+
+  private static void chunk(Socket socket, String text) throws IOException {
+    say(socket, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+  }
+
+  private static void say(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (ServerSocket server : List.of(cache, discovery)) {
+      server.close();
+    }
+    for (Socket socket : open) {
+      socket.close();
+    }
+  }
+}
--- a/src/benchmark/java/beampoint/benchmark/Workload.java
+++ b/src/benchmark/java/beampoint/benchmark/Workload.java
@@ -36,7 +36,7 @@
 
   private Workload() {}
 
-  /** Settings of a fleet of so many proxies, with one price for connections, handshakes and crossing zones. */
+  /** Settings of a fleet of so many proxies; connections, handshakes and crossing zones have one price. */
   public static Settings settings(int proxies, double price) {
     RequestClass read = new RequestClass(Idempotency.SAFE, DedupGroup.ALL, 0, 500, 1_000, 1, 0);
     List<Tenant> tenants = Collections.nCopies(TENANTS, new Tenant(FLEET_REQUESTS_PER_SECOND / TENANTS));
--- a/src/main/java/beampoint/count/Counters.java
+++ b/src/main/java/beampoint/count/Counters.java
@@ -14,6 +14,11 @@
     values.incrementAndGet(counter.ordinal());
   }
 
+  /** Adds so many at once, as of bytes. */
+  public void add(Counter counter, long number) {
+    values.addAndGet(counter.ordinal(), number);
+  }
+
   public long get(Counter counter) {
     return values.get(counter.ordinal());
   }
--- a/src/main/java/beampoint/fleet/transport/Datagrams.java
+++ b/src/main/java/beampoint/fleet/transport/Datagrams.java
@@ -66,6 +66,7 @@
       byte[] bytes = new byte[message.remaining()];
       message.get(bytes);
       message.tryDispose();
+      counters.add(Counter.MEMBER_BYTES_RECEIVED, bytes.length);
       if (waiting.incrementAndGet() > MOST_WAITING) {
         waiting.decrementAndGet();
         counters.add(Counter.MEMBER_MESSAGES_DROPPED);
@@ -93,7 +94,10 @@
 
   /** Sends a message, which may be lost. */
   public void send(SocketAddress to, Message message) {
-    socket.write(to, Buffers.wrap(transport.getMemoryManager(), codec.write(message)), null);
+    byte[] bytes = codec.write(message);
+    counters.add(Counter.MEMBER_MESSAGES_SENT);
+    counters.add(Counter.MEMBER_BYTES_SENT, bytes.length);
+    socket.write(to, Buffers.wrap(transport.getMemoryManager(), bytes), null);
   }
 
   /** Listens and sends no longer. */
--- a/src/main/java/beampoint/fleet/transport/Views.java
+++ b/src/main/java/beampoint/fleet/transport/Views.java
@@ -86,6 +86,7 @@
       bytes.position(bytes.position() + HEAD);
       bytes.get(view);
       Connection<?> connection = ctx.getConnection();
+      counters.add(Counter.MEMBER_BYTES_RECEIVED, HEAD + length);
       loop.execute(() -> take(connection, view, answers));
       return ctx.getStopAction();
     }
@@ -124,6 +125,7 @@
   @SuppressWarnings("unchecked") // all connections of a TCP transport have socket addresses
   private void write(Connection<?> connection, List<News> view) {
     byte[] bytes = codec.writeView(view);
+    counters.add(Counter.MEMBER_BYTES_SENT, HEAD + bytes.length);
     Buffer frame = transport.getMemoryManager().allocate(HEAD + bytes.length);
     frame.putInt(bytes.length).put(bytes).flip();
     ((Connection<SocketAddress>) connection).write(frame, new EmptyCompletionHandler<>() { });
