--- /dev/null
+++ b/src/main/java/beampoint/fleet/changes/ConfigurationChange.java
@@ -0,0 +1,22 @@
+package beampoint.fleet.changes;
+
+/**
+ * New settings.
+ *
+ * @param document the whole document of settings, which replaces the one before
+ */
+public record ConfigurationChange(int formatVersion, String document) implements Change {
+
+  /** The most bytes of a document of settings, in UTF-8. */
+  public static final int MOST_DOCUMENT_BYTES = 64 * 1024;
+
+  public ConfigurationChange {
+    Texts.checkVersion(formatVersion);
+    Texts.check("document", document, 0, MOST_DOCUMENT_BYTES);
+  }
+
+  @Override
+  public int weight() {
+    return Texts.bytes(document);
+  }
+}
