Changes: a replicated log over the lease, searched exhaustively for three replicas

Need: control machines have to agree on one order of changes, lose nothing that is committed, and know when that can't be kept. Ruled out: an election of its own (the lease has one, with epochs); entries stamped anew by each leader (the tree needs entries that never change); committing entries of older epochs by counting without a rule (Raft's case), so a follower takes a new leader's uncommitted tail in one piece and the log's epoch counts, as in Viewstamped Replication.

--- /dev/null
+++ b/src/main/java/beampoint/fleet/changes/Batches.java
@@ -0,0 +1,36 @@
+package beampoint.fleet.changes;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Entries in pieces that fit a message. */
+final class Batches {
+
+  private Batches() {}
+
+  /** The first entries that fit one message; one at least. */
+  static List<ChangeEntry> first(List<ChangeEntry> entries, LogLimits limits) {
+    long bytes = 0;
+    int count = 0;
+    while (count < entries.size() && count < limits.entriesInFlight()) {
+      bytes += entries.get(count).weight();
+      if (count > 0 && bytes > limits.bytesInFlight()) {
+        break;
+      }
+      count++;
+    }
+    return entries.subList(0, count);
+  }
+
+  /** All entries in pieces; one empty piece where there are none. */
+  static List<List<ChangeEntry>> all(List<ChangeEntry> entries, LogLimits limits) {
+    List<List<ChangeEntry>> pieces = new ArrayList<>();
+    int from = 0;
+    do {
+      List<ChangeEntry> piece = first(entries.subList(from, entries.size()), limits);
+      pieces.add(List.copyOf(piece));
+      from += piece.size();
+    } while (from < entries.size());
+    return pieces;
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/fleet/changes/LogLimits.java
@@ -0,0 +1,29 @@
+package beampoint.fleet.changes;
+
+/**
+ * Bounds of what a replica holds and sends; the same at all voters of a log.
+ *
+ * @param entriesInFlight the most entries that are appended and not yet committed
+ * @param bytesInFlight and the most bytes of them; one entry may stand alone whatever its length
+ * @param queuedChanges the most changes that wait for room among those
+ * @param queuedBytes and the most bytes of them
+ * @param keptEntries how many committed entries at least stay out of the snapshot, for followers that are
+ *     behind by less; twice as many are the most
+ * @param keptPurges the most purges in a snapshot: the retention window
+ * @param keptBytes and the most bytes of them
+ * @param origins the most submitters that a log tells apart
+ */
+public record LogLimits(int entriesInFlight, int bytesInFlight, int queuedChanges, int queuedBytes,
+    int keptEntries, int keptPurges, int keptBytes, int origins) {
+
+  /** Ten minutes of 27 purges a second in a snapshot, 19 s of them as entries. */
+  public static final LogLimits USUAL = new LogLimits(256, 512 << 10, 1_024, 2 << 20, 512, 16_384, 8 << 20,
+      1_024);
+
+  public LogLimits {
+    if (entriesInFlight < 1 || bytesInFlight < 1 || queuedChanges < 0 || queuedBytes < 0 || keptEntries < 0
+        || keptPurges < 0 || keptBytes < 0 || origins < 1) {
+      throw new IllegalArgumentException("no limits of a log");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/fleet/changes/Turn.java
@@ -0,0 +1,65 @@
+package beampoint.fleet.changes;
+
+import beampoint.fleet.changes.LogAction.Deliver;
+import beampoint.fleet.changes.LogAction.Install;
+import beampoint.fleet.changes.LogAction.Send;
+import beampoint.fleet.facts.Epoch;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One step of a replica while it is being made: its state so far, and what is to be done. */
+final class Turn {
+
+  final LogTerms terms;
+  final String self;
+  final double now;
+  final List<LogAction> actions = new ArrayList<>();
+  LogState log;
+  Rejoining rejoining;
+  CatchUp catchUp;
+  Leadership leadership;
+  Epoch leader;
+  boolean mayFound;
+
+  Turn(LogTerms terms, String self, double now, ReplicaState state) {
+    this.terms = terms;
+    this.self = self;
+    this.now = now;
+    this.log = state.log();
+    this.rejoining = state.rejoining();
+    this.catchUp = state.catchUp();
+    this.leadership = state.leadership();
+    this.leader = state.leader();
+    this.mayFound = state.mayFound();
+  }
+
+  ReplicaState state() {
+    return new ReplicaState(log, rejoining, catchUp, leadership, leader, mayFound);
+  }
+
+  void send(String to, LogMessage message) {
+    actions.add(new Send(to, message));
+  }
+
+  void sendToOthers(LogMessage message) {
+    for (String voter : terms.voters()) {
+      if (!voter.equals(self)) {
+        send(voter, message);
+      }
+    }
+  }
+
+  /** Goes on to a log with perhaps more committed entries, and delivers these. */
+  void advance(LogState next) {
+    if (next.commit() > log.commit()) {
+      actions.add(new Deliver(next.identity(), next.between(log.commit() + 1, next.commit())));
+    }
+    log = next.compacted(terms.limits());
+  }
+
+  /** Puts a snapshot in place of entries that were never delivered. */
+  void install(Snapshot snapshot) {
+    log = log.installed(snapshot);
+    actions.add(new Install(log.identity(), snapshot));
+  }
+}
--- /dev/null
+++ b/src/test/java/beampoint/fleet/changes/LogWorld.java
@@ -0,0 +1,290 @@
+package beampoint.fleet.changes;
+
+import beampoint.fleet.changes.LogAction.Deliver;
+import beampoint.fleet.changes.LogAction.GiveUp;
+import beampoint.fleet.changes.LogAction.Problem;
+import beampoint.fleet.changes.LogAction.Send;
+import beampoint.fleet.changes.LogEvent.Elected;
+import beampoint.fleet.changes.LogEvent.Promised;
+import beampoint.fleet.changes.LogEvent.Received;
+import beampoint.fleet.changes.LogEvent.Submit;
+import beampoint.fleet.changes.LogEvent.Tick;
+import beampoint.fleet.facts.Epoch;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * All there is of three replicas at one moment. What was said stays: it may come at any later time, again, or
+ * never. Clocks stand still, and a majority may promise a lease to anybody at any time, also while another
+ * one leads: the log must be safe without them.
+ */
+final class LogWorld {
+
+  static final List<String> NAMES = List.of("a", "b", "c");
+  static final LogTerms TERMS = new LogTerms(new TreeSet<>(NAMES), 1,
+      new LogLimits(4, 10_000, 4, 10_000, 8, 8, 10_000, 4));
+
+  /** A message on its way. */
+  record Flight(int from, Send send) {}
+
+  /** A committed entry, and under which leader it became so. */
+  record Entry(ChangeEntry entry, Epoch committedUnder) {}
+
+  /** How many of these may still happen. */
+  record Budget(int elections, int submissions, int crashes, int losses) {}
+
+  /** A replica's step, and what is left of it after its memory was lost: the real ones, or mistaken ones. */
+  interface Rules {
+
+    default ReplicaState forgotten(ReplicaState before, long life) {
+      return ReplicaState.started(life);
+    }
+
+    default Replica.Step step(Replica replica, ReplicaState state, LogEvent event) {
+      return replica.step(state, 0, event);
+    }
+  }
+
+  final Rules rules;
+  final List<ReplicaState> states;
+  final Set<Flight> said;
+  final SortedMap<Long, Entry> committed;
+  final Budget budget;
+  final String mistake;
+  private int hash;
+
+  private LogWorld(Rules rules, List<ReplicaState> states, Set<Flight> said, SortedMap<Long, Entry> committed,
+      Budget budget, String mistake) {
+    this.rules = rules;
+    this.states = states;
+    this.said = said;
+    this.committed = committed;
+    this.budget = budget;
+    this.mistake = mistake;
+  }
+
+  /** Three replicas that were never started before. */
+  static LogWorld begin(Rules rules) {
+    List<ReplicaState> states = new ArrayList<>();
+    for (int i = 0; i < NAMES.size(); i++) {
+      states.add(ReplicaState.started(1));
+    }
+    return new LogWorld(rules, states, Set.of(), new TreeMap<>(), new Budget(0, 0, 0, 0), null);
+  }
+
+  /** A log founded by the first replica, with all of them in step and nothing on its way. */
+  static LogWorld founded(Rules rules) {
+    LogWorld world = begin(rules).elected(0, List.of(0, 1, 2));
+    for (int round = 0; round < 5; round++) {
+      world = world.allDelivered();
+    }
+    return new LogWorld(rules, world.states, Set.of(), world.committed, world.budget, world.mistake);
+  }
+
+  private LogWorld allDelivered() {
+    LogWorld world = this;
+    for (Flight flight : said) {
+      world = world.delivered(flight);
+    }
+    return world;
+  }
+
+  LogWorld with(Budget next) {
+    return new LogWorld(rules, states, said, committed, next, mistake);
+  }
+
+  LogWorld delivered(Flight flight) {
+    return happened(NAMES.indexOf(flight.send.to()),
+        new Received(NAMES.get(flight.from), flight.send.message()));
+  }
+
+  /** Delivers all that one replica has said to another. */
+  LogWorld delivered(int from, int to) {
+    LogWorld world = this;
+    for (Flight flight : said) {
+      if (flight.from == from && flight.send.to().equals(NAMES.get(to))) {
+        world = world.delivered(flight);
+      }
+    }
+    return world;
+  }
+
+  LogWorld happened(int replica, LogEvent event) {
+    Replica machine = new Replica(TERMS, NAMES.get(replica));
+    ReplicaState before = states.get(replica);
+    Replica.Step step = rules.step(machine, before, event);
+    if (step.actions().isEmpty() && step.state().equals(before)) {
+      return this;
+    }
+    List<ReplicaState> nextStates = new ArrayList<>(states);
+    nextStates.set(replica, step.state());
+    Set<Flight> nextSaid = new HashSet<>(said);
+    SortedMap<Long, Entry> nextCommitted = new TreeMap<>(committed);
+    String wrong = mistake;
+    for (LogAction action : step.actions()) {
+      if (action instanceof Send send) {
+        nextSaid.add(new Flight(replica, send));
+      } else if (action instanceof Deliver deliver) {
+        Epoch under = step.state().leads() ? step.state().leadership().epoch() : null;
+        wrong = wrong != null ? wrong : deliver(nextCommitted, deliver.entries(), under);
+      } else if (action instanceof GiveUp giveUp && giveUp.problem() == Problem.CONTRADICTION) {
+        wrong = "a contradiction at " + NAMES.get(replica);
+      }
+    }
+    return new LogWorld(rules, nextStates, nextSaid, nextCommitted, budget, wrong);
+  }
+
+  /** Notes delivered entries; what is wrong with them, or null. */
+  private static String deliver(SortedMap<Long, Entry> all, List<ChangeEntry> entries, Epoch under) {
+    for (ChangeEntry entry : entries) {
+      Entry known = all.get(entry.index());
+      if (known != null && !known.entry.equals(entry)) {
+        return "two entries under one index: " + known.entry + " and " + entry;
+      }
+      if (known == null && under == null) {
+        return "delivered by a follower before any leader committed it: " + entry;
+      }
+      if (all.values().stream().anyMatch(e -> e.entry.id().equals(entry.id())
+          && e.entry.index() != entry.index())) {
+        return "one change under two indexes: " + entry;
+      }
+      if (known == null) {
+        all.put(entry.index(), new Entry(entry, under));
+      }
+    }
+    return null;
+  }
+
+  /** These have promised one of them a lease. */
+  LogWorld elected(int candidate, List<Integer> majority) {
+    long number = majority.stream().mapToLong(i -> states.get(i).log().fence().number()).max().orElse(0) + 1;
+    Epoch epoch = new Epoch(number, NAMES.get(candidate), states.get(candidate).log().life());
+    LogWorld world = this;
+    for (int voter : majority) {
+      world = world.happened(voter, new Promised(epoch));
+    }
+    Budget b = budget;
+    return world.happened(candidate, new Elected(epoch))
+        .with(new Budget(b.elections - 1, b.submissions, b.crashes, b.losses));
+  }
+
+  LogWorld submitted(int replica, long number) {
+    ChangeId id = new ChangeId("s", number);
+    Change change = new PurgeChange(1, PurgeScope.KEY, "k" + number, 0);
+    Budget b = budget;
+    return happened(replica, new Submit(id, change)).happened(replica, new Tick())
+        .with(new Budget(b.elections, b.submissions - 1, b.crashes, b.losses));
+  }
+
+  LogWorld restarted(int replica) {
+    Budget b = budget;
+    return replaced(replica, states.get(replica).restartedWithLog(),
+        new Budget(b.elections, b.submissions, b.crashes - 1, b.losses));
+  }
+
+  LogWorld forgotten(int replica) {
+    ReplicaState before = states.get(replica);
+    Budget b = budget;
+    return replaced(replica, rules.forgotten(before, before.log().life() + 1),
+        new Budget(b.elections, b.submissions, b.crashes, b.losses - 1)).happened(replica, new Tick());
+  }
+
+  private LogWorld replaced(int replica, ReplicaState state, Budget next) {
+    List<ReplicaState> nextStates = new ArrayList<>(states);
+    nextStates.set(replica, state);
+    return new LogWorld(rules, nextStates, said, committed, next, mistake);
+  }
+
+  private boolean isVoter(int replica) {
+    return states.get(replica).log().voter();
+  }
+
+  private boolean allVote() {
+    return states.stream().allMatch(s -> s.log().voter());
+  }
+
+  List<LogWorld> next() {
+    List<LogWorld> all = new ArrayList<>();
+    for (Flight flight : said) {
+      all.add(delivered(flight));
+    }
+    for (int i = 0; i < NAMES.size(); i++) {
+      if (states.get(i).leads()) {
+        all.add(happened(i, new Tick()));
+        if (budget.submissions > 0) {
+          all.add(submitted(i, budget.submissions));
+          all.add(submitted(i, budget.submissions + 1)); // the one before, again
+        }
+      }
+      if (budget.elections > 0 && isVoter(i)) {
+        all.add(elected(i, List.of(i, (i + 1) % NAMES.size())));
+        all.add(elected(i, List.of(i, (i + 2) % NAMES.size())));
+      }
+      if (budget.crashes > 0) {
+        all.add(restarted(i));
+      }
+      if (budget.losses > 0 && allVote()) {
+        all.add(forgotten(i));
+      }
+    }
+    return all;
+  }
+
+  /** What is wrong, or null. */
+  String wrong() {
+    if (mistake != null) {
+      return mistake;
+    }
+    for (int i = 0; i < NAMES.size(); i++) {
+      ReplicaState state = states.get(i);
+      if (!state.leads()) {
+        continue;
+      }
+      for (Entry entry : committed.values()) {
+        boolean later = state.leadership().epoch().compareTo(entry.committedUnder) > 0;
+        if (later && !holds(state.log(), entry.entry)) {
+          return NAMES.get(i) + " leads later and lacks " + entry;
+        }
+      }
+    }
+    return committed.values().stream().filter(e -> holders(e.entry) < TERMS.majority()).findFirst()
+        .map(e -> "committed, and held by " + holders(e.entry) + " that vote: " + e).orElse(null);
+  }
+
+  /** Those that hold an entry, or have lost it and know that they may have. */
+  private long holders(ChangeEntry entry) {
+    return states.stream().filter(s -> !s.log().voter() || holds(s.log(), entry)).count();
+  }
+
+  private static boolean holds(LogState log, ChangeEntry entry) {
+    return entry.index() <= log.snapshot().index()
+        || Optional.of(entry.index()).filter(i -> i <= log.last()).map(log::at)
+            .filter(entry::equals).isPresent();
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof LogWorld w && hashCode() == w.hashCode() && states.equals(w.states)
+        && said.equals(w.said) && committed.equals(w.committed) && budget.equals(w.budget);
+  }
+
+  @Override
+  public int hashCode() {
+    if (hash == 0) {
+      hash = Objects.hash(states, said, committed, budget);
+    }
+    return hash;
+  }
+
+  @Override
+  public String toString() {
+    return states + ", committed: " + committed.values();
+  }
+}
