Changes: a control machine of lease and log, in long runs through faults

Need: the log's replica and the vote for its leader's lease have to work together, and the log has to go on soon after faults. Ruled out: a candidate that waits out a lease it can't win (it gives the lease back, so that others need not wait); campaigning while a leader is heard (a restarted machine deposed it). Two faults found on the way and mended: a restarted machine that disturbed a leader, and messages of a dead log that kept all restarted machines from founding another.

--- /dev/null
+++ b/src/main/java/beampoint/fleet/changes/ControlNode.java
@@ -0,0 +1,211 @@
+package beampoint.fleet.changes;
+
+import beampoint.fleet.changes.LogAction.GiveUp;
+import beampoint.fleet.changes.LogAction.Problem;
+import beampoint.fleet.changes.LogAction.Send;
+import beampoint.fleet.changes.LogEvent.Elected;
+import beampoint.fleet.changes.LogEvent.FoundAnew;
+import beampoint.fleet.changes.LogEvent.LeaseEnded;
+import beampoint.fleet.changes.LogEvent.Promised;
+import beampoint.fleet.changes.LogEvent.Received;
+import beampoint.fleet.changes.LogEvent.Submit;
+import beampoint.fleet.changes.LogEvent.Tick;
+import beampoint.fleet.changes.LogMessage.Append;
+import beampoint.fleet.changes.LogMessage.OfLease;
+import beampoint.fleet.changes.LogMessage.RejoinAnswer;
+import beampoint.fleet.lease.Lease;
+import beampoint.fleet.lease.LeaseEvent;
+import beampoint.fleet.lease.LeaseState;
+import beampoint.fleet.lease.LeaseTerms;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * A control machine: its replica of the change log and its vote for the lease of the leader. The one who
+ * holds the lease leads. It has no clock and no socket: all calls give the time, in ms of one clock that
+ * never goes back, and hand back what is to be done. It is used by one thread.
+ */
+public final class ControlNode {
+
+  /** A lease is renewed this many times in its length. */
+  private static final int RENEWALS = 4;
+
+  /** A candidate that gets no majority gives up after this part of a lease: others' promises end with it. */
+  private static final double PATIENCE = 0.5;
+
+  /** Candidates scatter over this part of a lease. */
+  private static final double SCATTER = 0.4;
+
+  private final LeaseTerms leaseTerms;
+  private final Lease lease;
+  private final Replica replica;
+  private final RandomGenerator random;
+  private LeaseState leaseState;
+  private ReplicaState state;
+  private boolean candidate;
+  private double wantAt;
+  private double giveUpAt;
+  private Problem lastProblem;
+  private double leaderHeardAt = Double.NEGATIVE_INFINITY;
+
+  /**
+   * Starts.
+   *
+   * @param life drawn at the start of the process; the lease and its epochs tell lives apart by it
+   * @param kept what outlived the process, or {@link ReplicaState#started} where nothing did
+   */
+  public ControlNode(LogTerms terms, LeaseTerms leaseTerms, String self, long life, ReplicaState kept,
+      double now, RandomGenerator random) {
+    if (!terms.voters().equals(leaseTerms.voters())) {
+      throw new IllegalArgumentException("the log and the lease have other voters");
+    }
+    this.leaseTerms = leaseTerms;
+    this.lease = new Lease(leaseTerms, self, life);
+    this.replica = new Replica(terms, self);
+    this.random = random;
+    this.state = kept;
+    this.leaseState = LeaseState.started(leaseTerms, now, kept.log().fence());
+    this.wantAt = now + leaseTerms.length() + scatter();
+  }
+
+  /** What its replica knows. */
+  public ReplicaState state() {
+    return state;
+  }
+
+  /** True where it leads and takes changes. */
+  public boolean leads(double now) {
+    return state.leads() && leaseState.mayAct(now);
+  }
+
+  /** What keeps the log from going on, as far as this machine knows: an operator has to know of it. */
+  public Optional<Problem> problem() {
+    Rejoining rejoining = state.rejoining();
+    long forgetful = rejoining == null ? 0
+        : 1 + rejoining.answers().values().stream().filter(a -> !a.voter()).count();
+    boolean lost = leaseTerms.voters().size() - forgetful < leaseTerms.majority();
+    return lost || lastProblem == Problem.MAJORITY_LOST ? Optional.of(Problem.MAJORITY_LOST)
+        : Optional.empty();
+  }
+
+  /** To be called every 10 ms or so: that is how long entries wait to be sent together. */
+  public List<LogAction> tick(double now) {
+    List<LogAction> actions = new ArrayList<>();
+    endWithLease(now, actions);
+    renewOrWant(now, actions);
+    step(now, new Tick(), actions);
+    return actions;
+  }
+
+  /** A message has come from another control machine. */
+  public List<LogAction> received(double now, String from, LogMessage message) {
+    List<LogAction> actions = new ArrayList<>();
+    endWithLease(now, actions);
+    if (message instanceof OfLease m) {
+      leaseStep(now, new LeaseEvent.Received(from, m.message()), actions);
+    } else {
+      step(now, new Received(from, message), actions);
+      if (message instanceof Append append && append.epoch().equals(state.leader())) {
+        leaderHeardAt = now;
+        lastProblem = null;
+      }
+    }
+    return actions;
+  }
+
+  /** Somebody submits a change; the answer is an action of now or later, here or at none. */
+  public List<LogAction> submit(double now, ChangeId id, Change change) {
+    List<LogAction> actions = new ArrayList<>();
+    endWithLease(now, actions);
+    step(now, new Submit(id, change), actions);
+    return actions;
+  }
+
+  /** An operator accepts that committed entries may be lost: it founds a new log when it is elected next. */
+  public List<LogAction> foundAnew(double now) {
+    List<LogAction> actions = new ArrayList<>();
+    step(now, new FoundAnew(), actions);
+    return actions;
+  }
+
+  /** Guards against a leader that goes on after a pause. */
+  private void endWithLease(double now, List<LogAction> actions) {
+    boolean led = state.leadership() != null;
+    if (led && !(leaseState.mayAct(now) && leaseState.asked().equals(state.leadership().epoch()))) {
+      step(now, new LeaseEnded(), actions);
+    }
+  }
+
+  private void renewOrWant(double now, List<LogAction> actions) {
+    if (leaseState.mayAct(now)) {
+      if (!state.leads() && now >= giveUpAt) {
+        giveBack(now, actions);
+        lastProblem = Problem.NO_QUORUM;
+        actions.add(new GiveUp(lastProblem));
+      } else if (now >= wantAt) {
+        wantAt = now + leaseTerms.length() / RENEWALS;
+        leaseStep(now, new LeaseEvent.Want(), actions);
+      }
+    } else if (candidate && now >= giveUpAt) {
+      giveBack(now, actions);
+    } else if (now < leaseState.promisedUntil()) {
+      wantAt = wantAt < leaseState.promisedUntil() ? leaseState.promisedUntil() + scatter() : wantAt;
+    } else if (!candidate && now >= wantAt && now >= leaderHeardAt + leaseTerms.length() && mayLead()) {
+      candidate = true;
+      giveUpAt = now + PATIENCE * leaseTerms.length();
+      leaseStep(now, new LeaseEvent.Want(), actions);
+    }
+  }
+
+  /** True where it holds the log, or knows of nobody who does. */
+  private boolean mayLead() {
+    return state.log().voter() || state.mayFound()
+        || state.rejoining().answers().values().stream().noneMatch(RejoinAnswer::voter);
+  }
+
+  private double scatter() {
+    return random.nextDouble() * SCATTER * leaseTerms.length();
+  }
+
+  private void giveBack(double now, List<LogAction> actions) {
+    candidate = false;
+    wantAt = now + scatter();
+    step(now, new LeaseEnded(), actions);
+    leaseStep(now, new LeaseEvent.Yield(), actions);
+  }
+
+  private void leaseStep(double now, LeaseEvent event, List<LogAction> actions) {
+    Lease.Step step = lease.step(leaseState, now, event);
+    leaseState = step.state();
+    step.says().forEach(say -> actions.add(new Send(say.to(), new OfLease(say.message()))));
+    if (leaseState.fence().compareTo(state.log().fence()) > 0) {
+      step(now, new Promised(leaseState.fence()), actions);
+    }
+    if (candidate && leaseState.mayAct(now)) {
+      candidate = false;
+      giveUpAt = now + leaseTerms.length();
+      wantAt = now + leaseTerms.length() / RENEWALS;
+      lastProblem = null;
+      step(now, new Elected(leaseState.asked()), actions);
+    }
+  }
+
+  private void step(double now, LogEvent event, List<LogAction> actions) {
+    Replica.Step step = replica.step(state, now, event);
+    state = step.state();
+    actions.addAll(step.actions());
+    for (LogAction action : step.actions()) {
+      if (action instanceof GiveUp giveUp) {
+        candidate = false;
+        lastProblem = giveUp.problem();
+        wantAt = now + scatter() + (giveUp.problem() == Problem.FENCED ? 0 : leaseTerms.length());
+        leaseStep(now, new LeaseEvent.Yield(), actions);
+      }
+    }
+    if (state.log().fence().compareTo(leaseState.fence()) > 0) {
+      leaseStep(now, new LeaseEvent.Seen(state.log().fence()), actions);
+    }
+  }
+}
--- a/src/main/java/beampoint/fleet/changes/Election.java
+++ b/src/main/java/beampoint/fleet/changes/Election.java
@@ -53,18 +53,21 @@
   private static void decide(Turn turn) {
     Epoch identity = turn.log.identity();
     Collection<Recovered> answers = turn.leadership.answers().values();
-    if (answers.stream().anyMatch(a -> a.identity().compareTo(identity) > 0)) {
-      Leader.stepDown(turn, Problem.OTHER_LOG);
-      return;
-    }
     List<Recovered> votes = answers.stream().filter(a -> a.voter() && a.identity().equals(identity)).toList();
-    boolean allNew = identity.equals(Epoch.NONE) && answers.size() == turn.terms.voters().size();
+    boolean nobodyRemembers = answers.size() == turn.terms.voters().size()
+        && answers.stream().noneMatch(Recovered::voter);
     boolean allowed = turn.mayFound && answers.size() >= turn.terms.majority();
-    if (turn.log.voter() && votes.size() >= turn.terms.majority()) {
+    if (nobodyRemembers) {
+      found(turn);
+    } else if (answers.stream().anyMatch(a -> a.identity().compareTo(identity) > 0
+        && (a.voter() || turn.log.voter()))) {
+      Leader.stepDown(turn, Problem.OTHER_LOG);
+    } else if (turn.log.voter() && votes.size() >= turn.terms.majority()) {
       goOnWith(turn, best(votes));
-    } else if (allNew || allowed) {
+    } else if (allowed) {
       found(turn);
-    } else if (isMajorityLost(turn, answers.size() - votes.size())) {
+    } else if (answers.stream().anyMatch(Recovered::voter)
+        && isMajorityLost(turn, answers.size() - votes.size())) {
       Leader.stepDown(turn, Problem.MAJORITY_LOST);
     }
   }
@@ -105,7 +108,10 @@
     lead(turn, Collections.emptySortedMap());
   }
 
-  /** Begins a log, with all who have answered. */
+  /**
+   * Begins a log, with all who have answered. Where none of all remembers, or an operator has said so: else a
+   * log that a minority still remembers would be passed over.
+   */
   private static void found(Turn turn) {
     SortedMap<String, Long> lives = new TreeMap<>();
     turn.leadership.answers().forEach((voter, answer) -> lives.put(voter, answer.life()));
