Changes: messages of the change log in CBOR, bounded, with hostile bytes refused

Need: control machines have to say the log's messages to each other on sockets, and whatever comes must not harm. Ruled out: datagrams, as entries are longer; names of fields in the form, as the version orders them. The change: ChangeCodec, EntryForm, FormReader, ChangeFormException; limits of a log that could not be sent are refused when they are made.

--- /dev/null
+++ b/src/main/java/beampoint/fleet/changes/ChangeCodec.java
@@ -0,0 +1,272 @@
+package beampoint.fleet.changes;
+
+import beampoint.fleet.changes.LogMessage.Accepted;
+import beampoint.fleet.changes.LogMessage.Append;
+import beampoint.fleet.changes.LogMessage.Committed;
+import beampoint.fleet.changes.LogMessage.Fetch;
+import beampoint.fleet.changes.LogMessage.OfLease;
+import beampoint.fleet.changes.LogMessage.Recover;
+import beampoint.fleet.changes.LogMessage.Recovered;
+import beampoint.fleet.changes.LogMessage.Refused;
+import beampoint.fleet.changes.LogMessage.Rejoin;
+import beampoint.fleet.changes.LogMessage.RejoinAnswer;
+import beampoint.fleet.changes.LogMessage.SnapshotPart;
+import beampoint.fleet.facts.Epoch;
+import beampoint.fleet.lease.LeaseMessage.Ask;
+import beampoint.fleet.lease.LeaseMessage.Denial;
+import beampoint.fleet.lease.LeaseMessage.Promise;
+import beampoint.fleet.lease.LeaseMessage.Release;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * What control machines say about the change log, in CBOR (RFC 8949): one array that begins with the
+ * cluster's name, the version of the form and the kind of message. Any bytes may come: what can't be read is
+ * a {@link ChangeFormException} and nothing else.
+ */
+public final class ChangeCodec {
+
+  /** The most bytes of a message. */
+  public static final int MOST_BYTES = 1 << 20;
+
+  /** The most parts of a snapshot. */
+  static final int MOST_PARTS = 4_096;
+
+  /** The most submitters in a snapshot. */
+  static final int MOST_ORIGINS = 1_024;
+
+  private static final int VERSION = 1;
+  private static final int MOST_DEPTH = 4;
+  private static final int MOST_DIGITS = 20;
+  private static final CBORFactory FORM = CBORFactory.builder()
+      .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MOST_DEPTH)
+          .maxStringLength(ConfigurationChange.MOST_DOCUMENT_BYTES).maxNumberLength(MOST_DIGITS).build())
+      .build();
+
+  /** The kinds of messages; their order is their number on the wire, so that new ones come last. */
+  private enum Kind {
+    LEASE_ASK, LEASE_PROMISE, LEASE_DENIAL, LEASE_RELEASE, RECOVER, RECOVERED, APPEND, ACCEPTED, REFUSED,
+    FETCH, COMMITTED, SNAPSHOT_PART, REJOIN, REJOIN_ANSWER
+  }
+
+  private final String cluster;
+
+  /** Of one cluster: messages of others are refused. */
+  public ChangeCodec(String cluster) {
+    this.cluster = cluster;
+  }
+
+  /** The bytes of a message. */
+  public byte[] write(LogMessage message) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (JsonGenerator out = FORM.createGenerator(bytes)) {
+      out.writeStartArray();
+      out.writeString(cluster);
+      out.writeNumber(VERSION);
+      write(out, message);
+      out.writeEndArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("bytes in memory can't be written", e);
+    }
+    if (bytes.size() > MOST_BYTES) {
+      throw new IllegalArgumentException("a message of " + bytes.size() + " bytes");
+    }
+    return bytes.toByteArray();
+  }
+
+  private static void begin(JsonGenerator out, Kind kind) throws IOException {
+    out.writeNumber(kind.ordinal());
+  }
+
+  private static void begin(JsonGenerator out, Kind kind, Epoch epoch) throws IOException {
+    begin(out, kind);
+    EntryForm.write(out, epoch);
+  }
+
+  private static void write(JsonGenerator out, LogMessage message) throws IOException {
+    if (message instanceof OfLease m) {
+      writeOfLease(out, m);
+    } else if (message instanceof Recover m) {
+      begin(out, Kind.RECOVER, m.epoch());
+    } else if (message instanceof Recovered m) {
+      begin(out, Kind.RECOVERED, m.epoch());
+      EntryForm.write(out, m.identity());
+      out.writeNumber(m.life());
+      out.writeBoolean(m.voter());
+      EntryForm.write(out, m.accepted());
+      out.writeNumber(m.commit());
+      EntryForm.write(out, m.tail());
+    } else if (message instanceof Append m) {
+      writeAppend(out, m);
+    } else if (message instanceof Accepted m) {
+      begin(out, Kind.ACCEPTED, m.epoch());
+      out.writeNumber(m.life());
+      out.writeBoolean(m.inStep());
+      out.writeBoolean(m.voter());
+      out.writeNumber(m.last());
+      out.writeNumber(m.commit());
+    } else if (message instanceof Refused m) {
+      begin(out, Kind.REFUSED, m.fence());
+    } else {
+      writeOfCatchingUp(out, message);
+    }
+  }
+
+  private static void writeOfLease(JsonGenerator out, OfLease message) throws IOException {
+    if (message.message() instanceof Ask m) {
+      begin(out, Kind.LEASE_ASK, m.epoch());
+      out.writeNumber(m.round());
+    } else if (message.message() instanceof Promise m) {
+      begin(out, Kind.LEASE_PROMISE, m.epoch());
+      out.writeNumber(m.round());
+    } else if (message.message() instanceof Denial m) {
+      begin(out, Kind.LEASE_DENIAL);
+      out.writeNumber(m.known());
+    } else if (message.message() instanceof Release m) {
+      begin(out, Kind.LEASE_RELEASE, m.epoch());
+    }
+  }
+
+  private static void writeAppend(JsonGenerator out, Append m) throws IOException {
+    begin(out, Kind.APPEND, m.epoch());
+    EntryForm.write(out, m.identity());
+    out.writeNumber(m.life());
+    out.writeBoolean(m.founder());
+    out.writeNumber(m.start());
+    out.writeNumber(m.commit());
+    out.writeNumber(m.last());
+    EntryForm.write(out, m.entries());
+  }
+
+  private static void writeOfCatchingUp(JsonGenerator out, LogMessage message) throws IOException {
+    if (message instanceof Fetch m) {
+      begin(out, Kind.FETCH, m.identity());
+      out.writeNumber(m.from());
+      out.writeNumber(m.snapshotIndex());
+      out.writeNumber(m.part());
+    } else if (message instanceof Committed m) {
+      begin(out, Kind.COMMITTED, m.identity());
+      EntryForm.write(out, m.entries());
+    } else if (message instanceof SnapshotPart m) {
+      writeSnapshotPart(out, m);
+    } else if (message instanceof Rejoin m) {
+      begin(out, Kind.REJOIN);
+      out.writeNumber(m.life());
+    } else if (message instanceof RejoinAnswer m) {
+      begin(out, Kind.REJOIN_ANSWER, m.identity());
+      out.writeNumber(m.life());
+      out.writeBoolean(m.voter());
+      EntryForm.write(out, m.fence());
+    }
+  }
+
+  private static void writeSnapshotPart(JsonGenerator out, SnapshotPart m) throws IOException {
+    begin(out, Kind.SNAPSHOT_PART, m.identity());
+    out.writeNumber(m.index());
+    out.writeNumber(m.completeFrom());
+    out.writeNumber(m.part());
+    out.writeNumber(m.parts());
+    EntryForm.write(out, m.entries());
+    out.writeNumber(m.floors().size());
+    for (Map.Entry<String, Long> floor : m.floors().entrySet()) {
+      out.writeString(floor.getKey());
+      out.writeNumber(floor.getValue());
+    }
+  }
+
+  /** Reads a message of this cluster. */
+  public LogMessage read(byte[] bytes) throws ChangeFormException {
+    if (bytes.length > MOST_BYTES) {
+      throw new ChangeFormException("longer than a message may be: " + bytes.length);
+    }
+    try (JsonParser parser = FORM.createParser(bytes)) {
+      FormReader in = new FormReader(parser);
+      in.begin();
+      if (!in.name().equals(cluster)) {
+        throw new ChangeFormException("of another cluster");
+      }
+      long version = in.number();
+      if (version != VERSION) {
+        throw new ChangeFormException("of an unknown version: " + version);
+      }
+      LogMessage message = read(in, Kind.values()[(int) in.within(0, Kind.values().length - 1)]);
+      in.end();
+      in.over();
+      return message;
+    } catch (IOException | RuntimeException e) {
+      throw new ChangeFormException("no message: " + e.getMessage());
+    }
+  }
+
+  private static LogMessage read(FormReader in, Kind kind) throws IOException, ChangeFormException {
+    return switch (kind) {
+      case LEASE_ASK -> new OfLease(new Ask(in.epoch(), in.index()));
+      case LEASE_PROMISE -> new OfLease(new Promise(in.epoch(), in.index()));
+      case LEASE_DENIAL -> new OfLease(new Denial(in.index()));
+      case LEASE_RELEASE -> new OfLease(new Release(in.epoch()));
+      case RECOVER -> new Recover(in.epoch());
+      case RECOVERED -> recovered(in);
+      case APPEND -> append(in);
+      case ACCEPTED ->
+        new Accepted(in.epoch(), in.number(), in.flag(), in.flag(), in.index(), in.index());
+      case REFUSED -> new Refused(in.epoch());
+      case FETCH -> new Fetch(in.epoch(), in.index(), in.index(), (int) in.within(0, MOST_PARTS - 1));
+      case COMMITTED -> new Committed(in.epoch(), EntryForm.readWithoutGaps(in));
+      case SNAPSHOT_PART -> snapshotPart(in);
+      case REJOIN -> new Rejoin(in.number());
+      case REJOIN_ANSWER -> rejoinAnswer(in);
+    };
+  }
+
+  private static Recovered recovered(FormReader in) throws IOException, ChangeFormException {
+    Recovered message = new Recovered(in.epoch(), in.epoch(), in.number(), in.flag(), in.epoch(), in.index(),
+        EntryForm.readWithoutGaps(in));
+    if (!message.tail().isEmpty() && message.tail().get(0).index() != message.commit() + 1) {
+      throw new ChangeFormException("with a tail that does not follow");
+    }
+    return message;
+  }
+
+  private static Append append(FormReader in) throws IOException, ChangeFormException {
+    return new Append(in.epoch(), in.epoch(), in.number(), in.flag(), in.index(), in.index(), in.index(),
+        EntryForm.readWithoutGaps(in));
+  }
+
+  private static RejoinAnswer rejoinAnswer(FormReader in) throws IOException, ChangeFormException {
+    Epoch identity = in.epoch();
+    return new RejoinAnswer(in.number(), identity, in.flag(), in.epoch());
+  }
+
+  private static SnapshotPart snapshotPart(FormReader in) throws IOException, ChangeFormException {
+    Epoch identity = in.epoch();
+    long index = in.index();
+    long completeFrom = in.within(0, index);
+    int part = (int) in.within(0, MOST_PARTS - 1);
+    int parts = (int) in.within(part + 1L, MOST_PARTS);
+    List<ChangeEntry> entries = EntryForm.read(in);
+    if (!entries.isEmpty() && entries.get(entries.size() - 1).index() > index) {
+      throw new ChangeFormException("with entries that a snapshot can't have");
+    }
+    return new SnapshotPart(identity, index, completeFrom, part, parts, entries, floors(in));
+  }
+
+  private static SortedMap<String, Long> floors(FormReader in) throws IOException, ChangeFormException {
+    SortedMap<String, Long> floors = new TreeMap<>();
+    for (long left = in.within(0, MOST_ORIGINS); left > 0; left--) {
+      ChangeId last = new ChangeId(in.text(), in.number());
+      if (floors.put(last.origin(), last.number()) != null) {
+        throw new ChangeFormException("with a submitter twice");
+      }
+    }
+    return Collections.unmodifiableSortedMap(floors);
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/fleet/changes/EntryForm.java
@@ -0,0 +1,101 @@
+package beampoint.fleet.changes;
+
+import beampoint.fleet.facts.Epoch;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The form of entries in bytes: an array of arrays. */
+final class EntryForm {
+
+  /** The most entries of one message. */
+  static final int MOST_ENTRIES = 1_024;
+
+  private static final int CONFIGURATION = 1;
+  private static final int PURGE = 2;
+
+  private EntryForm() {}
+
+  static void write(JsonGenerator out, Epoch epoch) throws IOException {
+    out.writeNumber(epoch.number());
+    out.writeString(epoch.holder());
+    out.writeNumber(epoch.life());
+  }
+
+  static void write(JsonGenerator out, List<ChangeEntry> entries) throws IOException {
+    out.writeStartArray();
+    for (ChangeEntry entry : entries) {
+      out.writeStartArray();
+      out.writeNumber(entry.index());
+      write(out, entry.epoch());
+      out.writeString(entry.id().origin());
+      out.writeNumber(entry.id().number());
+      write(out, entry.change());
+      out.writeEndArray();
+    }
+    out.writeEndArray();
+  }
+
+  private static void write(JsonGenerator out, Change change) throws IOException {
+    if (change instanceof ConfigurationChange configuration) {
+      out.writeNumber(CONFIGURATION);
+      out.writeNumber(configuration.formatVersion());
+      out.writeString(configuration.document());
+    } else if (change instanceof PurgeChange purge) {
+      out.writeNumber(PURGE);
+      out.writeNumber(purge.formatVersion());
+      out.writeNumber(purge.scope().ordinal());
+      out.writeString(purge.value());
+      out.writeNumber(purge.requestedAtMs());
+    }
+  }
+
+  /** Reads entries whose indexes rise. */
+  static List<ChangeEntry> read(FormReader in) throws IOException, ChangeFormException {
+    List<ChangeEntry> entries = new ArrayList<>();
+    long before = 0;
+    in.begin();
+    while (in.another()) {
+      if (entries.size() == MOST_ENTRIES) {
+        throw new ChangeFormException("with more entries than there may be");
+      }
+      ChangeEntry entry = entry(in);
+      if (entry.index() <= before || entry.epoch().number() == 0) {
+        throw new ChangeFormException("with entries out of order, or of nobody");
+      }
+      before = entry.index();
+      entries.add(entry);
+    }
+    return List.copyOf(entries);
+  }
+
+  /** Reads entries without gaps. */
+  static List<ChangeEntry> readWithoutGaps(FormReader in) throws IOException, ChangeFormException {
+    List<ChangeEntry> entries = read(in);
+    if (!entries.isEmpty()
+        && entries.get(entries.size() - 1).index() - entries.get(0).index() != entries.size() - 1) {
+      throw new ChangeFormException("with a gap between entries");
+    }
+    return entries;
+  }
+
+  private static ChangeEntry entry(FormReader in) throws IOException, ChangeFormException {
+    long index = in.index();
+    Epoch epoch = in.epoch();
+    ChangeId id = new ChangeId(in.text(), in.number());
+    ChangeEntry entry = new ChangeEntry(index, epoch, id, change(in));
+    in.end();
+    return entry;
+  }
+
+  private static Change change(FormReader in) throws IOException, ChangeFormException {
+    long kind = in.within(CONFIGURATION, PURGE);
+    int version = (int) in.within(1, Integer.MAX_VALUE);
+    if (kind == CONFIGURATION) {
+      return new ConfigurationChange(version, in.text());
+    }
+    PurgeScope scope = PurgeScope.values()[(int) in.within(0, PurgeScope.values().length - 1)];
+    return new PurgeChange(version, scope, in.text(), in.number());
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/fleet/changes/FormReader.java
@@ -0,0 +1,99 @@
+package beampoint.fleet.changes;
+
+import beampoint.fleet.facts.Epoch;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+
+/** Reads a message token by token; whatever is not as it should be is a {@link ChangeFormException}. */
+final class FormReader {
+
+  /** The most characters of a control machine's name. */
+  static final int MOST_NAME = 200;
+
+  /** The highest index and number of an epoch: so far below the end of a long that sums stay within it. */
+  static final long MOST_INDEX = 1L << 53;
+
+  private final JsonParser in;
+
+  FormReader(JsonParser in) {
+    this.in = in;
+  }
+
+  void begin() throws IOException, ChangeFormException {
+    expect(JsonToken.START_ARRAY);
+  }
+
+  void end() throws IOException, ChangeFormException {
+    expect(JsonToken.END_ARRAY);
+  }
+
+  /** True where another array begins, false where this one ends. */
+  boolean another() throws IOException, ChangeFormException {
+    JsonToken token = in.nextToken();
+    if (token != JsonToken.START_ARRAY && token != JsonToken.END_ARRAY) {
+      throw new ChangeFormException("cut off, or of another form");
+    }
+    return token == JsonToken.START_ARRAY;
+  }
+
+  /** Nothing may follow. */
+  void over() throws IOException, ChangeFormException {
+    if (in.nextToken() != null) {
+      throw new ChangeFormException("with more than there may be");
+    }
+  }
+
+  String text() throws IOException, ChangeFormException {
+    expect(JsonToken.VALUE_STRING);
+    return in.getText();
+  }
+
+  String name() throws IOException, ChangeFormException {
+    String name = text();
+    if (name.length() > MOST_NAME || !name.chars().allMatch(c -> c >= ' ' && c <= '~')) {
+      throw new ChangeFormException("with a text that is no name");
+    }
+    return name;
+  }
+
+  long number() throws IOException, ChangeFormException {
+    expect(JsonToken.VALUE_NUMBER_INT);
+    return in.getLongValue();
+  }
+
+  long within(long least, long most) throws IOException, ChangeFormException {
+    long number = number();
+    if (number < least || number > most) {
+      throw new ChangeFormException("with a number out of bounds: " + number);
+    }
+    return number;
+  }
+
+  long index() throws IOException, ChangeFormException {
+    return within(0, MOST_INDEX);
+  }
+
+  boolean flag() throws IOException, ChangeFormException {
+    JsonToken token = in.nextToken();
+    if (token != JsonToken.VALUE_TRUE && token != JsonToken.VALUE_FALSE) {
+      throw new ChangeFormException("cut off, or of another form");
+    }
+    return token == JsonToken.VALUE_TRUE;
+  }
+
+  Epoch epoch() throws IOException, ChangeFormException {
+    Epoch epoch = new Epoch(index(), name(), number());
+    boolean nobodys = epoch.number() == 0;
+    if (nobodys != epoch.holder().isEmpty() || nobodys && epoch.life() != 0) {
+      throw new ChangeFormException("with an odd epoch");
+    }
+    return epoch;
+  }
+
+  private void expect(JsonToken token) throws IOException, ChangeFormException {
+    if (in.nextToken() != token) {
+      throw new ChangeFormException("cut off, or of another form");
+    }
+  }
+}
--- a/src/main/java/beampoint/fleet/changes/LogLimits.java
+++ b/src/main/java/beampoint/fleet/changes/LogLimits.java
@@ -20,10 +20,23 @@
   public static final LogLimits USUAL = new LogLimits(256, 512 << 10, 1_024, 2 << 20, 512, 16_384, 8 << 20,
       1_024);
 
+  /** So that what is in flight, and the submitters of a snapshot beside it, fit one message. */
+  private static final int MOST_BYTES_IN_FLIGHT = ChangeCodec.MOST_BYTES / 2;
+
   public LogLimits {
-    if (entriesInFlight < 1 || bytesInFlight < 1 || queuedChanges < 0 || queuedBytes < 0 || keptEntries < 0
-        || keptPurges < 0 || keptBytes < 0 || origins < 1) {
+    boolean isSome = entriesInFlight >= 1 && bytesInFlight >= 1 && origins >= 1;
+    boolean fits = entriesInFlight <= EntryForm.MOST_ENTRIES && bytesInFlight <= MOST_BYTES_IN_FLIGHT
+        && origins <= ChangeCodec.MOST_ORIGINS;
+    boolean isNegative = queuedChanges < 0 || queuedBytes < 0 || keptEntries < 0 || keptPurges < 0
+        || keptBytes < 0;
+    if (!isSome || !fits || isNegative
+        || !mayBeSentInParts(entriesInFlight, bytesInFlight, keptPurges, keptBytes)) {
       throw new IllegalArgumentException("no limits of a log");
     }
   }
+
+  /** A part ends with the number of entries, or where one more would make it too long. */
+  private static boolean mayBeSentInParts(int entries, int bytes, int purges, int purgeBytes) {
+    return 2L + purges / entries + 2L * purgeBytes / bytes <= ChangeCodec.MOST_PARTS;
+  }
 }
--- /dev/null
+++ b/src/test/java/beampoint/fleet/changes/ChangeCodecTest.java
@@ -0,0 +1,310 @@
+package beampoint.fleet.changes;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.fleet.changes.LogMessage.Accepted;
+import beampoint.fleet.changes.LogMessage.Append;
+import beampoint.fleet.changes.LogMessage.Committed;
+import beampoint.fleet.changes.LogMessage.Fetch;
+import beampoint.fleet.changes.LogMessage.OfLease;
+import beampoint.fleet.changes.LogMessage.Recover;
+import beampoint.fleet.changes.LogMessage.Recovered;
+import beampoint.fleet.changes.LogMessage.Refused;
+import beampoint.fleet.changes.LogMessage.Rejoin;
+import beampoint.fleet.changes.LogMessage.RejoinAnswer;
+import beampoint.fleet.changes.LogMessage.SnapshotPart;
+import beampoint.fleet.facts.Epoch;
+import beampoint.fleet.lease.LeaseMessage.Ask;
+import beampoint.fleet.lease.LeaseMessage.Denial;
+import beampoint.fleet.lease.LeaseMessage.Promise;
+import beampoint.fleet.lease.LeaseMessage.Release;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** Messages about changes as bytes, and bytes that are none. */
+class ChangeCodecTest {
+
+  private static final ChangeCodec CODEC = new ChangeCodec("north");
+  private static final Epoch EPOCH = new Epoch(7, "control-1", -9);
+  private static final SortedMap<String, Long> NO_FLOORS = Collections.emptySortedMap();
+
+  private static ChangeEntry entry(long index, Change change) {
+    return new ChangeEntry(index, EPOCH, new ChangeId("sübmitter", 1L << 40), change);
+  }
+
+  private static List<ChangeEntry> purges(long from, int count, String value) {
+    List<ChangeEntry> entries = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      PurgeScope scope = PurgeScope.values()[i % 3];
+      entries.add(entry(from + i, new PurgeChange(1, scope, value, -i)));
+    }
+    return entries;
+  }
+
+  private static List<LogMessage> oneOfEach() {
+    List<ChangeEntry> entries = new ArrayList<>(purges(5, 3, "org/é/\uD83D\uDE00"));
+    entries.add(entry(8, new ConfigurationChange(2, "{\n}")));
+    return List.of(new OfLease(new Ask(EPOCH, 3)), new OfLease(new Promise(EPOCH, 4)),
+        new OfLease(new Denial(5)), new OfLease(new Release(EPOCH)), new Recover(EPOCH),
+        new Recovered(EPOCH, EPOCH, 9, true, Epoch.NONE, 4, entries),
+        new Append(EPOCH, EPOCH, 9, false, 3, 4, 8, entries), new Accepted(EPOCH, -1, true, false, 8, 4),
+        new Refused(EPOCH), new Fetch(EPOCH, 1, 2, 3), new Committed(EPOCH, entries),
+        new SnapshotPart(EPOCH, 8, 2, 1, 3, entries, new TreeMap<>(Map.of("a", 1L, "b", 2L))),
+        new Rejoin(Long.MIN_VALUE), new RejoinAnswer(3, Epoch.NONE, false, EPOCH));
+  }
+
+  @Test
+  void eachMessageIsReadAsItWasWritten() throws ChangeFormException {
+    for (LogMessage message : oneOfEach()) {
+      assertEquals(message, CODEC.read(CODEC.write(message)));
+    }
+  }
+
+  @Property(tries = 300, seed = "17")
+  void entriesAreReadAsTheyWereWritten(@ForAll @Size(max = 20) List<PurgeScope> scopes,
+      @ForAll @LongRange(min = 0, max = 1L << 52) long commit, @ForAll long number,
+      @ForAll String text) throws ChangeFormException {
+    String value = Texts.bytes(text) < 1 || Texts.bytes(text) > PurgeChange.MOST_VALUE_BYTES ? "k" : text;
+    List<ChangeEntry> entries = new ArrayList<>();
+    for (PurgeScope scope : scopes) {
+      entries.add(entry(commit + 1 + entries.size(), new PurgeChange(1, scope, value, number)));
+    }
+    Recovered message = new Recovered(EPOCH, EPOCH, number, true, EPOCH, commit, entries);
+    assertEquals(message, CODEC.read(CODEC.write(message)));
+  }
+
+  private static void assertRefused(byte[] bytes, String why) {
+    assertThrows(ChangeFormException.class, () -> CODEC.read(bytes), why);
+  }
+
+  @Test
+  void whatIsCutOffLongerOrOfAnotherClusterIsNoMessage() {
+    for (LogMessage message : oneOfEach()) {
+      byte[] bytes = CODEC.write(message);
+      for (int length = 0; length < bytes.length; length++) {
+        assertRefused(Arrays.copyOf(bytes, length), "cut to " + length);
+      }
+      assertRefused(Arrays.copyOf(bytes, bytes.length + 1), "with a byte more");
+      assertThrows(ChangeFormException.class, () -> new ChangeCodec("south").read(bytes));
+    }
+  }
+
+  /** What stands behind the cluster's name. */
+  private interface Body {
+    void write(JsonGenerator out) throws IOException;
+  }
+
+  private static byte[] form(int version, Body body) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (JsonGenerator out = new CBORFactory().createGenerator(bytes)) {
+      out.writeStartArray();
+      out.writeString("north");
+      out.writeNumber(version);
+      body.write(out);
+      out.writeEndArray();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+    return bytes.toByteArray();
+  }
+
+  @Test
+  void onlyKnownVersionsAndKindsAreRead() throws ChangeFormException {
+    Body rejoin = out -> {
+      out.writeNumber(12);
+      out.writeNumber(5);
+    };
+    assertEquals(new Rejoin(5), CODEC.read(form(1, rejoin)));
+    assertRefused(form(0, rejoin), "version 0");
+    assertRefused(form(2, rejoin), "version 2");
+    assertRefused(form(1, out -> out.writeNumber(-1)), "kind -1");
+    assertRefused(form(1, out -> out.writeNumber(14)), "kind 14");
+  }
+
+  private static void assertRead(LogMessage message) throws ChangeFormException {
+    assertEquals(message, CODEC.read(CODEC.write(message)));
+  }
+
+  private static void assertRefused(LogMessage message, String why) {
+    assertRefused(CODEC.write(message), why);
+  }
+
+  @Test
+  void boundsOfTextsHold() throws ChangeFormException {
+    for (int bytes : new int[] {1, PurgeChange.MOST_VALUE_BYTES - 1, PurgeChange.MOST_VALUE_BYTES}) {
+      assertRead(new Committed(EPOCH, purges(1, 1, "x".repeat(bytes))));
+    }
+    assertThrows(IllegalArgumentException.class, () -> purges(1, 1, ""));
+    assertThrows(IllegalArgumentException.class, () -> purges(1, 1, "x".repeat(1_025)));
+    assertThrows(IllegalArgumentException.class, () -> purges(1, 1, "é".repeat(513)));
+    assertThrows(IllegalArgumentException.class, () -> purges(1, 1, "\uD83D"));
+    int most = ConfigurationChange.MOST_DOCUMENT_BYTES;
+    for (int bytes : new int[] {0, most - 1, most}) {
+      assertRead(new Committed(EPOCH, List.of(entry(1, new ConfigurationChange(1, "y".repeat(bytes))))));
+    }
+    assertThrows(IllegalArgumentException.class, () -> new ConfigurationChange(1, "y".repeat(most + 1)));
+    assertThrows(IllegalArgumentException.class, () -> new ConfigurationChange(0, ""));
+    assertThrows(IllegalArgumentException.class, () -> new ChangeId("", 1));
+    assertThrows(IllegalArgumentException.class, () -> new ChangeId("o".repeat(101), 1));
+    assertThrows(IllegalArgumentException.class, () -> new ChangeId("o", -1));
+    assertRead(new Recover(new Epoch(1, "n".repeat(200), 0)));
+    assertRefused(new Recover(new Epoch(1, "n".repeat(201), 0)), "a name of 201");
+  }
+
+  /** A purge or a configuration as somebody might send it who does not keep to the bounds. */
+  private static byte[] hostileEntry(int kind, int version, int scope, String text) {
+    return form(1, out -> {
+      out.writeNumber(10);
+      EntryForm.write(out, EPOCH);
+      out.writeStartArray();
+      out.writeStartArray();
+      out.writeNumber(1);
+      EntryForm.write(out, EPOCH);
+      out.writeString("o");
+      out.writeNumber(1);
+      out.writeNumber(kind);
+      out.writeNumber(version);
+      if (kind == 2) {
+        out.writeNumber(scope);
+      }
+      out.writeString(text);
+      if (kind == 2) {
+        out.writeNumber(0);
+      }
+      out.writeEndArray();
+      out.writeEndArray();
+    });
+  }
+
+  @Test
+  void boundsOfTextsHoldAgainstWhoWritesOthers() throws ChangeFormException {
+    assertEquals(1, ((Committed) CODEC.read(hostileEntry(2, 1, 0, "x".repeat(1_024)))).entries().size());
+    assertRefused(hostileEntry(2, 1, 0, "x".repeat(1_025)), "a long value");
+    assertRefused(hostileEntry(2, 1, 0, ""), "no value");
+    assertRefused(hostileEntry(2, 0, 0, "x"), "version 0");
+    assertRefused(hostileEntry(2, 1, 3, "x"), "scope 3");
+    assertRefused(hostileEntry(2, 1, -1, "x"), "scope -1");
+    assertRefused(hostileEntry(3, 1, 0, "x"), "kind 3");
+    assertRefused(hostileEntry(1, 1, 0, "x".repeat(65_537)), "a long document");
+  }
+
+  @Test
+  void boundsOfNumbersHold() throws ChangeFormException {
+    long most = 1L << 53;
+    for (long number : new long[] {1, most - 1, most}) {
+      assertRead(new Recover(new Epoch(number, "a", 0)));
+      assertRead(new Accepted(EPOCH, 0, true, true, number, number));
+    }
+    assertRefused(new Recover(new Epoch(most + 1, "a", 0)), "an epoch");
+    assertRefused(new Recover(new Epoch(-1, "a", 0)), "an epoch");
+    assertRefused(new Recover(new Epoch(0, "a", 0)), "nobody's epoch with a name");
+    assertRefused(new Recover(new Epoch(1, "", 0)), "an epoch without a name");
+    assertRefused(new Accepted(EPOCH, 0, true, true, most + 1, 0), "an index");
+    assertRefused(new Accepted(EPOCH, 0, true, true, -1, 0), "an index");
+    assertRead(new Fetch(EPOCH, 1, 1, ChangeCodec.MOST_PARTS - 1));
+    assertRefused(new Fetch(EPOCH, 1, 1, ChangeCodec.MOST_PARTS), "a part");
+    assertRefused(new Fetch(EPOCH, 1, 1, -1), "a part");
+    assertRead(new SnapshotPart(EPOCH, 9, 9, 0, ChangeCodec.MOST_PARTS, List.of(), NO_FLOORS));
+    assertRefused(new SnapshotPart(EPOCH, 9, 9, 0, ChangeCodec.MOST_PARTS + 1, List.of(), NO_FLOORS),
+        "parts");
+    assertRefused(new SnapshotPart(EPOCH, 9, 9, 1, 1, List.of(), NO_FLOORS), "part 1 of 1");
+    assertRefused(new SnapshotPart(EPOCH, 9, 10, 0, 1, List.of(), NO_FLOORS), "complete from later");
+    assertRefused(new SnapshotPart(EPOCH, 9, 0, 0, 1, purges(9, 2, "x"), NO_FLOORS), "a later entry");
+  }
+
+  @Test
+  void boundsOfListsHold() throws ChangeFormException {
+    for (int count : new int[] {0, EntryForm.MOST_ENTRIES - 1, EntryForm.MOST_ENTRIES}) {
+      assertRead(new Committed(EPOCH, purges(1, count, "x")));
+    }
+    assertRefused(new Committed(EPOCH, purges(1, EntryForm.MOST_ENTRIES + 1, "x")), "many entries");
+    List<ChangeEntry> gap = new ArrayList<>(purges(1, 2, "x"));
+    gap.addAll(purges(4, 1, "x"));
+    assertRefused(new Committed(EPOCH, gap), "a gap");
+    assertRefused(new Recovered(EPOCH, EPOCH, 1, true, EPOCH, 3, purges(5, 1, "x")), "a tail further on");
+    Collections.reverse(gap);
+    assertRefused(new SnapshotPart(EPOCH, 9, 0, 0, 1, gap, NO_FLOORS), "out of order");
+    SortedMap<String, Long> floors = new TreeMap<>();
+    for (int i = 0; i < ChangeCodec.MOST_ORIGINS; i++) {
+      floors.put("o" + i, (long) i);
+    }
+    assertRead(new SnapshotPart(EPOCH, 9, 0, 0, 1, List.of(), floors));
+    floors.put("one more", 1L);
+    assertRefused(new SnapshotPart(EPOCH, 9, 0, 0, 1, List.of(), floors), "many submitters");
+  }
+
+  /** The longest messages that the limits of a log allow fit; what is longer is not even parsed. */
+  @Test
+  void theLongestMessagesFit() throws ChangeFormException {
+    String longest = "v".repeat(PurgeChange.MOST_VALUE_BYTES);
+    List<ChangeEntry> entries = Batches.first(purges(1, 2_000, longest),
+        new LogLimits(1_024, 512 << 10, 0, 0, 0, 0, 0, 1));
+    SortedMap<String, Long> floors = new TreeMap<>();
+    for (int i = 0; i < ChangeCodec.MOST_ORIGINS; i++) {
+      floors.put(String.valueOf(10_000 + i).repeat(20), Long.MAX_VALUE);
+    }
+    byte[] bytes = CODEC.write(new SnapshotPart(EPOCH, 9_000, 0, 0, 1, entries, floors));
+    assertTrue(bytes.length > 500_000 && bytes.length <= ChangeCodec.MOST_BYTES, "bytes: " + bytes.length);
+    CODEC.read(bytes);
+    assertRefused(new byte[ChangeCodec.MOST_BYTES], "nothing of the longest length");
+    assertRefused(new byte[ChangeCodec.MOST_BYTES + 1], "too long");
+    assertThrows(IllegalArgumentException.class,
+        () -> CODEC.write(new Committed(EPOCH, purges(1, 1_024, longest))));
+  }
+
+  @Test
+  void anEntryTakesNoMoreBytesThanItsWeight() {
+    int empty = CODEC.write(new Committed(EPOCH, List.of())).length;
+    Change shortest = new PurgeChange(1_000_000, PurgeScope.KEY, "v", -1L << 60);
+    Change longer = new PurgeChange(1, PurgeScope.TENANT, "é".repeat(500), Long.MAX_VALUE);
+    for (ChangeEntry entry : List.of(entry(1L << 53, shortest), entry(1L << 53, longer))) {
+      int bytes = CODEC.write(new Committed(EPOCH, List.of(entry))).length - empty;
+      assertTrue(bytes <= entry.weight(), bytes + " bytes, weight " + entry.weight());
+    }
+  }
+
+  /** Hostile bytes cost themselves: nothing but a ChangeFormException comes of any of them. */
+  @Test
+  void twoHundredThousandOddMessagesAreReadOrRefused() {
+    Random random = new Random(17);
+    List<byte[]> whole = oneOfEach().stream().map(CODEC::write).toList();
+    int refused = 0;
+    for (int i = 0; i < 200_000; i++) {
+      byte[] odd = whole.get(i % whole.size()).clone();
+      if (i % 5 == 0) {
+        odd = new byte[random.nextInt(600)];
+        random.nextBytes(odd);
+      }
+      for (int changes = random.nextInt(4); changes >= 0 && odd.length > 0; changes--) {
+        odd[random.nextInt(odd.length)] = (byte) random.nextInt(256);
+      }
+      try {
+        LogMessage read = CODEC.read(Arrays.copyOf(odd, odd.length - random.nextInt(2) * (odd.length / 3)));
+        byte[] again = CODEC.write(read);
+        assertArrayEquals(again, CODEC.write(CODEC.read(again)));
+      } catch (ChangeFormException e) {
+        refused++;
+      }
+    }
+    assertTrue(refused > 100_000, "refused: " + refused);
+    System.out.println("refused: " + refused);
+  }
+}
