Rename in the emulator: Ask is ClientRequest, its ends are outcomes

What one client wants was an Ask with tries that were "asked". It is a client's request, sent in tries, each with an outcome: Ask -> ClientRequest, Ask.End -> ClientRequest.Outcome, the variables ask and asked -> request and clientTry, Front.ask -> send, ProcessFleet.Asked -> OpenTry.

--- a/src/main/java/beampoint/emulator/Attempt.java
+++ b/src/main/java/beampoint/emulator/Attempt.java
@@ -7,8 +7,8 @@
 final class Attempt {
 
   final Instance instance;
-  final Ask.Try asked;
-  final Ask ask;
+  final ClientRequest.Try clientTry;
+  final ClientRequest request;
   final int number;
   final CacheNode node;
   final double sentAt;
@@ -21,10 +21,10 @@
   boolean over;
   private boolean answered;
 
-  Attempt(Instance instance, Ask.Try asked, int number, CacheNode node, double sentAt) {
+  Attempt(Instance instance, ClientRequest.Try clientTry, int number, CacheNode node, double sentAt) {
     this.instance = instance;
-    this.asked = asked;
-    this.ask = asked.ask;
+    this.clientTry = clientTry;
+    this.request = clientTry.request;
     this.number = number;
     this.node = node;
     this.sentAt = sentAt;
--- a/src/main/java/beampoint/emulator/CacheNode.java
+++ b/src/main/java/beampoint/emulator/CacheNode.java
@@ -99,18 +99,18 @@
       attempt.answer(Result.FULL);
       return;
     }
-    if (errorPart > 0 && world.chance(attempt.ask.id, errorPart)) {
+    if (errorPart > 0 && world.chance(attempt.request.id, errorPart)) {
       attempt.answer(Result.ERROR);
       return;
     }
-    double work = attempt.ask.work * attempt.ask.kind.work();
+    double work = attempt.request.work * attempt.request.kind.work();
     press(work, attempt.instance);
     if (dead) {
       return;
     }
     double extra = fresh ? caches.handshake() : 0;
     attempt.job = server.take(() -> {
-      attempt.hit = memory.get(attempt.ask.key) != null;
+      attempt.hit = memory.get(attempt.request.key) != null;
       double part = attempt.hit ? 1 : caches.missPart();
       return (extra + work * part) * slowness / warmth();
     }, () -> attempt.answer(attempt.hit ? Result.OK : Result.MISS));
--- a/src/main/java/beampoint/emulator/ClientCall.java
+++ b/src/main/java/beampoint/emulator/ClientCall.java
@@ -1,7 +1,7 @@
 package beampoint.emulator;
 
 import beampoint.Balancer.Idempotency;
-import beampoint.emulator.Ask.End;
+import beampoint.emulator.ClientRequest.Outcome;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -12,7 +12,7 @@
 
   /** How it ended, and the advice where it was refused. */
   interface Told {
-    void ended(End end, double advice);
+    void ended(Outcome outcome, double advice);
   }
 
   private final String words;
@@ -28,15 +28,16 @@
   }
 
   /** What a client writes for a try. */
-  static String words(Ask.Try asked, Scenario scenario, double now, String id) {
-    Ask ask = asked.ask;
-    long wait = Math.max(1, (long) (asked.notAfter - now));
-    String list = " Pc=" + ask.kind.name() + ",t=" + scenario.tenants().get(ask.tenant).name() + ",d=" + wait;
-    String key = String.format(Locale.ROOT, "%016x", ask.key);
-    if (!ask.kind.write()) {
+  static String words(ClientRequest.Try clientTry, Scenario scenario, double now, String id) {
+    ClientRequest request = clientTry.request;
+    long wait = Math.max(1, (long) (clientTry.notAfter - now));
+    String tenant = scenario.tenants().get(request.tenant).name();
+    String list = " Pc=" + request.kind.name() + ",t=" + tenant + ",d=" + wait;
+    String key = String.format(Locale.ROOT, "%016x", request.key);
+    if (!request.kind.write()) {
       return "mg " + key + " v " + id + list + "\r\n";
     }
-    String once = ask.kind.rules().idempotency() == Idempotency.KEYED ? ",k=" + id.substring(1) : "";
+    String once = request.kind.rules().idempotency() == Idempotency.KEYED ? ",k=" + id.substring(1) : "";
     return "ms " + key + " 5 " + id + list + once + "\r\nvalue\r\n";
   }
 
@@ -68,20 +69,20 @@
     String[] words = line.split(" ");
     if (words[0].equals("VA") && words.length > 2) {
       String value = ProxyProcess.bytes(in, Integer.parseInt(words[1]) + 2);
-      end(words[2].equals(id) && value.startsWith(id) ? End.SERVED : End.LOST, 0);
+      end(words[2].equals(id) && value.startsWith(id) ? Outcome.SERVED : Outcome.LOST, 0);
     } else if (words[0].equals("HD") && words.length > 1) {
-      end(words[1].equals(id) ? End.SERVED : End.LOST, 0);
+      end(words[1].equals(id) ? Outcome.SERVED : Outcome.LOST, 0);
     } else if (line.startsWith("SERVER_ERROR busy")) {
-      end(End.REFUSED, words.length > 2 ? Double.parseDouble(words[2]) : 0);
+      end(Outcome.REFUSED, words.length > 2 ? Double.parseDouble(words[2]) : 0);
     } else {
-      end(End.FAILED, 0);
+      end(Outcome.FAILED, 0);
     }
   }
 
-  synchronized void end(End end, double advice) {
+  synchronized void end(Outcome outcome, double advice) {
     if (!over) {
       over = true;
-      told.ended(end, advice);
+      told.ended(outcome, advice);
     }
   }
 
--- a/src/main/java/beampoint/emulator/Ask.java
+++ b/src/main/java/beampoint/emulator/ClientRequest.java
@@ -1,7 +1,10 @@
 package beampoint.emulator;
 
-/** What one client wants, from when it was due to when it has it or gives up; each try is a request. */
-final class Ask {
+/**
+ * A client's request, from when it was due to when it is answered or given up. The client may send it several
+ * times: each time is a try, which a proxy takes for a request of its own.
+ */
+final class ClientRequest {
 
   final long id;
   final Scenario.Kind kind;
@@ -12,7 +15,8 @@
   final double dueAt;
   int tries;
 
-  Ask(long id, Scenario.Kind kind, int kindNumber, int tenant, long key, double work, double dueAt) {
+  ClientRequest(long id, Scenario.Kind kind, int kindNumber, int tenant, long key, double work,
+      double dueAt) {
     this.id = id;
     this.kind = kind;
     this.kindNumber = kindNumber;
@@ -26,20 +30,20 @@
     return dueAt + kind.rules().deadline();
   }
 
-  /** One request for it at one instance. */
+  /** The request as it was sent once, to one instance. */
   static final class Try {
-    final Ask ask;
+    final ClientRequest request;
     final double notAfter;
     boolean over; // answered, or its client has left
     int runs; // of its effect
     double ranAt;
 
-    Try(Ask ask, double notAfter) {
-      this.ask = ask;
+    Try(ClientRequest request, double notAfter) {
+      this.request = request;
       this.notAfter = notAfter;
     }
   }
 
   /** How a try ended, as its client sees it. */
-  enum End { SERVED, REFUSED, FAILED, LOST }
+  enum Outcome { SERVED, REFUSED, FAILED, LOST }
 }
--- a/src/main/java/beampoint/emulator/Front.java
+++ b/src/main/java/beampoint/emulator/Front.java
@@ -1,6 +1,6 @@
 package beampoint.emulator;
 
-import beampoint.emulator.Ask.End;
+import beampoint.emulator.ClientRequest.Outcome;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
@@ -28,7 +28,7 @@
   private final DiscreteSampler keys;
   private final double shares;
   private final double[] surge;
-  private final Map<Ask.Try, Instance> at = new HashMap<>();
+  private final Map<ClientRequest.Try, Instance> at = new HashMap<>();
   private long lastId;
 
   Front(World world, UniformRandomProvider arrivals, UniformRandomProvider choices) {
@@ -74,56 +74,58 @@
     }
     long drifted = (long) (world.scenario.keys().drift() * (due - world.start) / 1000);
     long key = keys.sample() + drifted;
-    Ask ask = new Ask(++lastId, kinds.get(number), number, tenant, key, work.sample(), due);
-    world.report.asked(ask);
-    ask(ask);
+    ClientRequest request =
+        new ClientRequest(++lastId, kinds.get(number), number, tenant, key, work.sample(), due);
+    world.report.asked(request);
+    send(request);
   }
 
-  private void ask(Ask ask) {
+  private void send(ClientRequest request) {
     double now = world.clock.now();
-    ask.tries++;
-    double longest = ask.kind.rules().deadline() * world.scenario.clients().tryPart();
-    double time = Math.min(ask.endsAt() - now, longest);
-    Ask.Try asked = new Ask.Try(ask, now + time);
+    request.tries++;
+    double longest = request.kind.rules().deadline() * world.scenario.clients().tryPart();
+    double time = Math.min(request.endsAt() - now, longest);
+    ClientRequest.Try clientTry = new ClientRequest.Try(request, now + time);
     List<Instance> known = world.proxies().stream().filter(Instance::isKnownUp).toList();
     if (known.isEmpty()) {
-      answered(asked, End.FAILED, 0);
+      answered(clientTry, Outcome.FAILED, 0);
       return;
     }
     Instance proxy = known.get(choices.nextInt(known.size()));
-    at.put(asked, proxy);
-    proxy.take(asked);
+    at.put(clientTry, proxy);
+    proxy.take(clientTry);
     // It waits a little longer than it says, so that an answer in time is never missed.
-    world.clock.at(asked.notAfter + World.PATIENCE, () -> {
-      if (at.containsKey(asked)) {
-        at.remove(asked);
-        proxy.left(asked);
-        asked.over = true;
-        again(ask, End.FAILED, world.scenario.clients().pause());
+    world.clock.at(clientTry.notAfter + World.PATIENCE, () -> {
+      if (at.containsKey(clientTry)) {
+        at.remove(clientTry);
+        proxy.left(clientTry);
+        clientTry.over = true;
+        again(request, Outcome.FAILED, world.scenario.clients().pause());
       }
     });
   }
 
   /** A try has its final answer. */
-  void answered(Ask.Try asked, End end, double advice) {
-    asked.over = true;
-    at.remove(asked);
-    Ask ask = asked.ask;
-    if (end == End.SERVED) {
-      world.report.served(ask, world.clock.now() - ask.dueAt);
+  void answered(ClientRequest.Try clientTry, Outcome outcome, double advice) {
+    clientTry.over = true;
+    at.remove(clientTry);
+    ClientRequest request = clientTry.request;
+    if (outcome == Outcome.SERVED) {
+      world.report.served(request, world.clock.now() - request.dueAt);
     } else {
-      again(ask, end, end == End.REFUSED && advice > 0 ? advice : world.scenario.clients().pause());
+      boolean advised = outcome == Outcome.REFUSED && advice > 0;
+      again(request, outcome, advised ? advice : world.scenario.clients().pause());
     }
   }
 
-  private void again(Ask ask, End end, double wait) {
-    boolean harmless = end == End.REFUSED || !ask.kind.write();
-    boolean inTime = world.clock.now() + wait < ask.endsAt();
-    if (harmless && inTime && ask.tries <= world.scenario.clients().retries()) {
+  private void again(ClientRequest request, Outcome outcome, double wait) {
+    boolean harmless = outcome == Outcome.REFUSED || !request.kind.write();
+    boolean inTime = world.clock.now() + wait < request.endsAt();
+    if (harmless && inTime && request.tries <= world.scenario.clients().retries()) {
       world.report.retry();
-      world.clock.after(wait, () -> ask(ask));
+      world.clock.after(wait, () -> send(request));
     } else {
-      world.report.notServed(ask, end);
+      world.report.notServed(request, outcome);
     }
   }
 }
--- a/src/main/java/beampoint/emulator/Instance.java
+++ b/src/main/java/beampoint/emulator/Instance.java
@@ -38,13 +38,13 @@
   abstract void told(ListKind kind, List<Endpoint> endpoints);
 
   /** A client asks. */
-  abstract void take(Ask.Try asked);
+  abstract void take(ClientRequest.Try clientTry);
 
   /** The client has left. */
-  abstract void left(Ask.Try asked);
+  abstract void left(ClientRequest.Try clientTry);
 
   /** The cache nodes that lacked the key for this request. */
-  abstract List<CacheNode> missedAt(Ask.Try asked);
+  abstract List<CacheNode> missedAt(ClientRequest.Try clientTry);
 
   /** A peer has answered; the answer is on its way. */
   abstract void answered(Attempt attempt, Result result);
--- a/src/main/java/beampoint/emulator/ModuleInstance.java
+++ b/src/main/java/beampoint/emulator/ModuleInstance.java
@@ -28,14 +28,14 @@
   /** A request that it has taken. */
   private static final class Open {
     private final long id;
-    private final Ask.Try asked;
+    private final ClientRequest.Try clientTry;
     private final List<CacheNode> missedAt = new ArrayList<>();
     private int attempts;
     private Attempt out;
 
-    private Open(long id, Ask.Try asked) {
+    private Open(long id, ClientRequest.Try clientTry) {
       this.id = id;
-      this.asked = asked;
+      this.clientTry = clientTry;
     }
   }
 
@@ -47,7 +47,7 @@
   private int life; // processes so far; what was set in one does not reach the next
   private long lastId;
   private final Map<Long, Open> open = new HashMap<>();
-  private final Map<Ask.Try, Open> byTry = new HashMap<>();
+  private final Map<ClientRequest.Try, Open> byTry = new HashMap<>();
   private final Map<String, Deque<Link>> idle = new TreeMap<>();
 
   ModuleInstance(World world, int number, int zone, Function<Settings, Balancer> factory) {
@@ -72,7 +72,7 @@
         close(each.out);
         each.out.giveUp();
       }
-      world.front.answered(each.asked, Ask.End.FAILED, 0);
+      world.front.answered(each.clientTry, ClientRequest.Outcome.FAILED, 0);
     }
     idle.forEach((id, links) -> links.forEach(link -> disconnect(id, link)));
     idle.clear();
@@ -92,30 +92,31 @@
   }
 
   @Override
-  void take(Ask.Try asked) {
+  void take(ClientRequest.Try clientTry) {
     if (!isUp()) {
-      world.front.answered(asked, Ask.End.FAILED, 0);
+      world.front.answered(clientTry, ClientRequest.Outcome.FAILED, 0);
       return;
     }
     long id = ++lastId;
-    Open taken = new Open(id, asked);
+    Open taken = new Open(id, clientTry);
     open.put(id, taken);
-    byTry.put(asked, taken);
-    inLife(asked.notAfter + LATE - world.clock.now(), () -> {
-      if (!asked.over) {
+    byTry.put(clientTry, taken);
+    inLife(clientTry.notAfter + LATE - world.clock.now(), () -> {
+      if (!clientTry.over) {
         world.report.broken(world.clock.now(), "a request was lost: no answer in time");
-        answer(id, Ask.End.LOST, 0);
+        answer(id, ClientRequest.Outcome.LOST, 0);
       }
     });
-    give(new RequestReceived(id, asked.notAfter, asked.ask.tenant, asked.ask.kindNumber, asked.ask.key,
-        asked.ask.kind.write()));
+    ClientRequest request = clientTry.request;
+    give(new RequestReceived(id, clientTry.notAfter, request.tenant, request.kindNumber, request.key,
+        request.kind.write()));
   }
 
   @Override
-  void left(Ask.Try asked) {
-    Open taken = byTry.get(asked);
-    if (taken != null && !asked.over) {
-      asked.over = true;
+  void left(ClientRequest.Try clientTry) {
+    Open taken = byTry.get(clientTry);
+    if (taken != null && !clientTry.over) {
+      clientTry.over = true;
       forget(taken.id, taken);
       give(new RequestGone(taken.id));
     }
@@ -132,9 +133,9 @@
     if (action instanceof Balancer.Send a) {
       send(a);
     } else if (action instanceof Balancer.Refuse a) {
-      answer(a.id(), Ask.End.REFUSED, a.retryAfter());
+      answer(a.id(), ClientRequest.Outcome.REFUSED, a.retryAfter());
     } else if (action instanceof Balancer.Fail a) {
-      answer(a.id(), Ask.End.FAILED, 0);
+      answer(a.id(), ClientRequest.Outcome.FAILED, 0);
     } else if (action instanceof Balancer.Cancel a) {
       Open taken = open.get(a.id());
       if (taken != null && taken.out != null && taken.out.number == a.attempt()) {
@@ -165,25 +166,25 @@
     });
   }
 
-  private void answer(long id, Ask.End end, double advice) {
+  private void answer(long id, ClientRequest.Outcome outcome, double advice) {
     Open taken = open.get(id);
-    if (taken != null && !taken.asked.over) {
-      taken.asked.over = true;
-      world.front.answered(taken.asked, end, advice);
+    if (taken != null && !taken.clientTry.over) {
+      taken.clientTry.over = true;
+      world.front.answered(taken.clientTry, outcome, advice);
       forget(id, taken);
     }
   }
 
   private void forget(long id, Open taken) {
-    if (taken.asked.over && taken.out == null) {
+    if (taken.clientTry.over && taken.out == null) {
       open.remove(id);
-      byTry.remove(taken.asked);
+      byTry.remove(taken.clientTry);
     }
   }
 
   @Override
-  List<CacheNode> missedAt(Ask.Try asked) {
-    Open taken = byTry.get(asked);
+  List<CacheNode> missedAt(ClientRequest.Try clientTry) {
+    Open taken = byTry.get(clientTry);
     return taken == null ? List.of() : taken.missedAt;
   }
 
@@ -196,12 +197,13 @@
       return;
     }
     CacheNode node = world.cache(a.endpoint());
-    Attempt attempt = new Attempt(this, taken.asked, taken.attempts++, node, now);
+    Attempt attempt = new Attempt(this, taken.clientTry, taken.attempts++, node, now);
     taken.out = attempt;
     world.report.attempt(attempt.number);
     checkGrace(a.endpoint());
-    double last = a.limit() > 0 ? Math.min(taken.asked.notAfter, now + a.limit()) : taken.asked.notAfter;
-    if (taken.asked.over || now >= last || attempt.number >= world.scenario.limits().maxAttempts()) {
+    double notAfter = taken.clientTry.notAfter;
+    double last = a.limit() > 0 ? Math.min(notAfter, now + a.limit()) : notAfter;
+    if (taken.clientTry.over || now >= last || attempt.number >= world.scenario.limits().maxAttempts()) {
       inLife(0, () -> end(a.id(), attempt, Result.NOT_SENT));
       return;
     }
@@ -306,9 +308,9 @@
       taken.missedAt.add(attempt.node);
     }
     if (result == Result.OK) {
-      answer(id, Ask.End.SERVED, 0);
+      answer(id, ClientRequest.Outcome.SERVED, 0);
     }
-    boolean done = taken.asked.over;
+    boolean done = taken.clientTry.over;
     forget(id, taken);
     String endpoint = attempt.node == null ? OriginServer.ID : attempt.node.id;
     give(new AttemptEnded(id, attempt.number, endpoint, world.clock.now() - attempt.sentAt, result, done));
--- a/src/main/java/beampoint/emulator/OriginServer.java
+++ b/src/main/java/beampoint/emulator/OriginServer.java
@@ -36,7 +36,7 @@
     world.report.fetch();
     press(attempt);
     attempt.server = server;
-    attempt.job = server.take(() -> attempt.ask.work * origin.work() * slowness, () -> done(attempt));
+    attempt.job = server.take(() -> attempt.request.work * origin.work() * slowness, () -> done(attempt));
     if (attempt.job == null) {
       attempt.answer(Result.FULL);
     }
@@ -44,7 +44,7 @@
 
   private void press(Attempt attempt) {
     double now = world.clock.now();
-    boolean cold = attempt.instance.missedAt(attempt.asked).stream().anyMatch(CacheNode::isCold);
+    boolean cold = attempt.instance.missedAt(attempt.clientTry).stream().anyMatch(CacheNode::isCold);
     window.add(new Came(now, cold));
     coldOnes += cold ? 1 : 0;
     while (window.peekFirst().at() < now - origin.stopWindow()) {
@@ -61,29 +61,29 @@
   }
 
   private void done(Attempt attempt) {
-    Ask.Try asked = attempt.asked;
-    Ask ask = attempt.ask;
-    if (!ask.kind.write()) {
-      attempt.instance.missedAt(asked).forEach(node -> node.store(ask.key));
+    ClientRequest.Try clientTry = attempt.clientTry;
+    ClientRequest request = attempt.request;
+    if (!request.kind.write()) {
+      attempt.instance.missedAt(clientTry).forEach(node -> node.store(request.key));
     } else {
-      world.caches().forEach(node -> node.forget(ask.key));
-      run(asked, ask);
+      world.caches().forEach(node -> node.forget(request.key));
+      run(clientTry, request);
     }
     attempt.answer(Result.OK);
   }
 
   /** The rule on effects: an unsafe one runs once, a keyed one is dropped within its window. */
-  private void run(Ask.Try asked, Ask ask) {
+  private void run(ClientRequest.Try clientTry, ClientRequest request) {
     double now = world.clock.now();
-    boolean dropped = ask.kind.rules().idempotency() == Idempotency.KEYED && asked.runs > 0
-        && now - asked.ranAt <= ask.kind.rules().dedupWindow();
-    if (dropped || ask.kind.rules().idempotency() == Idempotency.SAFE) {
+    boolean dropped = request.kind.rules().idempotency() == Idempotency.KEYED && clientTry.runs > 0
+        && now - clientTry.ranAt <= request.kind.rules().dedupWindow();
+    if (dropped || request.kind.rules().idempotency() == Idempotency.SAFE) {
       return;
     }
-    asked.runs++;
-    asked.ranAt = now;
-    if (asked.runs > 1) {
-      world.report.broken(now, "an effect ran twice: class " + ask.kind.name());
+    clientTry.runs++;
+    clientTry.ranAt = now;
+    if (clientTry.runs > 1) {
+      world.report.broken(now, "an effect ran twice: class " + request.kind.name());
     }
   }
 }
--- a/src/main/java/beampoint/emulator/ProcessFleet.java
+++ b/src/main/java/beampoint/emulator/ProcessFleet.java
@@ -30,13 +30,13 @@
   private final Path directory;
   private final Listener origin = new Listener(this::serveOrigin);
   private final Map<String, Listener> nodes = new TreeMap<>();
-  private final Map<String, Asked> byId = new ConcurrentHashMap<>();
-  private final Map<Ask.Try, String> ids = new ConcurrentHashMap<>();
+  private final Map<String, OpenTry> byId = new ConcurrentHashMap<>();
+  private final Map<ClientRequest.Try, String> ids = new ConcurrentHashMap<>();
   private final World world;
   private long lastId;
 
   /** A request that is open, by the id that stands on the wire. */
-  private record Asked(Ask.Try asked, ProcessInstance proxy) {}
+  private record OpenTry(ClientRequest.Try clientTry, ProcessInstance proxy) {}
 
   ProcessFleet(Scenario scenario, List<String> command, Path directory) throws IOException {
     this.command = command;
@@ -124,18 +124,18 @@
 
   // ---- Requests -------------------------------------------------------------------------------------------
 
-  void register(Ask.Try asked, ProcessInstance proxy) {
+  void register(ClientRequest.Try clientTry, ProcessInstance proxy) {
     String id = "O" + Long.toHexString(++lastId);
-    ids.put(asked, id);
-    byId.put(id, new Asked(asked, proxy));
+    ids.put(clientTry, id);
+    byId.put(id, new OpenTry(clientTry, proxy));
   }
 
-  String wireId(Ask.Try asked) {
-    return ids.get(asked);
+  String wireId(ClientRequest.Try clientTry) {
+    return ids.get(clientTry);
   }
 
-  void forget(Ask.Try asked) {
-    String id = ids.remove(asked);
+  void forget(ClientRequest.Try clientTry) {
+    String id = ids.remove(clientTry);
     if (id != null) {
       // What the proxy still has out for it may come a little later.
       clock.after(World.PATIENCE * 10, () -> byId.remove(id));
@@ -184,12 +184,12 @@
   }
 
   private void came(CacheNode node, Socket socket, Channel channel, String id, boolean fresh) {
-    Asked known = byId.get(id);
+    OpenTry known = byId.get(id);
     if (known == null) {
       Listener.write(socket, "SERVER_ERROR busy\r\n"); // the request is over already
       return;
     }
-    Attempt attempt = known.proxy().came(known.asked(), node);
+    Attempt attempt = known.proxy().came(known.clientTry(), node);
     attempt.life = node.life;
     attempt.connected = true;
     channel.attempt = attempt;
@@ -229,11 +229,11 @@
           }
         }
         in.readNBytes(length);
-        String asked = "O" + id; // there it is the id itself, at a cache node a flag and the id
+        String onWire = "O" + id; // there it is the id itself, at a cache node a flag and the id
         if (probe) {
           Listener.write(socket, answer("200 OK", "", ""));
         } else {
-          clock.post(() -> fetched(socket, channel, asked));
+          clock.post(() -> fetched(socket, channel, onWire));
         }
       }
     } finally {
@@ -246,12 +246,12 @@
   }
 
   private void fetched(Socket socket, Channel channel, String id) {
-    Asked known = byId.get(id);
+    OpenTry known = byId.get(id);
     if (known == null) {
       Listener.write(socket, answer("503 Service Unavailable", "Srv-Declined: 1\r\n", ""));
       return;
     }
-    Attempt attempt = known.proxy().came(known.asked(), null);
+    Attempt attempt = known.proxy().came(known.clientTry(), null);
     channel.attempt = attempt;
     channel.proxy = known.proxy();
     attempt.ended = result -> {
--- a/src/main/java/beampoint/emulator/ProcessInstance.java
+++ b/src/main/java/beampoint/emulator/ProcessInstance.java
@@ -20,7 +20,7 @@
   private final ProxyProcess process;
   private final Listener discovery;
   private final List<Socket> watches = new CopyOnWriteArrayList<>();
-  private final Map<Ask.Try, Open> open = new HashMap<>();
+  private final Map<ClientRequest.Try, Open> open = new HashMap<>();
   private final List<Attempt> out = new ArrayList<>();
   private long sequence = 1;
   private int life;
@@ -96,59 +96,59 @@
   // ---- Clients --------------------------------------------------------------------------------------------
 
   @Override
-  void take(Ask.Try asked) {
+  void take(ClientRequest.Try clientTry) {
     Open taken = new Open();
-    open.put(asked, taken);
-    fleet.register(asked, this);
+    open.put(clientTry, taken);
+    fleet.register(clientTry, this);
     int ofLife = life;
-    taken.call = process.call(asked, world.scenario, world.clock.now(), fleet.wireId(asked),
-        (end, advice) -> fleet.clock().post(() -> ended(asked, end, advice, ofLife)));
-    world.clock.at(asked.notAfter + LATE, () -> {
-      if (!asked.over && ofLife == life && isUp()) {
+    taken.call = process.call(clientTry, world.scenario, world.clock.now(), fleet.wireId(clientTry),
+        (outcome, advice) -> fleet.clock().post(() -> ended(clientTry, outcome, advice, ofLife)));
+    world.clock.at(clientTry.notAfter + LATE, () -> {
+      if (!clientTry.over && ofLife == life && isUp()) {
         world.report.broken(world.clock.now(), "a request was lost: no answer in time");
       }
     });
   }
 
   /** A connection that ended with no answer lost its request, unless its process was killed, or was dying. */
-  private void ended(Ask.Try asked, Ask.End end, double advice, int ofLife) {
-    forget(asked);
-    if (!asked.over) {
-      if (end == Ask.End.LOST && ofLife == life && isUp()) {
+  private void ended(ClientRequest.Try clientTry, ClientRequest.Outcome outcome, double advice, int ofLife) {
+    forget(clientTry);
+    if (!clientTry.over) {
+      if (outcome == ClientRequest.Outcome.LOST && ofLife == life && isUp()) {
         world.report.broken(world.clock.now(), "a request was lost: its connection ended without an answer");
       }
-      world.front.answered(asked, end, advice);
+      world.front.answered(clientTry, outcome, advice);
     }
   }
 
-  private void forget(Ask.Try asked) {
-    open.remove(asked);
-    fleet.forget(asked);
+  private void forget(ClientRequest.Try clientTry) {
+    open.remove(clientTry);
+    fleet.forget(clientTry);
   }
 
   @Override
-  void left(Ask.Try asked) {
-    Open taken = open.get(asked);
-    asked.over = true;
+  void left(ClientRequest.Try clientTry) {
+    Open taken = open.get(clientTry);
+    clientTry.over = true;
     if (taken != null) {
       taken.call.leave();
-      forget(asked);
+      forget(clientTry);
     }
   }
 
   @Override
-  List<CacheNode> missedAt(Ask.Try asked) {
-    Open taken = open.get(asked);
+  List<CacheNode> missedAt(ClientRequest.Try clientTry) {
+    Open taken = open.get(clientTry);
     return taken == null ? List.of() : taken.missedAt;
   }
 
   // ---- What it sends --------------------------------------------------------------------------------------
 
   /** An attempt of it has come whole at a cache node or, without one, at the origin. */
-  Attempt came(Ask.Try asked, CacheNode node) {
-    Open taken = open.get(asked);
+  Attempt came(ClientRequest.Try clientTry, CacheNode node) {
+    Open taken = open.get(clientTry);
     double now = world.clock.now();
-    Attempt attempt = new Attempt(this, asked, taken == null ? 0 : taken.attempts++, node, now);
+    Attempt attempt = new Attempt(this, clientTry, taken == null ? 0 : taken.attempts++, node, now);
     world.report.attempt(attempt.number);
     if (node != null) {
       checkGrace(node.id);
@@ -161,7 +161,7 @@
   void answered(Attempt attempt, Result result) {
     out.remove(attempt);
     world.report.ended(result);
-    Open taken = open.get(attempt.asked);
+    Open taken = open.get(attempt.clientTry);
     if (result == Result.MISS && taken != null) {
       taken.missedAt.add(attempt.node);
     }
--- a/src/main/java/beampoint/emulator/ProxyProcess.java
+++ b/src/main/java/beampoint/emulator/ProxyProcess.java
@@ -1,6 +1,6 @@
 package beampoint.emulator;
 
-import beampoint.emulator.Ask.End;
+import beampoint.emulator.ClientRequest.Outcome;
 import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.io.InputStream;
@@ -142,8 +142,9 @@
   }
 
   /** Asks, on a connection that is free or a new one. */
-  ClientCall call(Ask.Try asked, Scenario scenario, double now, String id, ClientCall.Told told) {
-    ClientCall call = new ClientCall(ClientCall.words(asked, scenario, now, id), id, told);
+  ClientCall call(ClientRequest.Try clientTry, Scenario scenario, double now, String id,
+      ClientCall.Told told) {
+    ClientCall call = new ClientCall(ClientCall.words(clientTry, scenario, now, id), id, told);
     clients.execute(() -> play(call));
     return call;
   }
@@ -160,10 +161,10 @@
       if (call.play(socket)) {
         idle.addLast(socket);
       } else {
-        call.end(End.LOST, 0);
+        call.end(Outcome.LOST, 0);
       }
     } catch (IOException e) {
-      call.end(End.FAILED, 0); // nobody listens
+      call.end(Outcome.FAILED, 0); // nobody listens
     }
   }
 
--- a/src/main/java/beampoint/emulator/Report.java
+++ b/src/main/java/beampoint/emulator/Report.java
@@ -115,35 +115,35 @@
     }
   }
 
-  private List<Tally> tallies(Ask ask) {
-    boolean counts = ask.dueAt >= start + scenario.warmUp();
-    return counts ? List.of(all, kinds.get(ask.kindNumber), tenants.get(ask.tenant)) : List.of();
+  private List<Tally> tallies(ClientRequest request) {
+    boolean counts = request.dueAt >= start + scenario.warmUp();
+    return counts ? List.of(all, kinds.get(request.kindNumber), tenants.get(request.tenant)) : List.of();
   }
 
-  void asked(Ask ask) {
-    for (Tally tally : tallies(ask)) {
+  void asked(ClientRequest request) {
+    for (Tally tally : tallies(request)) {
       tally.asked++;
       // What is due so late that the day ends before its time is over owes nothing.
-      tally.worth += ask.endsAt() <= start + scenario.length() ? ask.kind.rules().worth() : 0;
+      tally.worth += request.endsAt() <= start + scenario.length() ? request.kind.rules().worth() : 0;
     }
   }
 
-  void served(Ask ask, double time) {
-    boolean inTime = time <= ask.kind.rules().aim();
-    for (Tally tally : tallies(ask)) {
+  void served(ClientRequest request, double time) {
+    boolean inTime = time <= request.kind.rules().aim();
+    for (Tally tally : tallies(request)) {
       tally.inTime += inTime ? 1 : 0;
       tally.late += inTime ? 0 : 1;
       tally.micros.recordValue((long) Math.min(LONGEST_MICROS, time * 1000));
-      if (ask.endsAt() <= start + scenario.length()) {
-        tally.earned += ask.kind.rules().worth() * (inTime ? 1 : ask.kind.rules().lateWorth());
+      if (request.endsAt() <= start + scenario.length()) {
+        tally.earned += request.kind.rules().worth() * (inTime ? 1 : request.kind.rules().lateWorth());
       }
     }
   }
 
-  void notServed(Ask ask, Ask.End end) {
-    for (Tally tally : tallies(ask)) {
-      tally.refused += end == Ask.End.REFUSED ? 1 : 0;
-      tally.failed += end == Ask.End.REFUSED ? 0 : 1;
+  void notServed(ClientRequest request, ClientRequest.Outcome outcome) {
+    for (Tally tally : tallies(request)) {
+      tally.refused += outcome == ClientRequest.Outcome.REFUSED ? 1 : 0;
+      tally.failed += outcome == ClientRequest.Outcome.REFUSED ? 0 : 1;
     }
   }
 
--- a/src/main/java/beampoint/emulator/World.java
+++ b/src/main/java/beampoint/emulator/World.java
@@ -93,8 +93,8 @@
   }
 
   /** True for a part of all requests, and for one request at all times alike. */
-  boolean chance(long ask, double part) {
-    long mixed = (ask + scenario.seed()) * 0x9e3779b97f4a7c15L;
+  boolean chance(long request, double part) {
+    long mixed = (request + scenario.seed()) * 0x9e3779b97f4a7c15L;
     return (mixed >>> 11) * 0x1p-53 < part;
   }
 
