Rename constants: upper limits begin with MAX_, the lower one with MIN_

MOST_SLOTS, MOST_TOLD, MOST, LONGEST_WAIT and the like were words of our own for what is a maximum: they are MAX_SLOTS, MAX_TOLD, MAX_OPEN (connections of operators), MAX_WAIT, MAX_FADE and so on; Plan.FEWEST is MIN_REPEATS.

--- a/src/main/java/beampoint/emulator/Listener.java
+++ b/src/main/java/beampoint/emulator/Listener.java
@@ -15,7 +15,7 @@
 /** A listener on loopback, one thread a connection; it can refuse for a while, and end what is open. */
 final class Listener implements Closeable {
 
-  private static final int LONGEST_LINE = 8192;
+  private static final int MAX_LINE = 8192;
   private static final int BACKLOG = 256;
 
   /** What is done with a connection, on its own thread. */
@@ -104,7 +104,7 @@
         int end = line.length() - 1;
         return end >= 0 && line.charAt(end) == '\r' ? line.substring(0, end) : line.toString();
       }
-      if (line.length() > LONGEST_LINE) {
+      if (line.length() > MAX_LINE) {
         throw new IOException("a line without end");
       }
       line.append((char) b);
--- a/src/main/java/beampoint/emulator/Loopback.java
+++ b/src/main/java/beampoint/emulator/Loopback.java
@@ -8,8 +8,8 @@
 public final class Loopback {
 
   /** Where a hundredth of its own tasks is later than this, in ms, a run tells nothing of the proxies. */
-  public static final double MOST_LATE = 20;
-  private static final double LONGEST_START = 30_000;
+  public static final double MAX_LATENESS_MS = 20;
+  private static final double MAX_START_MS = 30_000;
 
   private Loopback() {}
 
@@ -24,15 +24,15 @@
     try (ProcessFleet fleet = new ProcessFleet(scenario, command, directory)) {
       Thread end = new Thread(() -> close(fleet), "end");
       Runtime.getRuntime().addShutdownHook(end); // an interruption leaves no process either
-      Report report = fleet.play(LONGEST_START);
+      Report report = fleet.play(MAX_START_MS);
       Runtime.getRuntime().removeShutdownHook(end);
       double lateness = fleet.lateness();
       if (report == null) {
         return new Outcome(null, lateness, "a proxy did not get ready; its log is in " + directory);
       }
-      if (lateness > MOST_LATE) {
+      if (lateness > MAX_LATENESS_MS) {
         return new Outcome(null, lateness, "the load maker itself was late: " + lateness
-            + " ms for a hundredth of its tasks, " + MOST_LATE + " at most");
+            + " ms for a hundredth of its tasks, " + MAX_LATENESS_MS + " at most");
       }
       return new Outcome(report, lateness, null);
     }
--- a/src/main/java/beampoint/emulator/ProxyProcess.java
+++ b/src/main/java/beampoint/emulator/ProxyProcess.java
@@ -25,7 +25,7 @@
   private static final int LOWEST_PORT = 12_000;
   private static final int HIGHEST_PORT = 32_000;
   private static final int TRIES = 100;
-  private static final long LONGEST_END_S = 10;
+  private static final long MAX_STOP_S = 10;
 
   private final ProcessFleet fleet;
   private final String name;
@@ -119,7 +119,7 @@
   void end() {
     kill();
     try {
-      if (process != null && !process.waitFor(LONGEST_END_S, TimeUnit.SECONDS)) {
+      if (process != null && !process.waitFor(MAX_STOP_S, TimeUnit.SECONDS)) {
         throw new IllegalStateException("a proxy does not end: " + name);
       }
     } catch (InterruptedException e) {
--- a/src/main/java/beampoint/emulator/Report.java
+++ b/src/main/java/beampoint/emulator/Report.java
@@ -14,8 +14,8 @@
 /** What was counted on one day. A request belongs to the day if it was due after the warm-up. */
 public final class Report {
 
-  private static final int MOST_TOLD = 20; // broken rules that are told each by itself
-  private static final long LONGEST_MICROS = 3_600_000_000L;
+  private static final int MAX_TOLD = 20; // broken rules that are told each by itself
+  private static final long MAX_MICROS = 3_600_000_000L;
 
   /** How the requests of one kind or tenant ended. */
   private static final class Tally {
@@ -26,7 +26,7 @@
     private long failed;
     private double worth;
     private double earned;
-    private final Histogram micros = new Histogram(LONGEST_MICROS, 3); // from when it was due
+    private final Histogram micros = new Histogram(MAX_MICROS, 3); // from when it was due
   }
 
   private final Scenario scenario;
@@ -109,7 +109,7 @@
 
   void broken(double at, String rule) {
     breaks++;
-    if (broken.size() < MOST_TOLD) {
+    if (broken.size() < MAX_TOLD) {
       broken.add(String.format(Locale.ROOT, "%.3f s, seed %d: %s", (at - start) / 1000, scenario.seed(),
           rule));
     }
@@ -133,7 +133,7 @@
     for (Tally tally : tallies(request)) {
       tally.inTime += inTime ? 1 : 0;
       tally.late += inTime ? 0 : 1;
-      tally.micros.recordValue((long) Math.min(LONGEST_MICROS, time * 1000));
+      tally.micros.recordValue((long) Math.min(MAX_MICROS, time * 1000));
       if (request.endsAt() <= start + scenario.length()) {
         tally.earned += request.kind.rules().worth() * (inTime ? 1 : request.kind.rules().lateWorth());
       }
--- a/src/main/java/beampoint/experiment/Plan.java
+++ b/src/main/java/beampoint/experiment/Plan.java
@@ -14,7 +14,7 @@
     List<Variant> variants) {
 
   /** Fewer values give no interval that is worth the name. */
-  public static final int FEWEST = 10;
+  public static final int MIN_REPEATS = 10;
   private static final int VERSION = 1;
   private static final List<String> USUAL =
       List.of("service", "all.p50_ms", "all.p99_ms", "fetches", "handshakes", "probes", "cold_multiple");
@@ -30,8 +30,8 @@
     }
     Path scenario = file.toAbsolutePath().resolveSibling(top.text("scenario", null));
     int repeats = top.whole("repeats", Double.NaN, 1, 100_000);
-    if (repeats < FEWEST) {
-      throw top.wrong("repeats", repeats + " are too few for an interval, which needs " + FEWEST);
+    if (repeats < MIN_REPEATS) {
+      throw top.wrong("repeats", repeats + " are too few for an interval, which needs " + MIN_REPEATS);
     }
     long firstSeed = (long) top.number("first_seed", 1, 0, 1e15);
     String named = top.text("figures", String.join(" ", USUAL));
--- a/src/main/java/beampoint/experiment/Summary.java
+++ b/src/main/java/beampoint/experiment/Summary.java
@@ -45,7 +45,7 @@
     }
     text.append("\n| figure | variant | mean | 95% interval | difference to ")
         .append(plan.variants().get(0).name()).append(" | |\n| --- | --- | --- | --- | --- | --- |\n");
-    boolean enough = results.complete() >= Plan.FEWEST;
+    boolean enough = results.complete() >= Plan.MIN_REPEATS;
     for (String figure : plan.figures()) {
       for (Plan.Variant variant : plan.variants()) {
         row(text, results, figure, variant, enough, variant == plan.variants().get(0));
--- a/src/main/java/beampoint/ops/Calls.java
+++ b/src/main/java/beampoint/ops/Calls.java
@@ -38,8 +38,8 @@
 public final class Calls {
 
   /** Connections that may be open at once; the longest unfinished one makes room for the next. */
-  public static final int MOST = 16;
-  private static final long LONGEST_MS = 3000;
+  public static final int MAX_OPEN = 16;
+  private static final long MAX_CALL_MS = 3000;
   private static final int MAX_BODY = 16 * 1024;
   private static final String DETACH = "/_cache-nodes/detach/";
   private static final String ATTACH = "/_cache-nodes/attach/";
@@ -116,11 +116,11 @@
   }
 
   private void opened(Connection<SocketAddress> connection) {
-    if (open.size() >= MOST) {
+    if (open.size() >= MAX_OPEN) {
       end(open.keySet().iterator().next());
     }
     Call call = new Call();
-    call.end = loop.schedule(() -> end(connection), LONGEST_MS, TimeUnit.MILLISECONDS);
+    call.end = loop.schedule(() -> end(connection), MAX_CALL_MS, TimeUnit.MILLISECONDS);
     open.put(connection, call);
   }
 
--- a/src/main/java/beampoint/policy/Logic.java
+++ b/src/main/java/beampoint/policy/Logic.java
@@ -156,7 +156,7 @@
     r.yields = shares.yields(e, r);
     requests.put(r.id, r);
     ring.take(r);
-    facts.taken.add(facts.now, Evidence.LONGEST_FADE, 1);
+    facts.taken.add(facts.now, Evidence.MAX_FADE, 1);
     retryBudget = Math.min(RETRY_SAVED, retryBudget + RETRY_SHARE);
     dispatch(r);
   }
@@ -213,7 +213,7 @@
 
   /** Held while used often enough for its price. */
   private boolean worthHolding(Node node) {
-    double rate = facts.taken.rate(facts.now, Evidence.LONGEST_FADE);
+    double rate = facts.taken.rate(facts.now, Evidence.MAX_FADE);
     double hold = 100_000 * facts.caches.size() * facts.settings.prices().handshake();
     // As many uses as an even share brings stand in for what was not seen yet.
     double seen = (1 - Math.pow(0.5, (facts.now - facts.startedAt) / USE_FADE)) * USE_FADE / Math.log(2);
--- a/src/main/java/beampoint/policy/evidence/Evidence.java
+++ b/src/main/java/beampoint/policy/evidence/Evidence.java
@@ -18,7 +18,7 @@
   private static final double OVER_SHARE_PART = 0.4; // of that, for traffic beyond a share at busy caches
   private static final double FADE = 1000; // in ms: evidence counts half after this or after some sends to
   private static final double SENDS_KEPT = 3; // one cache, as many as this,
-  public static final double LONGEST_FADE = 8000; // up to this; requests taken count half after it
+  public static final double MAX_FADE = 8000; // up to this; requests taken count half after it
   private static final double PRIOR = 2; // what is known of all caches counts like so many answers of one
   private static final double BAD_SHARE = 0.1; // of attempts and probes, before any are known
   private static final double ERROR_LIMIT = 0.3; // share of errors at which a cache is skipped
@@ -60,8 +60,8 @@
 
   /** How long evidence on one cache is kept: if for one send, each send would find it out anew. */
   public double memory() {
-    double gap = facts.caches.size() / Math.max(1e-9, facts.taken.rate(facts.now, LONGEST_FADE));
-    return Math.min(LONGEST_FADE, Math.max(FADE, SENDS_KEPT * gap));
+    double gap = facts.caches.size() / Math.max(1e-9, facts.taken.rate(facts.now, MAX_FADE));
+    return Math.min(MAX_FADE, Math.max(FADE, SENDS_KEPT * gap));
   }
 
   public boolean isKnown(Node node) {
@@ -70,7 +70,7 @@
 
   /** The recent share of attempts and probes at caches that came to nothing. */
   public double badShare() {
-    return facts.bad.value(facts.now, LONGEST_FADE, BAD_SHARE, PRIOR);
+    return facts.bad.value(facts.now, MAX_FADE, BAD_SHARE, PRIOR);
   }
 
   /** A queue is there only once all slots are taken; without one, what is said of the cores counts. */
@@ -96,7 +96,7 @@
     }
     (node.origin ? facts.lateOrigin : facts.late).add(facts.now, FADE, result == Result.TIMEOUT ? 1 : 0);
     if (!node.origin) {
-      facts.bad.add(facts.now, LONGEST_FADE, result == Result.OK || result == Result.MISS ? 0 : 1);
+      facts.bad.add(facts.now, MAX_FADE, result == Result.OK || result == Result.MISS ? 0 : 1);
     }
     boolean broken = result == Result.CONNECT_FAILED || result == Result.RESET;
     node.errors.add(facts.now, memory(), result == Result.ERROR || broken ? 1 : 0);
@@ -114,7 +114,7 @@
     if (result != Result.OK) {
       eject(node);
     }
-    facts.bad.add(facts.now, LONGEST_FADE, result == Result.OK ? 0 : 1);
+    facts.bad.add(facts.now, MAX_FADE, result == Result.OK ? 0 : 1);
   }
 
   /** Skips a cache while it is remembered; never when half of the caches are: then the cause is shared. */
--- a/src/main/java/beampoint/policy/hosts/Hosts.java
+++ b/src/main/java/beampoint/policy/hosts/Hosts.java
@@ -10,7 +10,7 @@
 public record Hosts(Facts facts) {
 
   private static final long TIMER = 1L << 60; // tokens of calls for the list; other timers carry ids
-  private static final double LONGEST_WAIT = 2500; // in ms: what could be asked for counts as told after 6 s
+  private static final double MAX_WAIT = 2500; // in ms: what could be asked for counts as told after 6 s
 
   /** True where the list told something. */
   public boolean onList(ListReceived e) {
@@ -45,6 +45,6 @@
 
   private void askLater(double wait) {
     facts.listed = false;
-    facts.out.add(new SetTimer(Math.min(wait, LONGEST_WAIT), TIMER + ++facts.listCalls));
+    facts.out.add(new SetTimer(Math.min(wait, MAX_WAIT), TIMER + ++facts.listCalls));
   }
 }
--- a/src/main/java/beampoint/policy/state/RingPoints.java
+++ b/src/main/java/beampoint/policy/state/RingPoints.java
@@ -8,7 +8,7 @@
 public final class RingPoints {
 
   /** Owners that can be told apart at one time. */
-  private static final long MOST_SLOTS = 1 << 16;
+  private static final long MAX_SLOTS = 1 << 16;
 
   /** The upper bits say where a point lies, the lowest name its owner's slot. */
   private long[] points = new long[0];
@@ -26,13 +26,13 @@
 
   /** The place of the first point clockwise from a hash. */
   public int after(long hash) {
-    int found = Arrays.binarySearch(points, hash & -MOST_SLOTS);
+    int found = Arrays.binarySearch(points, hash & -MAX_SLOTS);
     return found >= 0 ? found : -found - 1;
   }
 
   /** The owner of the point so many places on. */
   public Node owner(int place) {
-    return slots.get((int) (points[place % points.length] & MOST_SLOTS - 1));
+    return slots.get((int) (points[place % points.length] & MAX_SLOTS - 1));
   }
 
   /** Replaces all points of these owners by as many as each now has; those of the others stay. */
@@ -53,14 +53,14 @@
     int kept = 0;
     for (long point : points) {
       next[kept] = point;
-      kept += moved[(int) (point & MOST_SLOTS - 1)] ? 0 : 1;
+      kept += moved[(int) (point & MAX_SLOTS - 1)] ? 0 : 1;
     }
     int end = kept;
     for (Node node : owners) {
       settle(node);
       long sequence = Hash.of(node.entry.id());
       for (int i = 0; i < node.points; i++) {
-        next[end++] = Hash.of(sequence + i) & -MOST_SLOTS | node.slot;
+        next[end++] = Hash.of(sequence + i) & -MAX_SLOTS | node.slot;
       }
     }
     // Two sorted runs, which the library's sort merges instead of sorting anew.
--- a/src/main/java/beampoint/serve/GracefulShutdown.java
+++ b/src/main/java/beampoint/serve/GracefulShutdown.java
@@ -13,7 +13,7 @@
   // where nobody does, or clients that stop half way would hold up the restart.
   private static final double HALF_COMMAND_MS = 2000;
   private static final double HALF_COMMAND_ALONE_MS = 200;
-  private static final double LONGEST_DEADLINE_MS = 3000; // that the platform waits for after a SIGTERM
+  private static final double MAX_DEADLINE_MS = 3000; // that the platform waits for after a SIGTERM
   private static final double KILL_MS = 700; // after that deadline a SIGKILL may come
   private static final double END_MS = 300; // before it all is answered
   private static final double LAST_WRITES_MS = 100; // until the last answers are written
@@ -44,7 +44,7 @@
   /** Returns once all is answered and written, or a SIGKILL is near; from any thread but the decisions'. */
   void await() throws InterruptedException {
     double longest = Decisions.longestDeadline(decisions.settings());
-    double killed = Math.min(longest, LONGEST_DEADLINE_MS) + KILL_MS;
+    double killed = Math.min(longest, MAX_DEADLINE_MS) + KILL_MS;
     loop.execute(() -> {
       begun = true;
       endsBy = clock.getAsDouble() + killed - END_MS;
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -43,7 +43,7 @@
 
   private static final Log LOG = Log.of("serve");
   private static final int RESERVED_DESCRIPTORS = 32; // for the machine, discovery and standard streams
-  private static final int OPS_DESCRIPTORS = Calls.MOST + 4; // for operators, and the files that are shared
+  private static final int OPS_DESCRIPTORS = Calls.MAX_OPEN + 4; // for operators and shared files
   private static final long POLL_MS = 100; // for what the other process of this proxy has stored
   private static final double HEARD_MS = 1500; // that a new process waits for discovery before it listens
   private static final int CLIENT_SHARE = 4; // of all descriptors; clients may hold a third
--- a/src/main/java/beampoint/serve/WarmUp.java
+++ b/src/main/java/beampoint/serve/WarmUp.java
@@ -33,7 +33,7 @@
   private static final String SELF = "self";
   private static final int EVENTS = 50;
   private static final int QUESTIONS = 20;
-  private static final double LONGEST_MS = 1500;
+  private static final double MAX_MS = 1500;
 
   private final ScheduledExecutorService loop;
   private final DoubleSupplier clock;
@@ -46,13 +46,13 @@
     this.loop = loop;
     this.clock = clock;
     this.done = done;
-    this.upstreams = new Upstreams(transport, loop, clock, this, new Counters(), new Budget(0), LONGEST_MS,
-        LONGEST_MS);
+    this.upstreams = new Upstreams(transport, loop, clock, this, new Counters(), new Budget(0), MAX_MS,
+        MAX_MS);
   }
 
   /** Begins; the module's part is done at once, the questions to itself come and go on their own. */
   void start(Balancer module, Settings settings, ListReceived known, InetSocketAddress self, boolean http) {
-    endsAt = clock.getAsDouble() + LONGEST_MS;
+    endsAt = clock.getAsDouble() + MAX_MS;
     rehearse(module, settings, known);
     upstreams.place(SELF, self, http, 0);
     upstreams.probe(SELF);
--- a/src/test/java/beampoint/LateDoor.java
+++ b/src/test/java/beampoint/LateDoor.java
@@ -15,7 +15,7 @@
  */
 public final class LateDoor implements AutoCloseable {
 
-  private static final int MOST = 64;
+  private static final int MAX_FILLERS = 64;
 
   private final ServerSocket server;
   private final List<Socket> fillers = new ArrayList<>();
@@ -23,7 +23,7 @@
   public LateDoor() throws IOException {
     server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
     while (comesIn()) {
-      if (fillers.size() > MOST) {
+      if (fillers.size() > MAX_FILLERS) {
         throw new IOException("the backlog does not fill");
       }
     }
--- a/src/test/java/beampoint/policy/OriginJamTest.java
+++ b/src/test/java/beampoint/policy/OriginJamTest.java
@@ -31,7 +31,7 @@
 
   private static final int INSTANCES = 200;
   private static final double CAPACITY = 0.2; // fetches a millisecond
-  private static final double LONGEST_QUEUE = 3_000;
+  private static final double MAX_QUEUE = 3_000;
   private static final double MISS = 60; // what a cache takes to say so
 
   private record Task(double at, long order, Runnable what) {}
@@ -60,7 +60,7 @@
         double limit = a.limit() > 0 ? a.limit() : 800;
         if (!a.endpoint().equals("origin")) {
           at(now + MISS, () -> end(instance, a, number, sentAt, Result.MISS));
-        } else if (busyUntil > now + LONGEST_QUEUE) {
+        } else if (busyUntil > now + MAX_QUEUE) {
           at(now + 1, () -> end(instance, a, number, sentAt, Result.FULL));
         } else {
           busyUntil = Math.max(now, busyUntil) + 1 / CAPACITY;
--- a/src/test/java/beampoint/serve/LongValuesTest.java
+++ b/src/test/java/beampoint/serve/LongValuesTest.java
@@ -21,7 +21,7 @@
 @Timeout(60)
 class LongValuesTest {
 
-  private static final int LONGEST = 4 * 1024 * 1024;
+  private static final int MAX_VALUE = 4 * 1024 * 1024;
   private static final String READ = "mg 7f3a v O9b Pc=read,t=acme,d=4000\r\n";
 
   private static String value(int length) {
@@ -45,18 +45,18 @@
 
   @Test
   void theFirstBytesGoOnBeforeTheRestHasCome() throws Exception {
-    String value = value(LONGEST);
+    String value = value(MAX_VALUE);
     try (Stub cache = heldHalfWay(value, 1000, "\r\n");
         ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
         Client client = new Client(proxy)) {
       proxy.sendTo("cache");
-      assertEquals("VA " + LONGEST + " O9b", client.ask(READ));
+      assertEquals("VA " + MAX_VALUE + " O9b", client.ask(READ));
       assertEquals(value.substring(0, 1000), client.bytes(1000));
       Balancer.AttemptEnded ended = proxy.ended();
       assertEquals(Result.OK, ended.result());
       assertTrue(ended.done());
       cache.ends.add(true);
-      assertEquals(value.substring(1000) + "\r\n", client.bytes(LONGEST - 1000 + 2));
+      assertEquals(value.substring(1000) + "\r\n", client.bytes(MAX_VALUE - 1000 + 2));
       assertEquals("MN", client.ask("mn\r\n"));
     }
   }
@@ -154,7 +154,7 @@
   /** Guards against values that take all memory as clients read slowly, and requests that wait for them. */
   @Test
   void manySlowReadersHoldLittleAndSmallRequestsAreServedBesideThem() throws Exception {
-    String value = value(LONGEST);
+    String value = value(MAX_VALUE);
     List<Client> slow = new ArrayList<>();
     PrintStream usual = System.err;
     ByteArrayOutputStream log = new ByteArrayOutputStream();
@@ -163,21 +163,21 @@
       for (String line = peer.line(); line != null; line = peer.line()) {
         String id = line.split(" ")[3];
         peer.say(line.startsWith("mg 5") ? "VA 5 " + id + "\r\nshort\r\n"
-            : "VA " + LONGEST + " " + id + "\r\n" + value + "\r\n");
+            : "VA " + MAX_VALUE + " " + id + "\r\n" + value + "\r\n");
       }
     }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
         Client quick = new Client(proxy)) {
       proxy.sendTo("cache");
       for (int i = 0; i < 20; i++) {
         slow.add(new Client(proxy.port, 16 * 1024));
-        assertEquals("VA " + LONGEST + " Os" + i, slow.get(i).ask("mg 7 v Os" + i + " Pc=read,d=4000\r\n"));
+        assertEquals("VA " + MAX_VALUE + " Os" + i, slow.get(i).ask("mg 7 v Os" + i + " Pc=read,d=4000\r\n"));
         assertEquals("VA 5 Oq" + i, quick.ask("mg 5 v Oq" + i + " Pc=read,d=4000\r\n"));
         assertEquals("short", quick.line());
       }
       // Asked on one connection behind a long one: it waits for its turn, and comes.
       slow.get(0).say("mg 5 v Olast Pc=read,d=4000\r\n");
       for (int i = 0; i < 20; i++) {
-        assertEquals(value.hashCode(), slow.get(i).bytes(LONGEST).hashCode());
+        assertEquals(value.hashCode(), slow.get(i).bytes(MAX_VALUE).hashCode());
         assertEquals("", slow.get(i).line());
       }
       assertEquals("VA 5 Olast", slow.get(0).line());
@@ -195,12 +195,12 @@
 
   @Test
   void aClientThatLeavesHalfWayEndsTheReadingAndNothingIsKept() throws Exception {
-    String value = value(LONGEST);
+    String value = value(MAX_VALUE);
     try (Stub cache = heldHalfWay(value, 200_000, "\r\n");
         ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody())) {
       proxy.sendTo("cache");
       try (Client client = new Client(proxy)) {
-        assertEquals("VA " + LONGEST + " O9b", client.ask(READ));
+        assertEquals("VA " + MAX_VALUE + " O9b", client.ask(READ));
       }
       proxy.ended();
       cache.ends.add(true);
