Rename in ops: Calls is AdminServer, Desk is AdminService

What listens for operators is an admin server in the terms of the field, and what carries their calls out is the service behind it. Names only; the configuration's `ops`, the paths and the counters keep theirs.

--- a/src/main/java/beampoint/ops/Calls.java
+++ b/src/main/java/beampoint/ops/AdminServer.java
@@ -32,10 +32,11 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
 /**
- * The operators' address: reads a call, asks the desk and answers; one call to a connection. Belongs to the
- * decision thread. Guards against callers that never finish: they are few at a time, and none stays long.
+ * The HTTP server at the operators' address: reads a call, has the service carry it out and answers; one call
+ * to a connection. Belongs to the decision thread. Guards against callers that never finish: they are few at
+ * a time, and none stays long.
  */
-public final class Calls {
+public final class AdminServer {
 
   /** Connections that may be open at once; the longest unfinished one makes room for the next. */
   public static final int MAX_OPEN = 16;
@@ -46,7 +47,7 @@
 
   private final TCPNIOTransport transport;
   private final ScheduledExecutorService loop;
-  private final Desk desk;
+  private final AdminService service;
   private final Counters counters;
   private final HttpWriter writer;
   private final Map<Connection<SocketAddress>, Call> open = new LinkedHashMap<>(); // the longest open first
@@ -63,10 +64,11 @@
   /** An answer's head and its text. */
   private record Reply(int status, String reason, String text) {}
 
-  public Calls(TCPNIOTransport transport, ScheduledExecutorService loop, Desk desk, Counters counters) {
+  public AdminServer(TCPNIOTransport transport, ScheduledExecutorService loop, AdminService service,
+      Counters counters) {
     this.transport = transport;
     this.loop = loop;
-    this.desk = desk;
+    this.service = service;
     this.counters = counters;
     this.writer = new HttpWriter(transport.getMemoryManager());
   }
@@ -177,7 +179,7 @@
     String target = request.target();
     if (target.equals("/_ready")) {
       return !request.method().equals("GET") ? notAllowed()
-          : desk.isReady() ? new Reply(200, "OK", "ready")
+          : service.isReady() ? new Reply(200, "OK", "ready")
           : new Reply(503, "Service Unavailable", "not ready");
     }
     boolean detach = target.startsWith(DETACH);
@@ -191,7 +193,7 @@
     if (node == null) {
       return new Reply(400, "Bad Request", "an id that can't be decoded");
     }
-    return switch (detach ? desk.detach(node) : desk.attach(node)) {
+    return switch (detach ? service.detach(node) : service.attach(node)) {
       case DONE -> new Reply(200, "OK", detach ? "out" : "in use");
       case NOT_STORED -> new Reply(500, "Internal Server Error",
           "done, but not stored: it ends with this process");
--- a/src/main/java/beampoint/ops/Desk.java
+++ b/src/main/java/beampoint/ops/AdminService.java
@@ -1,7 +1,7 @@
 package beampoint.ops;
 
-/** Where operators' calls are carried out; called on the decision thread. */
-public interface Desk {
+/** Carries out what operators call for; called on the decision thread. */
+public interface AdminService {
 
   /** How a call ended. */
   enum Outcome { DONE, NOT_STORED, UNKNOWN, TOO_MANY }
--- a/src/main/java/beampoint/serve/Operations.java
+++ b/src/main/java/beampoint/serve/Operations.java
@@ -9,7 +9,7 @@
 import beampoint.handover.BanFile;
 import beampoint.handover.Presence;
 import beampoint.log.Log;
-import beampoint.ops.Desk;
+import beampoint.ops.AdminService;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.function.BooleanSupplier;
@@ -22,7 +22,7 @@
  * What operators call for, and what this process shares with another one of the same proxy while one replaces
  * the other. It tells the module and decides nothing. Belongs to the decision thread.
  */
-final class Operations implements Desk {
+final class Operations implements AdminService {
 
   private static final Log LOG = Log.of("ops");
 
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -16,7 +16,7 @@
 import beampoint.fleet.message.News;
 import beampoint.fleet.node.FleetNode;
 import beampoint.log.Log;
-import beampoint.ops.Calls;
+import beampoint.ops.AdminServer;
 import beampoint.upstream.Upstreams;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -43,7 +43,7 @@
 
   private static final Log LOG = Log.of("serve");
   private static final int RESERVED_DESCRIPTORS = 32; // for the machine, discovery and standard streams
-  private static final int OPS_DESCRIPTORS = Calls.MAX_OPEN + 4; // for operators and shared files
+  private static final int OPS_DESCRIPTORS = AdminServer.MAX_OPEN + 4; // for operators and shared files
   private static final long POLL_MS = 100; // for what the other process of this proxy has stored
   private static final double HEARD_MS = 1500; // that a new process waits for discovery before it listens
   private static final int CLIENT_SHARE = 4; // of all descriptors; clients may hold a third
@@ -68,7 +68,7 @@
   private final Reload reload;
   private final GracefulShutdown shutdown;
   private final Operations operations; // null without an address for operators, as is the next
-  private final Calls calls;
+  private final AdminServer adminServer;
   private final Set<String> nodes = new HashSet<>(); // the cache nodes in the list
   private final CompletableFuture<InetSocketAddress> listens = new CompletableFuture<>();
   private boolean listed; // any host at all
@@ -118,12 +118,12 @@
     this.shutdown = new GracefulShutdown(sessions, decisions, loop, clock, this::isReplacing);
     if (config.ops() == null) {
       this.operations = null;
-      this.calls = null;
+      this.adminServer = null;
     } else {
       this.operations = new Operations(directory, name, config.listen().getPort(),
           new Operations.Parts(nodes::contains, this::takesClients, decisions::give, this::share, clock,
               counters));
-      this.calls = new Calls(transport, loop, operations, counters);
+      this.adminServer = new AdminServer(transport, loop, operations, counters);
     }
   }
 
@@ -147,10 +147,10 @@
   public void startWarm() throws IOException {
     warm = false;
     InetSocketAddress ops = open();
-    InetSocketAddress self = calls == null ? listen() : ops;
+    InetSocketAddress self = adminServer == null ? listen() : ops;
     loop.execute(() -> new WarmUp(transport, loop, clock, this::warmedUp)
         .start(factory.apply(config.settings()), config.settings(),
-            received(config.known(), ListKind.FULL), self, calls != null));
+            received(config.known(), ListKind.FULL), self, adminServer != null));
     try {
       listens.get();
     } catch (ExecutionException e) {
@@ -181,7 +181,7 @@
       }
       listed(start.known(), ListKind.REMEMBERED);
     });
-    InetSocketAddress ops = calls == null ? null : calls.listen(config.ops());
+    InetSocketAddress ops = adminServer == null ? null : adminServer.listen(config.ops());
     if (fleet != null && operations == null) {
       fleet.start();
     } else if (fleet != null) {
@@ -269,7 +269,7 @@
 
   /** The port that operators call; 0 where there is none, or not yet. */
   int opsPort() {
-    return calls == null ? 0 : calls.port();
+    return adminServer == null ? 0 : adminServer.port();
   }
 
   /** Stops at once, whatever is open. */
@@ -306,7 +306,7 @@
   private void warmedUp() {
     warm = true;
     LOG.info(name + " is warm");
-    if (calls != null) {
+    if (adminServer != null) {
       listenWhenWarm();
     }
   }
@@ -339,7 +339,7 @@
     }
     decisions.give(received(list, kind));
     listed |= !list.hosts().isEmpty();
-    if (calls != null && kind != ListKind.REMEMBERED) {
+    if (adminServer != null && kind != ListKind.REMEMBERED) {
       heard();
     }
   }
--- a/src/test/java/beampoint/ops/CallsTest.java
+++ b/src/test/java/beampoint/ops/AdminServerTest.java
@@ -6,12 +6,12 @@
 import org.junit.jupiter.api.Test;
 
 /** Ids as they stand in the path of a call. */
-class CallsTest {
+class AdminServerTest {
 
   @Test
   void idsArePercentDecodedOnce() {
-    assertEquals("a b/c+d%41", Calls.decoded("a%20b%2Fc+d%2541"));
-    assertNull(Calls.decoded("a%2"));
-    assertNull(Calls.decoded("a%zz"));
+    assertEquals("a b/c+d%41", AdminServer.decoded("a%20b%2Fc+d%2541"));
+    assertNull(AdminServer.decoded("a%2"));
+    assertNull(AdminServer.decoded("a%zz"));
   }
 }
--- a/src/test/java/beampoint/serve/OperationsTest.java
+++ b/src/test/java/beampoint/serve/OperationsTest.java
@@ -10,7 +10,7 @@
 import beampoint.Balancer.ShareChanged;
 import beampoint.Stub;
 import beampoint.count.Counter;
-import beampoint.ops.Calls;
+import beampoint.ops.AdminServer;
 import beampoint.serve.ProxyFixture.Client;
 import beampoint.serve.ProxyFixture.Module;
 import java.lang.management.ManagementFactory;
@@ -119,7 +119,7 @@
         open.add(new Client(proxy.port()));
         open.get(i).say("mg 1 v O" + i + " Pc=read,d=20000\r\n");
       }
-      for (int i = 0; i < 2 * Calls.MAX_OPEN; i++) {
+      for (int i = 0; i < 2 * AdminServer.MAX_OPEN; i++) {
         open.add(new Client(proxy.opsPort()));
         open.get(60 + i).say("POST /_cache-nodes/det");
         assertEquals("200", status(proxy, "GET /_ready"));
