--- a/src/main/java/beampoint/policy/ring/Ring.java
+++ b/src/main/java/beampoint/policy/ring/Ring.java
@@ -3,9 +3,9 @@
 import beampoint.Balancer.WeightSource;
 import beampoint.policy.cold.SlowStart;
 import beampoint.policy.effects.Effects;
+import beampoint.policy.state.BucketFrequency;
 import beampoint.policy.state.Facts;
 import beampoint.policy.state.Hash;
-import beampoint.policy.state.Heat;
 import beampoint.policy.state.Node;
 import beampoint.policy.state.Request;
 import java.util.ArrayList;
@@ -22,17 +22,17 @@
   private static final int POINTS = 100; // on the ring for each unit of list weight
   private static final int WARM_STEPS = 16; // in which a warming cache's points grow
   private static final double COPY_PART = 0.5; // of a cache's fair share that one bucket may draw there
-  private static final double HEAT_FADE = 30_000; // in ms: what a bucket draws counts half
+  private static final double FREQUENCY_FADE = 30_000; // in ms: what a bucket draws counts half
   private static final double NEAR_RAMP = 8_000; // in ms, in which all buckets get places in each zone
 
   public Ring {
-    facts.heat = new Heat(BUCKETS, HEAT_FADE);
+    facts.frequency = new BucketFrequency(BUCKETS, FREQUENCY_FADE);
   }
 
   /** Counts a new request for its bucket. */
   public void take(Request r) {
     r.bucket = (int) Long.remainderUnsigned(Hash.of(r.key >= 0 ? r.key : ~r.id), BUCKETS);
-    facts.heat.add(facts.now, r.bucket);
+    facts.frequency.add(facts.now, r.bucket);
   }
 
   /**
@@ -124,7 +124,7 @@
   /** A bucket has as many primaries as its traffic fills: a key hotter than two caches would sink them. */
   private int copy(Request r) {
     int caches = facts.caches.size();
-    double share = Math.max(0, facts.heat.of(r.bucket) - 1) / (facts.heat.total() + caches);
+    double share = Math.max(0, facts.frequency.of(r.bucket) - 1) / (facts.frequency.total() + caches);
     Node owner = caches == 0 ? null : facts.points.owner(facts.points.after(Hash.of(~(long) r.bucket)));
     double most = COPY_PART * (owner == null ? 1 : cold.warmth(owner, facts.now)) / Math.max(1, caches);
     return (int) Math.max(0, Math.min(caches - 2, r.luck * (1 + Math.floor(share / most))));
--- a/src/main/java/beampoint/policy/state/Heat.java
+++ b/src/main/java/beampoint/policy/state/BucketFrequency.java
@@ -3,14 +3,14 @@
 import java.util.Arrays;
 
 /** How often each bucket was asked for of late; it holds counts and decides nothing. */
-public final class Heat {
+public final class BucketFrequency {
 
   private final double[] counts;
   private final double halfLife;
   private double total;
   private double halvedAt;
 
-  public Heat(int buckets, double halfLife) {
+  public BucketFrequency(int buckets, double halfLife) {
     this.counts = new double[buckets];
     this.halfLife = halfLife;
   }
--- a/src/main/java/beampoint/policy/state/Facts.java
+++ b/src/main/java/beampoint/policy/state/Facts.java
@@ -60,7 +60,7 @@
   /** When the points change by the clock. */
   public double pointsDueAt = Double.POSITIVE_INFINITY;
   /** Recent requests of each bucket. */
-  public Heat heat;
+  public BucketFrequency frequency;
   /** Since when the origin has had room. */
   public double roomSince = Double.NEGATIVE_INFINITY;
   /** Of each tenant, and how long clients of each class wait, as a part of the class's time. */
