--- a/src/main/java/beampoint/policy/Logic.java
+++ b/src/main/java/beampoint/policy/Logic.java
@@ -190,7 +190,7 @@
       return;
     }
     boolean answered = e.result() == Result.OK || e.result() == Result.MISS;
-    facts.landed(r, attempt, answered);
+    facts.completed(r, attempt, answered);
     idle.remove(attempt.node);
     idle.add(attempt.node);
     cold.ended(e.result() == Result.OK);
@@ -258,7 +258,7 @@
     finish(r);
   }
 
-  /** A request is kept until its last attempt has landed. */
+  /** A request is kept until its last attempt has ended. */
   private void finish(Request r) {
     r.over = true;
     r.asked = null;
--- a/src/main/java/beampoint/policy/state/Facts.java
+++ b/src/main/java/beampoint/policy/state/Facts.java
@@ -137,7 +137,7 @@
   }
 
   /** An attempt of a request has ended; an answer shows its endpoint at work. */
-  public void landed(Request r, Attempt attempt, boolean answered) {
+  public void completed(Request r, Attempt attempt, boolean answered) {
     r.out.remove(attempt);
     attempt.over = true;
     attempt.node.inFlight--;
