Tests of the proxy: what stood twice is shared

The same read and write of a client, the script that refuses every request and the loop that closes clients stood in several classes; they are ProxyFixture.READ and WRITE, refuseAll() and Client.closeAll(). No test and no assertion is changed.

--- a/src/test/java/beampoint/serve/ClientConnectionTest.java
+++ b/src/test/java/beampoint/serve/ClientConnectionTest.java
@@ -7,7 +7,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Balancer.AttemptEnded;
-import beampoint.Balancer.Refuse;
 import beampoint.Balancer.RequestGone;
 import beampoint.Balancer.RequestReceived;
 import beampoint.Balancer.Result;
@@ -125,8 +124,7 @@
       cache.ends.add(true);
       assertEquals("VA 0 O9b", client.line());
       proxy.ended();
-      proxy.module.script = event -> event instanceof RequestReceived e
-          ? List.of(new Refuse(e.id(), 0)) : List.of();
+      proxy.refuseAll();
       assertEquals("SERVER_ERROR busy", other.ask(READ));
       assertEquals("CLIENT_ERROR unknown tenant", other.ask(READ.replace("acme", "nobody")));
     }
--- a/src/test/java/beampoint/serve/CloseCrossingTest.java
+++ b/src/test/java/beampoint/serve/CloseCrossingTest.java
@@ -1,5 +1,7 @@
 package beampoint.serve;
 
+import static beampoint.serve.ProxyFixture.READ;
+import static beampoint.serve.ProxyFixture.WRITE;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -23,8 +25,6 @@
 @Timeout(30)
 class CloseCrossingTest {
 
-  private static final String READ = "mg 7f3a v O9b Pc=read,t=acme,d=4000\r\n";
-  private static final String WRITE = "ms 7f3a 5 O9b Pc=put,t=acme,d=4000,k=5c\r\nhello\r\n";
   private static final int LONG = 60_000;
 
   /** Guards against a close over bytes that nobody read: the system resets, and answers go with it. */
--- a/src/test/java/beampoint/serve/ConnectionLimitTest.java
+++ b/src/test/java/beampoint/serve/ConnectionLimitTest.java
@@ -48,8 +48,7 @@
     // Of 140 descriptors clients may have 35 before they make room, a third of those amid a command.
     try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody(), 140);
         Client slow = new Client(proxy); Client other = new Client(proxy)) {
-      proxy.module.script = event -> event instanceof RequestReceived e
-          ? List.of(new Refuse(e.id(), 0)) : List.of();
+      proxy.refuseAll();
       slow.say(READ.substring(0, 10));
       for (int i = 0; i < 11; i++) {
         crowd.add(new Client(proxy));
@@ -68,9 +67,7 @@
       assertEquals("SERVER_ERROR busy", slow.ask(READ.substring(20)));
       assertEquals(8, proxy.proxy.counters().get(Counter.CLIENT_CONNECTIONS_CLOSED_FULL));
     } finally {
-      for (Client client : crowd) {
-        client.close();
-      }
+      Client.closeAll(crowd);
     }
   }
 
@@ -95,9 +92,7 @@
         client.close();
       }
     } finally {
-      for (Client client : crowd) {
-        client.close();
-      }
+      Client.closeAll(crowd);
     }
   }
 
@@ -113,9 +108,7 @@
       assertNull(crowd.get(0).line(), "who was idle for longest made room");
       assertEquals("MN", crowd.get(300 / 3 - 1).ask("mn\r\n"));
     } finally {
-      for (Client client : crowd) {
-        client.close();
-      }
+      Client.closeAll(crowd);
     }
   }
 
@@ -173,9 +166,7 @@
       assertEquals("SERVER_ERROR busy", all.get(0).line());
       assertNull(all.get(1).line(), "the next that was idle made room");
     } finally {
-      for (Client client : all) {
-        client.close();
-      }
+      Client.closeAll(all);
     }
   }
 }
--- a/src/test/java/beampoint/serve/LongValuesTest.java
+++ b/src/test/java/beampoint/serve/LongValuesTest.java
@@ -1,5 +1,6 @@
 package beampoint.serve;
 
+import static beampoint.serve.ProxyFixture.READ;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -22,7 +23,6 @@
 class LongValuesTest {
 
   private static final int MAX_VALUE = 4 * 1024 * 1024;
-  private static final String READ = "mg 7f3a v O9b Pc=read,t=acme,d=4000\r\n";
 
   private static String value(int length) {
     StringBuilder value = new StringBuilder(length + 8);
--- a/src/test/java/beampoint/serve/ProxyFixture.java
+++ b/src/test/java/beampoint/serve/ProxyFixture.java
@@ -108,6 +108,12 @@
     public void close() throws IOException {
       socket.close();
     }
+
+    static void closeAll(List<Client> clients) throws IOException {
+      for (Client client : clients) {
+        client.close();
+      }
+    }
   }
 
   final Module module = new Module();
@@ -174,6 +180,12 @@
     };
   }
 
+  /** Refuses every request. */
+  void refuseAll() {
+    module.script = event -> event instanceof Balancer.RequestReceived e
+        ? List.of(new Balancer.Refuse(e.id(), 0)) : List.of();
+  }
+
   /** Waits until the proxy has accepted so many connections of clients, since its start. */
   void awaitClients(long count) {
     while (proxy.counters().get(Counter.CLIENT_CONNECTIONS) < count) {
--- a/src/test/java/beampoint/serve/ProxyLifecycleTest.java
+++ b/src/test/java/beampoint/serve/ProxyLifecycleTest.java
@@ -109,8 +109,7 @@
         throw new IllegalStateException("a fault, as the test has it");
       };
       assertEquals("SERVER_ERROR failed", client.ask(READ));
-      proxy.module.script = event -> event instanceof RequestReceived e
-          ? List.of(new Refuse(e.id(), 0)) : List.of();
+      proxy.refuseAll();
       assertEquals("SERVER_ERROR busy", client.ask(READ));
       assertEquals(1, proxy.proxy.counters().get(Counter.LOGIC_EXCEPTIONS));
     }
@@ -157,8 +156,7 @@
   @Test
   void clientsThatGoOnSendingAfterASigtermGetAnAnswerOrAnEndWithNothingTaken() throws Exception {
     try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody())) {
-      proxy.module.script = event -> event instanceof RequestReceived e ? List.of(new Refuse(e.id(), 0))
-          : List.of();
+      proxy.refuseAll();
       AtomicInteger answers = new AtomicInteger();
       ExecutorService clients = Executors.newFixedThreadPool(6);
       List<Future<String>> ends = new ArrayList<>();
--- a/src/test/java/beampoint/serve/ProxyRequestTest.java
+++ b/src/test/java/beampoint/serve/ProxyRequestTest.java
@@ -8,7 +8,6 @@
 
 import beampoint.Balancer.AttemptEnded;
 import beampoint.Balancer.ListReceived;
-import beampoint.Balancer.Refuse;
 import beampoint.Balancer.RequestReceived;
 import beampoint.Balancer.Result;
 import beampoint.Balancer.Send;
@@ -46,8 +45,7 @@
   void theModuleIsToldWhatAClientMarksAsAskedAgain() throws Exception {
     try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
         Client client = new Client(proxy)) {
-      proxy.module.script = event -> event instanceof RequestReceived e
-          ? List.of(new Refuse(e.id(), 0)) : List.of();
+      proxy.refuseAll();
       client.ask(READ);
       assertFalse(proxy.module.next(RequestReceived.class).again());
       client.ask(READ.replace("O9b", "O9c").replace("d=4000", "d=4000,r=1"));
