Rename in experiment: Interval is ConfidenceInterval

half is halfWidth, OUTSIDE is TAIL_PROBABILITY, USUAL is DEFAULT_FIGURES: the terms of statistics. Names only; the files that an experiment writes stay as they are.

--- a/src/main/java/beampoint/experiment/Charts.java
+++ b/src/main/java/beampoint/experiment/Charts.java
@@ -23,18 +23,18 @@
     for (String figure : plan.figures()) {
       List<String> names = new ArrayList<>();
       List<Double> means = new ArrayList<>();
-      List<Double> halves = new ArrayList<>();
+      List<Double> halfWidths = new ArrayList<>();
       for (Plan.Variant variant : plan.variants()) {
-        Interval interval = Interval.of(results.values(variant, figure));
+        ConfidenceInterval interval = ConfidenceInterval.of(results.values(variant, figure));
         names.add(variant.name());
         means.add(interval.mean());
-        halves.add(interval.half());
+        halfWidths.add(interval.halfWidth());
       }
       CategoryChart chart = new CategoryChartBuilder().width(WIDTH).height(HEIGHT).title(figure)
           .yAxisTitle("mean and 95% interval, " + results.complete() + " seeds").build();
       chart.getStyler().setLegendVisible(false);
       chart.getStyler().setDefaultSeriesRenderStyle(CategorySeriesRenderStyle.Scatter);
-      chart.addSeries(figure, names, means, halves);
+      chart.addSeries(figure, names, means, halfWidths);
       String file = directory.resolve(figure.replaceAll("[^\\w.-]", "_") + ".svg").toString();
       VectorGraphicsEncoder.saveVectorGraphic(chart, file, VectorGraphicsFormat.SVG);
     }
--- a/src/main/java/beampoint/experiment/Interval.java
+++ b/src/main/java/beampoint/experiment/ConfidenceInterval.java
@@ -5,24 +5,24 @@
 import org.apache.commons.statistics.descriptive.Statistic;
 import org.apache.commons.statistics.distribution.TDistribution;
 
-/** A mean and the 95% interval round it, by Student's t: the values are independent days. */
-public record Interval(double mean, double low, double high) {
+/** A mean and its 95% confidence interval, by Student's t: the values are independent days. */
+public record ConfidenceInterval(double mean, double low, double high) {
 
-  private static final double OUTSIDE = 0.025; // at each end
+  private static final double TAIL_PROBABILITY = 0.025; // at each end
 
   /** Of two values or more. */
-  public static Interval of(double[] values) {
+  public static ConfidenceInterval of(double[] values) {
     DoubleStatistics statistics =
         DoubleStatistics.of(EnumSet.of(Statistic.MEAN, Statistic.STANDARD_DEVIATION), values);
     double mean = statistics.getAsDouble(Statistic.MEAN);
     double deviation = statistics.getAsDouble(Statistic.STANDARD_DEVIATION);
-    double t = TDistribution.of(values.length - 1).inverseSurvivalProbability(OUTSIDE);
-    double half = t * deviation / Math.sqrt(values.length);
-    return new Interval(mean, mean - half, mean + half);
+    double t = TDistribution.of(values.length - 1).inverseSurvivalProbability(TAIL_PROBABILITY);
+    double halfWidth = t * deviation / Math.sqrt(values.length);
+    return new ConfidenceInterval(mean, mean - halfWidth, mean + halfWidth);
   }
 
   /** Of the differences between values that belong together. */
-  public static Interval ofDifference(double[] values, double[] base) {
+  public static ConfidenceInterval ofDifference(double[] values, double[] base) {
     double[] differences = new double[values.length];
     for (int i = 0; i < values.length; i++) {
       differences[i] = values[i] - base[i];
@@ -35,7 +35,7 @@
     return low > 0 || high < 0;
   }
 
-  public double half() {
+  public double halfWidth() {
     return (high - low) / 2;
   }
 }
--- a/src/main/java/beampoint/experiment/Plan.java
+++ b/src/main/java/beampoint/experiment/Plan.java
@@ -16,7 +16,7 @@
   /** Fewer values give no interval that is worth the name. */
   public static final int MIN_REPEATS = 10;
   private static final int VERSION = 1;
-  private static final List<String> USUAL =
+  private static final List<String> DEFAULT_FIGURES =
       List.of("service", "all.p50_ms", "all.p99_ms", "fetches", "handshakes", "probes", "cold_multiple");
 
   /** One variant: what it changes, and the day that comes of it. */
@@ -34,7 +34,7 @@
       throw top.wrong("repeats", repeats + " are too few for an interval, which needs " + MIN_REPEATS);
     }
     long firstSeed = (long) top.number("first_seed", 1, 0, 1e15);
-    String named = top.text("figures", String.join(" ", USUAL));
+    String named = top.text("figures", String.join(" ", DEFAULT_FIGURES));
     List<Variant> variants = new ArrayList<>();
     for (Yaml fields : top.list("variants", 2)) {
       String name = fields.text("name", null);
--- a/src/main/java/beampoint/experiment/Results.java
+++ b/src/main/java/beampoint/experiment/Results.java
@@ -61,11 +61,11 @@
 
   /** The difference to the first variant: what is told of it, in words. */
   public String verdict(Plan.Variant variant, String figure) {
-    Interval difference = difference(variant, figure);
+    ConfidenceInterval difference = difference(variant, figure);
     return !difference.excludesZero() ? "no difference shown" : difference.mean() > 0 ? "more" : "less";
   }
 
-  public Interval difference(Plan.Variant variant, String figure) {
-    return Interval.ofDifference(values(variant, figure), values(plan.variants().get(0), figure));
+  public ConfidenceInterval difference(Plan.Variant variant, String figure) {
+    return ConfidenceInterval.ofDifference(values(variant, figure), values(plan.variants().get(0), figure));
   }
 }
--- a/src/main/java/beampoint/experiment/Summary.java
+++ b/src/main/java/beampoint/experiment/Summary.java
@@ -61,14 +61,14 @@
       text.append("- | too few repeats | - | - |\n");
       return;
     }
-    Interval own = Interval.of(results.values(variant, figure));
+    ConfidenceInterval own = ConfidenceInterval.of(results.values(variant, figure));
     text.append(number(own.mean())).append(" | ").append(number(own.low())).append(" to ")
         .append(number(own.high())).append(" | ");
     if (first) {
       text.append("- | - |\n");
       return;
     }
-    Interval difference = results.difference(variant, figure);
+    ConfidenceInterval difference = results.difference(variant, figure);
     text.append(number(difference.mean())).append(" (").append(number(difference.low())).append(" to ")
         .append(number(difference.high())).append(") | ").append(results.verdict(variant, figure))
         .append(" |\n");
--- a/src/test/java/beampoint/experiment/IntervalTest.java
+++ b/src/test/java/beampoint/experiment/ConfidenceIntervalTest.java
@@ -8,13 +8,14 @@
 import org.junit.jupiter.api.Test;
 
 /** Intervals hold what they say they hold, as often as they say. */
-class IntervalTest {
+class ConfidenceIntervalTest {
 
   @Test
   void aKnownCase() {
-    Interval interval = Interval.of(new double[] {1, 2, 3, 4, 5, 6, 7, 8, 9, 10});
+    ConfidenceInterval interval = ConfidenceInterval.of(new double[] {1, 2, 3, 4, 5, 6, 7, 8, 9, 10});
     assertEquals(5.5, interval.mean(), 1e-12);
-    assertEquals(2.2622 * 3.02765 / Math.sqrt(10), interval.half(), 1e-4); // t of 9 degrees, from a table
+    double t = 2.2622; // of 9 degrees of freedom, from a table
+    assertEquals(t * 3.02765 / Math.sqrt(10), interval.halfWidth(), 1e-4);
   }
 
   @Test
@@ -23,7 +24,7 @@
     int held = 0;
     for (int i = 0; i < 4000; i++) {
       double[] values = random.doubles(10).map(x -> random.nextGaussian()).toArray();
-      held += Interval.of(values).excludesZero() ? 0 : 1;
+      held += ConfidenceInterval.of(values).excludesZero() ? 0 : 1;
     }
     assertTrue(held > 0.94 * 4000 && held < 0.96 * 4000, "held: " + held);
   }
@@ -37,7 +38,7 @@
     for (int i = 0; i < base.length; i++) {
       next[i] = base[i] + 0.1 + 0.05 * random.nextDouble();
     }
-    assertTrue(Interval.ofDifference(next, base).excludesZero());
-    assertFalse(Interval.of(next).low() > Interval.of(base).high());
+    assertTrue(ConfidenceInterval.ofDifference(next, base).excludesZero());
+    assertFalse(ConfidenceInterval.of(next).low() > ConfidenceInterval.of(base).high());
   }
 }
--- a/src/test/java/beampoint/experiment/ExperimentTest.java
+++ b/src/test/java/beampoint/experiment/ExperimentTest.java
@@ -104,7 +104,7 @@
         one[i] = Emulation.run(day.withSeed(group * 20L + i), Logic::new).service();
         other[i] = Emulation.run(day.withSeed(group * 20L + 10 + i), Logic::new).service();
       }
-      held += Interval.ofDifference(one, other).excludesZero() ? 0 : 1;
+      held += ConfidenceInterval.ofDifference(one, other).excludesZero() ? 0 : 1;
     }
     assertTrue(held >= 88 && held < 100, "held zero: " + held + " of 100");
   }
