Rename in the decision module: Logic is BalancerPolicy

The class is the front of the decision module and says so; its name is that of its package and interface.

--- a/src/main/java/beampoint/cli/EmulateCommand.java
+++ b/src/main/java/beampoint/cli/EmulateCommand.java
@@ -1,6 +1,6 @@
 package beampoint.cli;
 
-import beampoint.policy.Logic;
+import beampoint.policy.BalancerPolicy;
 import beampoint.emulator.Emulation;
 import beampoint.emulator.Loopback;
 import beampoint.emulator.Report;
@@ -47,7 +47,7 @@
     try {
       Scenario day = Scenario.read(scenario);
       day = seed == null ? day : day.withSeed(seed);
-      report = jar == null ? Emulation.run(day, Logic::new) : onLoopback(day);
+      report = jar == null ? Emulation.run(day, BalancerPolicy::new) : onLoopback(day);
     } catch (InputException e) {
       LOG.error("bad scenario: " + e.getMessage());
       return 2;
--- a/src/main/java/beampoint/cli/ExperimentCommand.java
+++ b/src/main/java/beampoint/cli/ExperimentCommand.java
@@ -1,6 +1,6 @@
 package beampoint.cli;
 
-import beampoint.policy.Logic;
+import beampoint.policy.BalancerPolicy;
 import beampoint.experiment.Experiment;
 import beampoint.experiment.Plan;
 import beampoint.experiment.Results;
@@ -50,7 +50,7 @@
       return 2;
     }
     try {
-      Results results = new Experiment(read, Logic::new, Math.max(1, threads), longest).run(out);
+      Results results = new Experiment(read, BalancerPolicy::new, Math.max(1, threads), longest).run(out);
       spec.commandLine().getOut().println(Files.readString(out.resolve("summary.md")));
       return results.breaks() > 0 ? EmulateCommand.RULE_BROKEN : results.isPartial() ? PARTIAL : 0;
     } catch (IOException e) {
--- a/src/main/java/beampoint/cli/Main.java
+++ b/src/main/java/beampoint/cli/Main.java
@@ -1,6 +1,6 @@
 package beampoint.cli;
 
-import beampoint.policy.Logic;
+import beampoint.policy.BalancerPolicy;
 import beampoint.log.Log;
 import beampoint.serve.Config;
 import beampoint.serve.Proxy;
@@ -53,7 +53,7 @@
     @Override
     public Integer call() {
       try {
-        new Drill(System.in, System.out, Logic::new).run();
+        new Drill(System.in, System.out, BalancerPolicy::new).run();
         return 0;
       } catch (InputException e) {
         LOG.error("bad input: " + e.getMessage());
@@ -90,7 +90,7 @@
       Log.takeOverLibraries();
       try {
         FileChanges changes = new FileChanges(config); // before it is read: no change is missed
-        Proxy proxy = new Proxy(Config.read(config), Logic::new);
+        Proxy proxy = new Proxy(Config.read(config), BalancerPolicy::new);
         if (!Hangup.handle(() -> reload(proxy))) {
           LOG.warn("SIGHUP is ignored since before the start: " + config + " is read again when it changes");
           Thread watch = new Thread(() -> follow(proxy, changes), "configuration");
--- a/src/main/java/beampoint/policy/Logic.java
+++ b/src/main/java/beampoint/policy/BalancerPolicy.java
@@ -18,10 +18,10 @@
 import java.util.Map;
 
 /**
- * Every decision of a balancer, one instance each: takes events, and decides with the parts of this package
- * where a request goes, whether it goes again, and when it is given up.
+ * The front of the decision module, one instance a balancer: takes events, and decides with the parts of this
+ * package where a request goes, whether it is retried, and when it is given up.
  */
-public final class Logic implements Balancer {
+public final class BalancerPolicy implements Balancer {
 
   private static final double SPILL_FACTOR = 2; // a primary spills above this multiple of the mean in flight
   private static final int SPILL_EXTRA = 2; // and at least so many over it
@@ -43,7 +43,7 @@
   private final List<Node> idle = new ArrayList<>(); // endpoints with perhaps an idle connection
   private double retryBudget = 1;
 
-  public Logic(Settings settings) {
+  public BalancerPolicy(Settings settings) {
     facts.take(new SettingsChanged(settings, List.of(), Collections.nCopies(settings.tenants().size(), -1)));
   }
 
--- a/src/test/java/beampoint/PackagesTest.java
+++ b/src/test/java/beampoint/PackagesTest.java
@@ -33,7 +33,7 @@
   static final ArchRule ONLY_THE_SERVICE_CALLS_THE_MODULE = noClasses().that()
       .resideOutsideOfPackages("beampoint.policy..", "beampoint.cli..", "beampoint.sim..",
           "beampoint.serve..")
-      .should().dependOnClassesThat().haveSimpleName("Logic");
+      .should().dependOnClassesThat().haveSimpleName("BalancerPolicy");
 
   @ArchTest
   static final ArchRule THE_MODULE_KNOWS_ITS_INTERFACE_AND_ITSELF = noClasses().that()
--- a/src/test/java/beampoint/emulator/ChaosTest.java
+++ b/src/test/java/beampoint/emulator/ChaosTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import beampoint.policy.Logic;
+import beampoint.policy.BalancerPolicy;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -55,7 +55,7 @@
   void aColdCacheThatFallsUntoldIsCountedAndBreaksNoRule() throws Exception {
     double falls = 0;
     for (long number : new long[] {1176, 1210, 1430}) {
-      Report report = Emulation.run(day(number), Logic::new);
+      Report report = Emulation.run(day(number), BalancerPolicy::new);
       assertEquals(List.of(), report.broken());
       falls += report.figures().get("cold_falls");
     }
@@ -68,7 +68,7 @@
     double served = 0;
     double falls = 0;
     for (long number = FIRST; number < FIRST + DAYS; number++) {
-      Report report = Emulation.run(day(number), Logic::new);
+      Report report = Emulation.run(day(number), BalancerPolicy::new);
       report.broken().stream().limit(2).forEach(broken::add);
       served += report.service() / DAYS;
       falls += report.figures().get("cold_falls");
--- a/src/test/java/beampoint/emulator/EmulationTest.java
+++ b/src/test/java/beampoint/emulator/EmulationTest.java
@@ -12,7 +12,7 @@
 import beampoint.Balancer.RequestReceived;
 import beampoint.Balancer.Result;
 import beampoint.Balancer.Send;
-import beampoint.policy.Logic;
+import beampoint.policy.BalancerPolicy;
 import beampoint.settings.InputException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -51,7 +51,7 @@
   }
 
   private static Report play(Scenario scenario) {
-    return Emulation.run(scenario, Logic::new);
+    return Emulation.run(scenario, BalancerPolicy::new);
   }
 
   /** A module that does what a test says, and so breaks rules on purpose. */
--- a/src/test/java/beampoint/emulator/LoopbackTest.java
+++ b/src/test/java/beampoint/emulator/LoopbackTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import beampoint.policy.Logic;
+import beampoint.policy.BalancerPolicy;
 import beampoint.cli.Main;
 import java.nio.file.Path;
 import java.util.List;
@@ -52,7 +52,7 @@
     Scenario day = Scenario.parse("test", DAY + "faults: [{what: crash, at_s: 1, for_s: 2, part: 0.3}]\n");
     long before = children();
     Report real = play(day).report();
-    Report model = Emulation.run(day, Logic::new);
+    Report model = Emulation.run(day, BalancerPolicy::new);
     assertEquals(List.of(), real.broken());
     assertEquals(model.figures().get("all.asked"), real.figures().get("all.asked"), 3, "the same requests");
     assertEquals(model.service(), real.service(), 0.15);
--- a/src/test/java/beampoint/experiment/ExperimentTest.java
+++ b/src/test/java/beampoint/experiment/ExperimentTest.java
@@ -8,7 +8,7 @@
 
 import beampoint.Balancer;
 import beampoint.Balancer.Settings;
-import beampoint.policy.Logic;
+import beampoint.policy.BalancerPolicy;
 import beampoint.emulator.Emulation;
 import beampoint.emulator.Scenario;
 import beampoint.settings.InputException;
@@ -72,7 +72,7 @@
   @Test
   void aVariantThatIsMadeWorseIsFoundAndTheSameOneIsNot() throws Exception {
     Plan plan = plan(PLAN + "  - {name: same}\n");
-    Results results = run(plan, Logic::new);
+    Results results = run(plan, BalancerPolicy::new);
     assertEquals("less", results.verdict(plan.variants().get(1), "service"));
     assertEquals("no difference shown", results.verdict(plan.variants().get(2), "service"));
     assertFalse(results.isPartial());
@@ -84,10 +84,10 @@
 
   @Test
   void anExperimentCanBeRunAgainToTheLastDigit() throws Exception {
-    run(plan(PLAN), Logic::new);
+    run(plan(PLAN), BalancerPolicy::new);
     byte[] first = Files.readAllBytes(directory.resolve("out/runs.csv"));
     String summary = summary();
-    run(plan(PLAN), Logic::new);
+    run(plan(PLAN), BalancerPolicy::new);
     assertArrayEquals(first, Files.readAllBytes(directory.resolve("out/runs.csv")));
     assertEquals(summary, summary());
   }
@@ -101,8 +101,8 @@
       double[] one = new double[10];
       double[] other = new double[10];
       for (int i = 0; i < 10; i++) {
-        one[i] = Emulation.run(day.withSeed(group * 20L + i), Logic::new).service();
-        other[i] = Emulation.run(day.withSeed(group * 20L + 10 + i), Logic::new).service();
+        one[i] = Emulation.run(day.withSeed(group * 20L + i), BalancerPolicy::new).service();
+        other[i] = Emulation.run(day.withSeed(group * 20L + 10 + i), BalancerPolicy::new).service();
       }
       held += ConfidenceInterval.ofDifference(one, other).excludesZero() ? 0 : 1;
     }
@@ -111,8 +111,8 @@
 
   @Test
   void aBrokenRuleIsToldFirstWithVariantSeedAndTime() throws Exception {
-    Results results = run(plan(PLAN), settings -> settings.limits().maxAttempts() > 1 ? new Logic(settings)
-        : (now, event) -> List.of());
+    Results results = run(plan(PLAN), settings -> settings.limits().maxAttempts() > 1
+        ? new BalancerPolicy(settings) : (now, event) -> List.of());
     assertTrue(results.breaks() > 0);
     assertTrue(results.broken().get(0).matches("other, [0-9.]+ s, seed 1: a request was lost.*"),
         results.broken().get(0));
@@ -125,7 +125,7 @@
       if (settings.limits().maxAttempts() == 1 && settings.seed() / 1_000_003 == 4) {
         throw new IllegalStateException("it does not start");
       }
-      return new Logic(settings);
+      return new BalancerPolicy(settings);
     });
     assertTrue(results.isPartial());
     assertEquals(3, results.complete());
@@ -143,7 +143,7 @@
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       }
-      return new Logic(settings);
+      return new BalancerPolicy(settings);
     }, 2, 0.2);
     Results results = experiment.run(directory.resolve("out"));
     assertEquals(0, results.complete());
@@ -154,7 +154,7 @@
   void resultsThatCanNotBeWrittenAreTold() throws Exception {
     Path file = Files.writeString(directory.resolve("file"), "");
     Plan plan = plan(PLAN);
-    assertThrows(IOException.class, () -> new Experiment(plan, Logic::new, 1, 20).run(file));
+    assertThrows(IOException.class, () -> new Experiment(plan, BalancerPolicy::new, 1, 20).run(file));
   }
 
   @Test
--- a/src/test/java/beampoint/policy/Fixture.java
+++ b/src/test/java/beampoint/policy/Fixture.java
@@ -44,7 +44,7 @@
   }
 
   Fixture(Settings settings) {
-    balancer = new Logic(settings);
+    balancer = new BalancerPolicy(settings);
   }
 
   Fixture(boolean probes, RequestClass... classes) {
--- a/src/test/java/beampoint/policy/ListFollowingTest.java
+++ b/src/test/java/beampoint/policy/ListFollowingTest.java
@@ -18,7 +18,7 @@
 
   @Test
   void aBrokenSubscriptionIsAskedForAgainAtAScatteredTime() {
-    Balancer b = new Logic(Fixture.settings(List.of(), false, Fixture.READ));
+    Balancer b = new BalancerPolicy(Fixture.settings(List.of(), false, Fixture.READ));
     b.handle(0, new ListReceived(ListKind.REMEMBERED, Fixture.fleet(3)));
     b.handle(10, new ListReceived(ListKind.CHANGES, List.of()));
     SetTimer timer = (SetTimer) b.handle(9_000, new ListReceived(ListKind.UNAVAILABLE, List.of())).get(0);
@@ -29,7 +29,7 @@
 
   @Test
   void aListThatMustBeAskedForIsSubscribedAndAskedAgainAfterARefusal() {
-    Balancer b = new Logic(Fixture.settings(List.of(), false, Fixture.READ));
+    Balancer b = new BalancerPolicy(Fixture.settings(List.of(), false, Fixture.READ));
     assertTrue(Fixture.has(b.handle(0, new ListReceived(ListKind.REMEMBERED, Fixture.fleet(3))),
         FollowList.class));
     List<Action> refused = b.handle(10, new ListReceived(ListKind.UNAVAILABLE, List.of()));
@@ -40,7 +40,7 @@
 
   @Test
   void aSubscriptionThatIsNotAnsweredIsAskedForAgainAndAnAnsweredOneIsNot() {
-    Balancer b = new Logic(Fixture.settings(List.of(), false, Fixture.READ));
+    Balancer b = new BalancerPolicy(Fixture.settings(List.of(), false, Fixture.READ));
     List<Action> asked = b.handle(0, new ListReceived(ListKind.REMEMBERED, Fixture.fleet(3)));
     SetTimer timer = (SetTimer) asked.get(1);
     assertTrue(timer.delay() < 10_000);
--- a/src/test/java/beampoint/policy/PlacementTest.java
+++ b/src/test/java/beampoint/policy/PlacementTest.java
@@ -68,13 +68,13 @@
   @Test
   void aListThatMovesNoPointsCostsNoRing() {
     Fixture f = new Fixture(Fixture.READ).withFleet(8);
-    Logic logic = (Logic) f.balancer;
-    int before = logic.facts.points.changes();
+    BalancerPolicy policy = (BalancerPolicy) f.balancer;
+    int before = policy.facts.points.changes();
     f.list(ListKind.FULL, Fixture.fleet(8));
     f.list(ListKind.CHANGES, List.of(Fixture.cache(3)));
-    assertEquals(before, logic.facts.points.changes());
+    assertEquals(before, policy.facts.points.changes());
     f.list(ListKind.CHANGES, List.of(Fixture.cache(3, EndpointState.DRAINING, 0)));
-    assertEquals(before + 1, logic.facts.points.changes());
+    assertEquals(before + 1, policy.facts.points.changes());
   }
 
   @Test
--- a/src/test/java/beampoint/serve/MigrationTest.java
+++ b/src/test/java/beampoint/serve/MigrationTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Balancer;
-import beampoint.policy.Logic;
+import beampoint.policy.BalancerPolicy;
 import beampoint.Stub;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -190,7 +190,7 @@
       List<List<Future<Integer>>> kinds = List.of(new ArrayList<>(), new ArrayList<>());
       for (int p = 0; p < 2 * EACH; p++) {
         Proxy proxy = new Proxy(ProxyFixture.config(hosts, 1024, stubs.get(CACHES + 1).address(),
-            p % 2 == 0 ? OLD : NEW), Logic::new);
+            p % 2 == 0 ? OLD : NEW), BalancerPolicy::new);
         proxies.add(proxy);
         proxy.start();
         for (int c = 0; c < CLIENTS; c++) {
--- a/src/test/java/beampoint/sim/DrillTest.java
+++ b/src/test/java/beampoint/sim/DrillTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Balancer.RequestReceived;
-import beampoint.policy.Logic;
+import beampoint.policy.BalancerPolicy;
 import beampoint.settings.InputException;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -26,7 +26,7 @@
   private static String run(String input) throws Exception {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     byte[] bytes = input.getBytes(StandardCharsets.UTF_8);
-    new Drill(new ByteArrayInputStream(bytes), new PrintStream(out), Logic::new).run();
+    new Drill(new ByteArrayInputStream(bytes), new PrintStream(out), BalancerPolicy::new).run();
     return out.toString(StandardCharsets.UTF_8);
   }
 
