--- a/src/benchmark/java/beampoint/benchmark/DecisionCosts.java
+++ b/src/benchmark/java/beampoint/benchmark/DecisionCosts.java
@@ -3,7 +3,7 @@
 import beampoint.Balancer;
 import beampoint.Balancer.ListKind;
 import beampoint.Balancer.ListReceived;
-import beampoint.policy.Logic;
+import beampoint.policy.BalancerPolicy;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -68,7 +68,7 @@
       List<Balancer> instances = new ArrayList<>();
       long before = used();
       for (int i = 0; i < INSTANCES; i++) {
-        Balancer balancer = new Logic(Workload.settings(2_300, 0.03));
+        Balancer balancer = new BalancerPolicy(Workload.settings(2_300, 0.03));
         balancer.handle(1_000, new ListReceived(ListKind.FULL, Workload.endpoints(endpoints)));
         instances.add(balancer);
       }
--- a/src/main/java/beampoint/emulator/MemberWire.java
+++ b/src/main/java/beampoint/emulator/MemberWire.java
@@ -33,7 +33,7 @@
    */
   Datagram datagram(Message message) {
     byte[] bytes = codec.write(message);
-    if (bytes.length <= Codec.MOST_BYTES - ROOM) {
+    if (bytes.length <= Codec.MAX_DATAGRAM_BYTES - ROOM) {
       return new Datagram(bytes.length, message);
     }
     try {
