--- a/src/test/java/beampoint/fleet/changes/LogSearchTest.java
+++ b/src/test/java/beampoint/fleet/changes/LogSearchTest.java
@@ -31,6 +31,17 @@
   private static final int DEEPER = Integer.getInteger("log.deeper", 0); // a longer search names more
   private static final Rules REAL = new Rules() {};
 
+  /** Whatever is committed goes into the snapshot at once. */
+  private static final Rules COMPACTING = new Rules() {
+
+    private final LogTerms compacted = LogWorld.terms(0);
+
+    @Override
+    public LogTerms terms() {
+      return compacted;
+    }
+  };
+
   private long worlds;
 
   /** Walks all worlds up to a depth; the first mistake, or null. Those of the last step may count twice. */
@@ -113,6 +124,25 @@
         new Budget(0, 1, 0, 0), 10);
   }
 
+  @Test
+  void noRunWithSnapshotsLosesOrDoublesAnEntry() {
+    assertSafe("from an acknowledged entry, with snapshots", acknowledged(COMPACTING),
+        new Budget(2, 1, 0, 1), 6);
+    assertSafe("from a lost memory, with snapshots", forgotten(COMPACTING), new Budget(1, 1, 0, 0), 8);
+  }
+
+  @Test
+  void aReplicaWithoutMemoryVotesAgainWithTheSnapshot() {
+    LogWorld world = acknowledged(COMPACTING).delivered(1, 0).withNothingOnItsWay().forgotten(1);
+    for (int i = 0; i < 6; i++) {
+      world = world.delivered(1, 0).delivered(1, 2).delivered(0, 1).delivered(2, 1)
+          .happened(0, new LogEvent.Tick());
+    }
+    LogState log = world.states.get(1).log();
+    assertTrue(log.voter() && log.snapshot().index() == 1, log.toString());
+    assertNull(world.wrong());
+  }
+
   private void assertFound(LogWorld begin, Budget budget, int depth) {
     String mistake = search(begin.with(budget), depth);
     assertNotNull(mistake, "the search passed over a mistake");
--- a/src/test/java/beampoint/fleet/changes/LogWorld.java
+++ b/src/test/java/beampoint/fleet/changes/LogWorld.java
@@ -2,6 +2,7 @@
 
 import beampoint.fleet.changes.LogAction.Deliver;
 import beampoint.fleet.changes.LogAction.GiveUp;
+import beampoint.fleet.changes.LogAction.Install;
 import beampoint.fleet.changes.LogAction.Problem;
 import beampoint.fleet.changes.LogAction.Send;
 import beampoint.fleet.changes.LogEvent.Elected;
@@ -14,7 +15,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -28,8 +28,13 @@
 final class LogWorld {
 
   static final List<String> NAMES = List.of("a", "b", "c");
-  static final LogTerms TERMS = new LogTerms(new TreeSet<>(NAMES), 1,
-      new LogLimits(4, 10_000, 4, 10_000, 8, 8, 10_000, 4));
+  private static final int ENOUGH = 8;
+
+  /** Terms under which so many committed entries stay beside the snapshot. */
+  static LogTerms terms(int keptEntries) {
+    return new LogTerms(new TreeSet<>(NAMES), 1,
+        new LogLimits(4, 10_000, 4, 10_000, keptEntries, ENOUGH, 10_000, 4));
+  }
 
   /** A message on its way. */
   record Flight(int from, Send send) {}
@@ -43,6 +48,12 @@
   /** A replica's step, and what is left of it after its memory was lost: the real ones, or mistaken ones. */
   interface Rules {
 
+    LogTerms NEVER_COMPACTED = LogWorld.terms(ENOUGH);
+
+    default LogTerms terms() {
+      return NEVER_COMPACTED;
+    }
+
     default ReplicaState forgotten(ReplicaState before, long life) {
       return ReplicaState.started(life);
     }
@@ -85,7 +96,11 @@
     for (int round = 0; round < 5; round++) {
       world = world.allDelivered();
     }
-    return new LogWorld(rules, world.states, Set.of(), world.committed, world.budget, world.mistake);
+    return world.withNothingOnItsWay();
+  }
+
+  LogWorld withNothingOnItsWay() {
+    return new LogWorld(rules, states, Set.of(), committed, budget, mistake);
   }
 
   private LogWorld allDelivered() {
@@ -117,7 +132,7 @@
   }
 
   LogWorld happened(int replica, LogEvent event) {
-    Replica machine = new Replica(TERMS, NAMES.get(replica));
+    Replica machine = new Replica(rules.terms(), NAMES.get(replica));
     ReplicaState before = states.get(replica);
     Replica.Step step = rules.step(machine, before, event);
     if (step.actions().isEmpty() && step.state().equals(before)) {
@@ -134,6 +149,10 @@
       } else if (action instanceof Deliver deliver) {
         Epoch under = step.state().leads() ? step.state().leadership().epoch() : null;
         wrong = wrong != null ? wrong : deliver(nextCommitted, deliver.entries(), under);
+      } else if (action instanceof Install install) {
+        boolean known = install.snapshot().entries().stream()
+            .allMatch(e -> committed.containsKey(e.index()) && committed.get(e.index()).entry.equals(e));
+        wrong = known ? wrong : "a snapshot of entries that were not committed: " + install;
       } else if (action instanceof GiveUp giveUp && giveUp.problem() == Problem.CONTRADICTION) {
         wrong = "a contradiction at " + NAMES.get(replica);
       }
@@ -254,7 +273,7 @@
         }
       }
     }
-    return committed.values().stream().filter(e -> holders(e.entry) < TERMS.majority()).findFirst()
+    return committed.values().stream().filter(e -> holders(e.entry) < rules.terms().majority()).findFirst()
         .map(e -> "committed, and held by " + holders(e.entry) + " that vote: " + e).orElse(null);
   }
 
@@ -264,9 +283,10 @@
   }
 
   private static boolean holds(LogState log, ChangeEntry entry) {
-    return entry.index() <= log.snapshot().index()
-        || Optional.of(entry.index()).filter(i -> i <= log.last()).map(log::at)
-            .filter(entry::equals).isPresent();
+    if (entry.index() <= log.snapshot().index()) {
+      return log.snapshot().entries().contains(entry);
+    }
+    return entry.index() <= log.last() && log.at(entry.index()).equals(entry);
   }
 
   @Override
