--- /dev/null
+++ b/src/test/java/beampoint/fleet/changes/SnapshotTest.java
@@ -0,0 +1,92 @@
+package beampoint.fleet.changes;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.fleet.facts.Epoch;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What stays of entries that are compacted. */
+class SnapshotTest {
+
+  private static final Epoch EPOCH = new Epoch(1, "a", 1);
+
+  private static LogLimits keeping(int purges, int bytes) {
+    return new LogLimits(10, 10_000, 10, 10_000, 0, purges, bytes, 10);
+  }
+
+  private static ChangeEntry purge(long index) {
+    return new ChangeEntry(index, EPOCH, new ChangeId("p", index),
+        new PurgeChange(1, PurgeScope.KEY, "k" + index, 0));
+  }
+
+  private static ChangeEntry settings(long index) {
+    return new ChangeEntry(index, EPOCH, new ChangeId("s", index), new ConfigurationChange(1, "{}"));
+  }
+
+  private static List<ChangeEntry> purges(long from, long to) {
+    List<ChangeEntry> entries = new ArrayList<>();
+    for (long i = from; i <= to; i++) {
+      entries.add(purge(i));
+    }
+    return entries;
+  }
+
+  @Test
+  void theLastConfigurationStaysHoweverOldItIs() {
+    Snapshot first = Snapshot.EMPTY.after(List.of(settings(1), settings(2)), keeping(3, 1_000));
+    assertEquals(settings(2), first.configuration().orElseThrow());
+    assertEquals(Map.of("s", 1L), first.floors());
+    Snapshot later = first.after(purges(3, 12), keeping(3, 1_000));
+    assertEquals(List.of(settings(2), purge(10), purge(11), purge(12)), later.entries());
+    assertEquals(12, later.index());
+    assertEquals(9, later.completeFrom());
+    assertEquals(Map.of("s", 1L, "p", 9L), later.floors());
+  }
+
+  @Test
+  void asManyPurgesStayAsMay() {
+    for (int count : new int[] {2, 3}) {
+      Snapshot snapshot = Snapshot.EMPTY.after(purges(1, count), keeping(3, 1_000));
+      assertEquals(count, snapshot.entries().size());
+      assertEquals(0, snapshot.completeFrom());
+      assertTrue(snapshot.floors().isEmpty());
+    }
+    Snapshot more = Snapshot.EMPTY.after(purges(1, 4), keeping(3, 1_000));
+    assertEquals(purges(2, 4), more.entries());
+    assertEquals(1, more.completeFrom());
+  }
+
+  @Test
+  void andAsManyBytesOfThem() {
+    int bytes = purge(1).weight() + purge(2).weight();
+    assertEquals(2, Snapshot.EMPTY.after(purges(1, 2), keeping(9, bytes + 1)).entries().size());
+    assertEquals(2, Snapshot.EMPTY.after(purges(1, 2), keeping(9, bytes)).entries().size());
+    assertEquals(List.of(purge(2)), Snapshot.EMPTY.after(purges(1, 2), keeping(9, bytes - 1)).entries());
+  }
+
+  @Test
+  void theWayInWhichEntriesAreCompactedMakesNoDifference() {
+    List<ChangeEntry> entries = new ArrayList<>(purges(1, 20));
+    entries.set(6, settings(7));
+    entries.set(13, settings(14));
+    Snapshot atOnce = Snapshot.EMPTY.after(entries, keeping(5, 1_000));
+    Snapshot oneByOne = Snapshot.EMPTY;
+    for (ChangeEntry entry : entries) {
+      oneByOne = oneByOne.after(List.of(entry), keeping(5, 1_000));
+    }
+    assertEquals(atOnce, oneByOne);
+  }
+
+  @Test
+  void onlyWhatFollowsIsTaken() {
+    assertSame(Snapshot.EMPTY, Snapshot.EMPTY.after(List.of(), keeping(1, 1)));
+    assertThrows(IllegalArgumentException.class,
+        () -> Snapshot.EMPTY.after(List.of(purge(2)), keeping(1, 1)));
+  }
+}
