Changes: the worlds of a search share their parts, so that it needs less memory

Need: mvn verify was ended by the kernel's out-of-memory killer in LogSearchTest (4.1 GB resident, as a machine shared with other work ran out; run of 05:33, 354 tests passed before it). Ruled out: fewer steps, which would search less; a cap on the heap of all tests, which is not this change's matter.

--- a/src/test/java/beampoint/fleet/changes/LogSearchTest.java
+++ b/src/test/java/beampoint/fleet/changes/LogSearchTest.java
@@ -16,8 +16,10 @@
 import beampoint.fleet.changes.LogWorld.Rules;
 import beampoint.fleet.facts.Epoch;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -47,13 +49,14 @@
   /** Walks all worlds up to a depth; the first mistake, or null. Those of the last step may count twice. */
   private String search(LogWorld begin, int depth) {
     Set<LogWorld> seen = new HashSet<>();
+    Map<Object, Object> parts = new HashMap<>();
     List<LogWorld> level = List.of(begin);
     worlds = 0;
     for (int i = 1; i <= depth; i++) {
       List<LogWorld> further = new ArrayList<>();
       for (LogWorld world : level) {
         for (LogWorld next : world.next()) {
-          if (next == world || i < depth && !seen.add(next)) {
+          if (next == world || i < depth && seen.contains(next)) {
             continue; // nothing happened, or nothing new
           }
           worlds++;
@@ -61,7 +64,9 @@
             return next.wrong() + " at depth " + i + ": " + next;
           }
           if (i < depth) {
-            further.add(next);
+            LogWorld kept = next.sharing(parts);
+            seen.add(kept);
+            further.add(kept);
           }
         }
       }
--- a/src/test/java/beampoint/fleet/changes/LogWorld.java
+++ b/src/test/java/beampoint/fleet/changes/LogWorld.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.SortedMap;
@@ -111,6 +112,20 @@
     return world;
   }
 
+  /** The same world, of parts that it shares with all others of a search: few of them differ. */
+  LogWorld sharing(Map<Object, Object> parts) {
+    List<ReplicaState> shared = new ArrayList<>(NAMES.size());
+    states.forEach(state -> shared.add(shared(parts, state)));
+    return new LogWorld(rules, shared, shared(parts, said), shared(parts, committed), shared(parts, budget),
+        mistake);
+  }
+
+  @SuppressWarnings("unchecked")
+  private static <T> T shared(Map<Object, Object> parts, T part) {
+    Object known = parts.putIfAbsent(part, part);
+    return known == null ? part : (T) known;
+  }
+
   LogWorld with(Budget next) {
     return new LogWorld(rules, states, said, committed, next, mistake);
   }
