Membership: a healed cut makes nobody dead on his own side, and who returns is not asked by all

Cause: whole views and news from the other side say DEAD of all here under the incarnation that is known here, which overrides ALIVE at once. And with 26 restarts in a minute a restarted member sent 177 MB in a second: each who heard that it is back began an exchange of whole views with it.

Now DEAD of a member that is ALIVE here, and so was not suspected before, makes it the next to be probed (by turns with the round, until it is settled); the probe tells it what is said of it, and it refutes. DEAD of one that is SUSPECT here holds as before. And the one that was held for gone begins the exchange when it hears of that, with who told it.

Paid for by slower news of many deaths: in the cut each side is of one view after 156.5 s, before after 62.3 s. In the cut itself 32 pairs before and 23 after were wrongly dead for a time; not traced yet. Ruled out: taking such a death for a suspicion, which left 9 of them at 310 members; verifying each once only, which left deaths unknown on a small side (5 of 5,400 pairs at 155 members).

MemberFaultsTest has the cut region now, MemberFleetTest passes unchanged in what it asks; "wrong" is "falsePositives" there.

--- a/src/main/java/beampoint/fleet/membership/Gossip.java
+++ b/src/main/java/beampoint/fleet/membership/Gossip.java
@@ -86,7 +86,12 @@
 
   /** Who is suspected, or held for dead, or has started anew, is told so with whatever it is sent. */
   void send(Peer to, Kind kind, long number, String about) {
-    List<News> news = new ArrayList<>();
+    send(to, kind, number, about, List.of());
+  }
+
+  /** The same, with some news before all others. */
+  void send(Peer to, Kind kind, long number, String about, List<News> first) {
+    List<News> news = new ArrayList<>(first);
     if (to.news.status() != Status.ALIVE || to.isBehind()) {
       news.add(to.news);
     }
--- a/src/main/java/beampoint/fleet/membership/Membership.java
+++ b/src/main/java/beampoint/fleet/membership/Membership.java
@@ -168,7 +168,11 @@
     }
     sender.heardAt = now;
     sender.said = Math.max(sender.said, message.from().incarnation());
+    boolean wasHeldForGone = message.news().stream().anyMatch(this::saysThisIsGone);
     message.news().forEach(this::learn);
+    if (wasHeldForGone) {
+      gossip.exchange(sender, now); // what else it missed; and the sender may hold others for gone as well
+    }
     switch (message.kind()) {
       case PING -> gossip.send(sender, Kind.ACK, message.number(), message.about());
       case ACK -> prober.answered(message);
@@ -180,6 +184,11 @@
     }
   }
 
+  private boolean saysThisIsGone(News news) {
+    return news.member().equals(local.name()) && !Peer.isLiving(news.status())
+        && news.incarnation() >= local.news().incarnation();
+  }
+
   private void learn(News news) {
     if (news.member().equals(local.name())) {
       learnOfItself(news);
@@ -190,6 +199,9 @@
       learnOfNew(news);
     } else if (news.status() == Status.SUSPECT) {
       suspicions.suspect(peer, news.incarnation(), news.by(), now);
+    } else if (news.status() == Status.DEAD && peer.news.status() == Status.ALIVE) {
+      // Its suspicion was not heard of, so this may come from the other side of a cut.
+      prober.askAbout(peer, news);
     } else if (news.overrides(peer.news)) {
       learnOfChange(peer, news);
     }
@@ -215,15 +227,10 @@
   }
 
   private void learnOfChange(Peer peer, News news) {
-    boolean isAlive = news.status() == Status.ALIVE;
-    boolean returns = !peer.isLiving() && isAlive;
-    if (isAlive) {
+    if (news.status() == Status.ALIVE) {
       peer.freshAt = now;
     }
     suspicions.clear(peer, news);
-    if (returns) {
-      gossip.exchange(peer, now);
-    }
   }
 
   /** Ends in order. */
--- a/src/main/java/beampoint/fleet/membership/Prober.java
+++ b/src/main/java/beampoint/fleet/membership/Prober.java
@@ -4,7 +4,12 @@
 import beampoint.fleet.membership.PendingProbes.RelayedProbe;
 import beampoint.fleet.message.Message;
 import beampoint.fleet.message.Message.Kind;
+import beampoint.fleet.message.News;
+import beampoint.fleet.message.Status;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
@@ -23,6 +28,8 @@
   private final UniformRandomProvider random;
   private final PendingProbes pending = new PendingProbes();
   private final ProbeRound round;
+  private final Map<String, News> claims = new LinkedHashMap<>(); // deaths to be verified, by member
+  private boolean isTurnOfClaims;
   private double probeAt;
 
   Prober(MemberTerms terms, MemberTable table, LocalMember local, Gossip gossip, SuspicionHandler suspicions,
@@ -51,16 +58,55 @@
     Peer successor = table.living().after(local.name());
     if (successor != null) {
       probe(successor, now);
-      probe(round.next(), now);
+      probe(nextTarget(), now);
     }
   }
 
+  /**
+   * Probes a member next that others hold for dead, and that lives here and is not suspected: it is not held
+   * for dead by that alone, and is told what is said of it.
+   */
+  void askAbout(Peer peer, News claim) {
+    if (claim.overrides(peer.news)) {
+      claims.put(peer.name(), claim);
+    }
+  }
+
+  /** By turns one whose death is to be verified, and one of the round; the former until it is settled. */
+  private Peer nextTarget() {
+    isTurnOfClaims = !isTurnOfClaims;
+    Peer claimed = isTurnOfClaims ? nextClaimed() : null;
+    return claimed != null ? claimed : round.next();
+  }
+
+  private Peer nextClaimed() {
+    while (!claims.isEmpty()) {
+      String name = claims.keySet().iterator().next();
+      News claim = claims.remove(name);
+      Peer peer = table.get(name);
+      if (isOpen(claim, peer)) {
+        claims.put(name, claim); // behind all others
+        return peer;
+      }
+    }
+    return null;
+  }
+
+  private static boolean isOpen(News claim, Peer peer) {
+    return peer.news.status() == Status.ALIVE && claim.overrides(peer.news);
+  }
+
   private void probe(Peer target, double now) {
     if (target == null || pending.isProbed(target.name()) || target.isKnownDeaf(now, terms)) {
       return;
     }
     Probe probe = pending.begin(target.name(), now + terms.answerWithin(), now + terms.probeEvery());
-    gossip.send(target, Kind.PING, probe.number, "");
+    News claim = claims.get(target.name());
+    if (claim != null && isOpen(claim, target)) {
+      gossip.send(target, Kind.PING, probe.number, "", List.of(claim));
+    } else {
+      gossip.send(target, Kind.PING, probe.number, "");
+    }
   }
 
   /** Acts on probes that have had no answer in their time. */
--- a/src/test/java/beampoint/emulator/MemberFaultsTest.java
+++ b/src/test/java/beampoint/emulator/MemberFaultsTest.java
@@ -32,4 +32,9 @@
   void restartsInARowAreNoFalsePositives() {
     check(new MemberFaults(TOPOLOGY, 3).restarts(), HEALED_WITHIN);
   }
+
+  @Test
+  void aRegionThatWasCutOffIsOfOneViewWithTheOthersAgain() {
+    check(new MemberFaults(TOPOLOGY, 4).regionCut(3, 60_000), HEALED_WITHIN);
+  }
 }
--- a/src/test/java/beampoint/emulator/MemberFleetTest.java
+++ b/src/test/java/beampoint/emulator/MemberFleetTest.java
@@ -20,7 +20,7 @@
     return fleet;
   }
 
-  private static List<Death> wrong(MemberFleet fleet) {
+  private static List<Death> falsePositives(MemberFleet fleet) {
     return fleet.deaths().stream().filter(Death::lived).toList();
   }
 
@@ -32,7 +32,7 @@
       fleet.runTo(10_000);
       assertEquals(members - 1, fleet.deaths().stream().filter(d -> d.of() == 1).count());
       assertTrue(fleet.isOfOneView());
-      assertEquals(List.of(), wrong(fleet));
+      assertEquals(List.of(), falsePositives(fleet));
     }
   }
 
@@ -71,7 +71,7 @@
         fleet.runTo(at + 10_000);
         fleet.lose(one, other, 0.05);
       }
-      assertEquals(List.of(), wrong(fleet));
+      assertEquals(List.of(), falsePositives(fleet));
     }
   }
 
@@ -146,7 +146,7 @@
     IntStream.range(0, 28).forEach(fleet::kill);
     fleet.runTo(20_000);
     assertEquals(12, fleet.membership(30).living());
-    assertEquals(List.of(), wrong(fleet));
+    assertEquals(List.of(), falsePositives(fleet));
     IntStream.range(0, 28).forEach(fleet::start);
     fleet.runTo(30_000);
     assertEquals(40, fleet.membership(30).living());
--- a/src/test/java/beampoint/emulator/MemberStudy.java
+++ b/src/test/java/beampoint/emulator/MemberStudy.java
@@ -76,15 +76,15 @@
   }
 
   @Test
-  void wronglyDead() {
+  void falsePositives() {
     for (int members : new int[] {3, 14}) {
       for (MemberTerms terms : List.of(USUAL, USUAL.plain())) {
         int runs = terms == USUAL ? RUNS : Math.min(RUNS, 20);
-        long wrong = IntStream.range(0, runs).parallel()
+        long falsePositives = IntStream.range(0, runs).parallel()
             .mapToLong(seed -> troubles(members, terms, seed).deaths().stream().filter(Death::lived).count())
             .sum();
-        System.out.println("wrong " + members + (terms == USUAL ? " usual " : " plain ") + wrong + " in "
-            + runs + " runs");
+        System.out.println("false positives " + members + (terms == USUAL ? " usual " : " plain ")
+            + falsePositives + " in " + runs + " runs");
       }
     }
   }
@@ -189,7 +189,7 @@
         }
         wrong += fleet.wrong;
       }
-      System.out.println("wrong " + members + " heartbeats " + wrong + " in 20 runs");
+      System.out.println("false positives " + members + " heartbeats " + wrong + " in 20 runs");
     }
   }
 
