--- a/src/main/java/beampoint/fleet/transport/Views.java
+++ b/src/main/java/beampoint/fleet/transport/Views.java
@@ -92,6 +92,7 @@
       bytes.position(bytes.position() + LENGTH_BYTES);
       bytes.get(view);
       Connection<?> connection = ctx.getConnection();
+      counters.add(Counter.MEMBER_BYTES_RECEIVED, LENGTH_BYTES + length);
       loop.execute(() -> take(connection, view, answers));
       return ctx.getStopAction();
     }
@@ -130,6 +131,7 @@
   @SuppressWarnings("unchecked") // all connections of a TCP transport have socket addresses
   private void write(Connection<?> connection, List<News> view) {
     byte[] bytes = codec.writeView(view);
+    counters.add(Counter.MEMBER_BYTES_SENT, LENGTH_BYTES + bytes.length);
     Buffer frame = transport.getMemoryManager().allocate(LENGTH_BYTES + bytes.length);
     frame.putInt(bytes.length).put(bytes).flip();
     ((Connection<SocketAddress>) connection).write(frame, new EmptyCompletionHandler<>() { });
--- a/src/test/java/beampoint/serve/LargeListTest.java
+++ b/src/test/java/beampoint/serve/LargeListTest.java
@@ -9,7 +9,7 @@
 import beampoint.Balancer.ListReceived;
 import beampoint.Stub;
 import beampoint.count.Counter;
-import beampoint.policy.Logic;
+import beampoint.policy.BalancerPolicy;
 import beampoint.serve.ProxyFixture.Client;
 import com.google.gson.GsonBuilder;
 import com.google.gson.JsonParser;
@@ -35,7 +35,7 @@
 
   /** The decisions as in service; every list is noted once they have taken it. */
   private Balancer noting(Balancer.Settings settings) {
-    Balancer logic = new Logic(settings);
+    Balancer logic = new BalancerPolicy(settings);
     return (now, event) -> {
       List<Balancer.Action> actions = logic.handle(now, event);
       if (event instanceof ListReceived list && list.kind() != ListKind.REMEMBERED) {
