--- a/src/test/java/beampoint/serve/LargeListTest.java
+++ b/src/test/java/beampoint/serve/LargeListTest.java
@@ -35,9 +35,9 @@
 
   /** The decisions as in service; every list is noted once they have taken it. */
   private Balancer noting(Balancer.Settings settings) {
-    Balancer logic = new BalancerPolicy(settings);
+    Balancer policy = new BalancerPolicy(settings);
     return (now, event) -> {
-      List<Balancer.Action> actions = logic.handle(now, event);
+      List<Balancer.Action> actions = policy.handle(now, event);
       if (event instanceof ListReceived list && list.kind() != ListKind.REMEMBERED) {
         lists.add(list);
       }
