Benchmark: costs of requests, of the list and of starts, on real processes

Need: what one core of a proxy does beside control, what a list of 610 costs, and which connections a proxy holds.

--- /dev/null
+++ b/src/benchmark/java/beampoint/benchmark/RequestCosts.java
@@ -0,0 +1,145 @@
+package beampoint.benchmark;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Stream;
+
+/**
+ * What one process of {@code serve} takes for requests, on loopback among scripted peers: by their rate, by
+ * the length of values, by the number of cache nodes, and which connections it holds. Argument: {@code rates},
+ * {@code values}, {@code caches} or {@code connections}.
+ */
+public final class RequestCosts {
+
+  private static final int ZONES = 2;
+  private static final int SOCKETS = 2_048;
+  private static final int USUAL_SOCKETS = 1_024;
+  private static final int PROXIES = 2_300;
+  private static final int CLIENTS = 16;
+  private static final int MANY_CLIENTS = 64;
+  private static final long WARM_UP_MS = 4_000;
+  private static final long WINDOW_MS = 6_000;
+  private static final long LONGEST_START_MS = 30_000;
+  private static final int SMALL_VALUE = 100;
+
+  /** One measured load; a rate of 0 is as fast as the clients can. */
+  private record Load(int caches, double price, double rate, int valueBytes, int clients,
+      int sockets) {
+
+    Load(int caches, double price, double rate, int valueBytes, int clients) {
+      this(caches, price, rate, valueBytes, clients, SOCKETS);
+    }
+  }
+
+  private RequestCosts() {}
+
+  public static void main(String[] args) throws Exception {
+    switch (args[0]) {
+      case "rates" -> rates();
+      case "values" -> values();
+      case "caches" -> caches();
+      case "connections" -> connections();
+      default -> throw new IllegalArgumentException("rates, values, caches or connections, not " + args[0]);
+    }
+    System.exit(0);
+  }
+
+  private static void rates() throws Exception {
+    List<LinearFit.Point> points = new ArrayList<>();
+    for (double rate : new double[] {250, 500, 1_130, 2_000, 4_000}) {
+      points.add(new LinearFit.Point(rate, run(new Load(14, 0, rate, SMALL_VALUE, CLIENTS))));
+    }
+    System.out.println(LinearFit.of(points).text("processor ms a second by requests a second", "ms"));
+    run(new Load(14, 0, 0, SMALL_VALUE, MANY_CLIENTS));
+    run(new Load(610, 0, 0, SMALL_VALUE, MANY_CLIENTS));
+    run(new Load(610, 0.03, 0, SMALL_VALUE, MANY_CLIENTS));
+  }
+
+  private static void values() throws Exception {
+    List<LinearFit.Point> points = new ArrayList<>();
+    for (int bytes : new int[] {100, 16_384, 65_536, 131_072, 420_000, 1_048_576}) {
+      double rate = 200;
+      double cpu = run(new Load(14, 0, rate, bytes, CLIENTS));
+      points.add(new LinearFit.Point(bytes / 1024.0, cpu / rate * 1_000));
+    }
+    System.out.println(LinearFit.of(points).text("processor us a request by KB of its value", "us"));
+    run(new Load(14, 0, 0, 65_536, CLIENTS));
+    run(new Load(14, 0, 0, 420_000, CLIENTS));
+  }
+
+  private static void caches() throws Exception {
+    for (double price : new double[] {0, 0.03}) {
+      List<LinearFit.Point> points = new ArrayList<>();
+      for (int caches : new int[] {14, 60, 200, 610}) {
+        double cpu = run(new Load(caches, price, Workload.REQUESTS_PER_SECOND, SMALL_VALUE, CLIENTS));
+        points.add(new LinearFit.Point(caches, cpu));
+      }
+      String what = "processor ms a second by cache nodes, price " + price;
+      System.out.println(LinearFit.of(points).text(what, "ms"));
+    }
+  }
+
+  private static void connections() throws Exception {
+    for (int sockets : new int[] {SOCKETS, USUAL_SOCKETS}) {
+      for (double rate : new double[] {100, 300, 565, 1_130}) {
+        run(new Load(610, 0, rate, SMALL_VALUE, CLIENTS, sockets));
+      }
+    }
+  }
+
+  /** Plays a load on a process of its own; returns its processor time in ms a second. */
+  private static double run(Load load) throws Exception {
+    Path directory = Files.createTempDirectory("request-costs");
+    try (ScriptedPeers peers = new ScriptedPeers(load.caches, ZONES, load.valueBytes);
+        ServeProcess proxy = ServeProcess.start(directory, "n0", ServeConfig.of(
+            peers.list(load.caches, ZONES), peers.discoveryAddress(), PROXIES, ZONES, load.sockets,
+            load.price))) {
+      Runtime.getRuntime().addShutdownHook(new Thread(proxy::close));
+      proxy.awaitReady(LONGEST_START_MS);
+      return measure(load, proxy);
+    } finally {
+      try (Stream<Path> files = Files.list(directory)) {
+        for (Path file : files.toList()) {
+          Files.delete(file);
+        }
+      }
+      Files.delete(directory);
+    }
+  }
+
+  private static double measure(Load load, ServeProcess proxy) throws Exception {
+    LoadClients clients = new LoadClients(proxy);
+    List<Thread> threads = clients.start(load.clients, load.rate);
+    Thread.sleep(WARM_UP_MS);
+    clients.times().reset();
+    Map<String, Long> before = proxy.stats();
+    long servedBefore = clients.served();
+    long refusedBefore = clients.refused();
+    double cpuBefore = ProcessAccount.cpuMs(proxy.pid());
+    long begin = System.nanoTime();
+    Thread.sleep(WINDOW_MS);
+    double seconds = (System.nanoTime() - begin) / 1e9;
+    double cpu = (ProcessAccount.cpuMs(proxy.pid()) - cpuBefore) / seconds;
+    double served = (clients.served() - servedBefore) / seconds;
+    double refused = (clients.refused() - refusedBefore) / seconds;
+    ProcessAccount held = ProcessAccount.of(proxy.pid());
+    Map<String, Long> after = proxy.stats();
+    double connected = (after.get("upstream_connections") - before.get("upstream_connections")) / seconds;
+    clients.end();
+    for (Thread thread : threads) {
+      thread.join(WINDOW_MS);
+    }
+    System.out.printf(Locale.ROOT, "%d caches, price %s, %d sockets, %d bytes, offered %.0f: served %.0f a"
+            + " second, refused %.0f, %.2f Gbit/s, processor %.0f ms a second, %.1f us a request, p50 %.2f p99 %.2f ms,"
+            + " resident %.1f MB, %d descriptors, %.1f connections made a second, load %s%n",
+        load.caches, load.price, load.sockets, load.valueBytes, load.rate, served, refused,
+        served * load.valueBytes * 8 / 1e9, cpu, 1_000 * cpu / Math.max(1, served + refused),
+        clients.times().getValueAtPercentile(50) / 1e3, clients.times().getValueAtPercentile(99) / 1e3,
+        held.residentKb() / 1024.0, held.descriptors(), connected, ProcessAccount.machineLoad());
+    return cpu;
+  }
+}
--- a/src/benchmark/java/beampoint/benchmark/Workload.java
+++ b/src/benchmark/java/beampoint/benchmark/Workload.java
@@ -12,6 +12,8 @@
 import beampoint.Balancer.Settings;
 import beampoint.Balancer.Tenant;
 import beampoint.Balancer.WeightSource;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -80,4 +82,26 @@
     }
     return null;
   }
+
+  /** The list of so many cache nodes and the origin as discovery writes it, all at one address. */
+  public static JsonObject hostList(int caches, int zones, String dial) {
+    JsonArray hosts = new JsonArray();
+    for (int i = 0; i <= caches; i++) {
+      JsonObject host = new JsonObject();
+      host.addProperty("host", i == caches ? "origin" : "cache-" + i);
+      host.addProperty("dial", dial);
+      host.addProperty("site", "z" + i % zones);
+      host.addProperty("class", i == caches ? "origin" : "cache");
+      host.addProperty("block", i / zones);
+      host.addProperty("health", "Ready");
+      host.addProperty("share", 1.0);
+      host.addProperty("born_ms", 0);
+      hosts.add(host);
+    }
+    JsonObject list = new JsonObject();
+    list.addProperty("seq", 1);
+    list.addProperty("whole", true);
+    list.add("hosts", hosts);
+    return list;
+  }
 }
--- /dev/null
+++ b/src/benchmark/java/beampoint/discovery/ListBenchmark.java
@@ -0,0 +1,74 @@
+package beampoint.discovery;
+
+import beampoint.benchmark.Workload;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** What a proxy takes to read the list of hosts, from the bytes of the watch to the entries. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 2, time = 500, timeUnit = TimeUnit.MILLISECONDS)
+@Measurement(iterations = 8, time = 300, timeUnit = TimeUnit.MILLISECONDS)
+@Fork(value = 1, jvmArgs = {"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms64m", "-Xmx64m"})
+public class ListBenchmark {
+
+  private static final int ZONES = 31;
+
+  @Param({"14", "60", "200", "610"})
+  public int entries;
+
+  private byte[] whole;
+  private byte[] changeOfOne;
+
+  /** The line that a watch brings of so many cache nodes; one entry alone is a change. */
+  public static byte[] line(int caches, boolean changes) {
+    JsonObject list = Workload.hostList(caches, ZONES, "10.131.204.17:11211");
+    if (changes) {
+      JsonArray one = new JsonArray();
+      one.add(list.getAsJsonArray("hosts").get(caches / 2));
+      list.addProperty("whole", false);
+      list.add("hosts", one);
+    }
+    return (list + "\n").getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Both lines. */
+  @Setup
+  public void begin() {
+    whole = line(entries, false);
+    changeOfOne = line(entries, true);
+  }
+
+  @Benchmark
+  public HostList readWhole() {
+    return read(whole);
+  }
+
+  @Benchmark
+  public HostList readChangeOfOne() {
+    return read(changeOfOne);
+  }
+
+  private static HostList read(byte[] line) {
+    ListText text = new ListText();
+    String complete = null;
+    for (byte next : line) {
+      complete = text.take(next);
+    }
+    return HostList.parse(complete);
+  }
+}
