--- a/src/benchmark/java/beampoint/benchmark/ListCosts.java
+++ b/src/benchmark/java/beampoint/benchmark/ListCosts.java
@@ -16,7 +16,7 @@
 import org.openjdk.jmh.runner.options.OptionsBuilder;
 import org.openjdk.jmh.runner.options.VerboseMode;
 
-/** Slopes of the list of hosts: its bytes, the time to read it, and a start of {@code serve} that knows it. */
+/** Slopes of the list of hosts: its bytes, the time to read it, and a start of a proxy that knows it. */
 public final class ListCosts {
 
   private static final int[] ENTRIES = {14, 60, 200, 610};
--- a/src/benchmark/java/beampoint/benchmark/MessageBytes.java
+++ b/src/benchmark/java/beampoint/benchmark/MessageBytes.java
@@ -15,7 +15,7 @@
   private static final double PURGES_PER_SECOND = 27;
   private static final int KEY_BYTES = 32; // assumed: 16 bytes of a hash in hexadecimal
   private static final int[] NEWS = {0, 1, 4, 8, 16};
-  private static final int[] COPIES = {1, 3, 48}; // once, to three others, as often as membership passes news on
+  private static final int[] COPIES = {1, 3, 48}; // once, to three, as often as membership does it
 
   private MessageBytes() {}
 
@@ -38,7 +38,8 @@
 
   private static News member(int number) {
     String name = String.format(Locale.ROOT, "site-%03d-n%04d", number % 180, number);
-    return new News(name, "10.131." + number / 250 + "." + number % 250 + ":7946", Status.ALIVE, 3, false, name);
+    String address = "10.131." + number / 250 + "." + number % 250 + ":7946";
+    return new News(name, address, Status.ALIVE, 3, false, name);
   }
 
   /** A purge has the length of news whose member is a key: by whom, in which order, which key. */
@@ -51,8 +52,8 @@
     System.out.printf(Locale.ROOT, "a purge among news: %.0f bytes; a datagram of its own: %.0f%n", each,
         fit.intercept() + each);
     for (int copies : COPIES) {
-      System.out.printf(Locale.ROOT, "%.0f purges a second, each sent %d times by a proxy: %.0f bytes a second"
-          + " packed, %.0f in datagrams of their own%n", PURGES_PER_SECOND, copies,
+      System.out.printf(Locale.ROOT, "%.0f purges a second, each sent %d times by a proxy: %.0f bytes a"
+          + " second packed, %.0f in datagrams of their own%n", PURGES_PER_SECOND, copies,
           PURGES_PER_SECOND * copies * each, PURGES_PER_SECOND * copies * (each + fit.intercept()));
     }
   }
--- a/src/benchmark/java/beampoint/benchmark/RequestCosts.java
+++ b/src/benchmark/java/beampoint/benchmark/RequestCosts.java
@@ -10,8 +10,8 @@
 
 /**
  * What one process of {@code serve} takes for requests, on loopback among scripted peers: by their rate, by
- * the length of values, by the number of cache nodes, and which connections it holds. Argument: {@code rates},
- * {@code values}, {@code caches} or {@code connections}.
+ * the length of values, by the number of cache nodes, which connections it holds, and the load of the peak.
+ * Argument: {@code rates}, {@code values}, {@code caches}, {@code connections} or {@code peak}.
  */
 public final class RequestCosts {
 
@@ -21,10 +21,11 @@
   private static final int PROXIES = 2_300;
   private static final int CLIENTS = 16;
   private static final int MANY_CLIENTS = 64;
-  private static final long WARM_UP_MS = 4_000;
+  private static final long WARM_UP_MS = 8_000;
   private static final long WINDOW_MS = 6_000;
   private static final long LONGEST_START_MS = 30_000;
   private static final int SMALL_VALUE = 100;
+  private static final int PEAK_VALUE = 420_000; // 3.8 Gbit/s in 1,130 requests a second
 
   /** One measured load; a rate of 0 is as fast as the clients can. */
   private record Load(int caches, double price, double rate, int valueBytes, int clients,
@@ -43,7 +44,8 @@
       case "values" -> values();
       case "caches" -> caches();
       case "connections" -> connections();
-      default -> throw new IllegalArgumentException("rates, values, caches or connections, not " + args[0]);
+      case "peak" -> peak();
+      default -> throw new IllegalArgumentException("not one of the studies: " + args[0]);
     }
     System.exit(0);
   }
@@ -61,14 +63,14 @@
 
   private static void values() throws Exception {
     List<LinearFit.Point> points = new ArrayList<>();
-    for (int bytes : new int[] {100, 16_384, 65_536, 131_072, 420_000, 1_048_576}) {
+    for (int bytes : new int[] {100, 16_384, 65_536, 131_072, PEAK_VALUE, 1_048_576}) {
       double rate = 200;
       double cpu = run(new Load(14, 0, rate, bytes, CLIENTS));
       points.add(new LinearFit.Point(bytes / 1024.0, cpu / rate * 1_000));
     }
     System.out.println(LinearFit.of(points).text("processor us a request by KB of its value", "us"));
     run(new Load(14, 0, 0, 65_536, CLIENTS));
-    run(new Load(14, 0, 0, 420_000, CLIENTS));
+    run(new Load(14, 0, 0, PEAK_VALUE, CLIENTS));
   }
 
   private static void caches() throws Exception {
@@ -91,6 +93,15 @@
     }
   }
 
+  /** All cache nodes and values of the mean length of the peak, up to half as many again as its rate. */
+  private static void peak() throws Exception {
+    List<LinearFit.Point> points = new ArrayList<>();
+    for (double rate : new double[] {280, 565, 1_130, 1_700}) {
+      points.add(new LinearFit.Point(rate, run(new Load(610, 0, rate, PEAK_VALUE, CLIENTS))));
+    }
+    System.out.println(LinearFit.of(points).text("processor ms a second by requests of the peak", "ms"));
+  }
+
   /** Plays a load on a process of its own; returns its processor time in ms a second. */
   private static double run(Load load) throws Exception {
     Path directory = Files.createTempDirectory("request-costs");
@@ -133,8 +144,9 @@
     for (Thread thread : threads) {
       thread.join(WINDOW_MS);
     }
-    System.out.printf(Locale.ROOT, "%d caches, price %s, %d sockets, %d bytes, offered %.0f: served %.0f a"
-            + " second, refused %.0f, %.2f Gbit/s, processor %.0f ms a second, %.1f us a request, p50 %.2f p99 %.2f ms,"
+    System.out.printf(Locale.ROOT, "%d caches, price %s, %d sockets, %d bytes, offered %.0f: served %.0f"
+            + " a second, refused %.0f, %.2f Gbit/s, processor %.0f ms a second, %.1f us a request, p50 %.2f"
+            + " p99 %.2f ms,"
             + " resident %.1f MB, %d descriptors, %.1f connections made a second, load %s%n",
         load.caches, load.price, load.sockets, load.valueBytes, load.rate, served, refused,
         served * load.valueBytes * 8 / 1e9, cpu, 1_000 * cpu / Math.max(1, served + refused),
