--- a/src/benchmark/java/beampoint/benchmark/FleetProcesses.java
+++ b/src/benchmark/java/beampoint/benchmark/FleetProcesses.java
@@ -81,7 +81,6 @@
   }
 
   private List<Spent> run(long windowMs) throws Exception {
-    Runtime.getRuntime().addShutdownHook(new Thread(this::endAll));
     try {
       startAll();
       Thread load = new Thread(this::load, "load");
--- a/src/benchmark/java/beampoint/benchmark/RequestCosts.java
+++ b/src/benchmark/java/beampoint/benchmark/RequestCosts.java
@@ -109,7 +109,6 @@
         ServeProcess proxy = ServeProcess.start(directory, "n0", ServeConfig.of(
             peers.list(load.caches, ZONES), peers.discoveryAddress(), PROXIES, ZONES, load.sockets,
             load.price))) {
-      Runtime.getRuntime().addShutdownHook(new Thread(proxy::close));
       proxy.awaitReady(LONGEST_START_MS);
       return measure(load, proxy);
     } finally {
--- a/src/benchmark/java/beampoint/benchmark/ServeProcess.java
+++ b/src/benchmark/java/beampoint/benchmark/ServeProcess.java
@@ -54,7 +54,9 @@
         .redirectOutput(directory.resolve(name + ".log").toFile());
     builder.environment().remove("PROXY_OPS");
     builder.environment().put("TMPDIR", directory.toString());
-    return new ServeProcess(builder.start(), port);
+    ServeProcess started = new ServeProcess(builder.start(), port);
+    Runtime.getRuntime().addShutdownHook(new Thread(started.process::destroyForcibly));
+    return started;
   }
 
   /** A port that nobody has at this moment. */
