--- a/src/benchmark/java/beampoint/benchmark/DecisionBenchmark.java
+++ b/src/benchmark/java/beampoint/benchmark/DecisionBenchmark.java
@@ -8,7 +8,7 @@
 import beampoint.Balancer.ListReceived;
 import beampoint.Balancer.RequestReceived;
 import beampoint.Balancer.Result;
-import beampoint.policy.Logic;
+import beampoint.policy.BalancerPolicy;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.openjdk.jmh.annotations.Benchmark;
@@ -56,7 +56,7 @@
   /** A module in the middle of its load. */
   @Setup
   public void begin() {
-    balancer = new Logic(Workload.settings(proxies, price));
+    balancer = new BalancerPolicy(Workload.settings(proxies, price));
     whole = Workload.endpoints(endpoints);
     now = 1_000_000;
     balancer.handle(now, new ListReceived(ListKind.FULL, whole));
--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -47,8 +47,9 @@
   private static final long FIRST_BACKOFF_MS = 100;
   static final long LONGEST_BACKOFF_MS = 150; // what is told counts soon after it could be heard
   private static final long PAUSE_MS = 1;
-  private static final int MOST_LATE = 6; // calls without an answer that are read on
-  private static final int MAX_TEXT = 8 * 1024 * 1024;
+  private static final int MAX_LATE_CALLS = 6; // without an answer that are read on
+  /** Of one list: 4,096 entries of 512 bytes, as indented ones with long names have. */
+  static final int MAX_LIST_BYTES = 4_096 * 512;
 
   private final ScheduledExecutorService loop;
   private final Counters counters;
@@ -65,6 +66,7 @@
   private Call before; // at the address that was left, until the new one has brought something
   private final Set<Call> late = new LinkedHashSet<>(); // without an answer, beside those made after them
   private long wait = FIRST_BACKOFF_MS;
+  private Runnable afterCall = () -> { }; // told of each outcome of a call
 
   /** One watch, from its connection to its end. */
   private static final class Call {
@@ -126,6 +128,16 @@
         .filter(own -> own.connection == connection).findFirst().orElse(null);
   }
 
+  /** Runs a task with every sign of a call's outcome: a list, no change, no answer in time, or its end. */
+  public void afterEachCall(Runnable task) {
+    afterCall = task;
+  }
+
+  /** True while a call is out. */
+  public boolean isAsking() {
+    return call != null;
+  }
+
   /** Asks for the changes from the last version on; a watch that is open is given up. */
   public void follow() {
     drop(call);
@@ -233,12 +245,13 @@
     }
     call = null;
     late.add(own);
-    if (late.size() > MOST_LATE) {
+    if (late.size() > MAX_LATE_CALLS) {
       drop(late.iterator().next());
     }
     listen(own, silenceMs - answerMs, () -> end(own, "not answered"));
     counters.add(Counter.WATCHES_BROKEN);
     broken.run();
+    afterCall.run();
   }
 
   private void take(Call own, Buffer bytes) {
@@ -246,11 +259,10 @@
       String text = own.text.take(bytes.get(i));
       if (text != null) {
         line(own, text);
+      } else if (own.text.length() > MAX_LIST_BYTES) {
+        end(own, "list too long");
       }
     }
-    if (own.text.length() > MAX_TEXT) {
-      end(own, "list too long");
-    }
   }
 
   private void line(Call own, String text) {
@@ -274,6 +286,7 @@
       counters.add(Counter.LISTS_RECEIVED);
       listed.accept(list);
     }
+    afterCall.run();
   }
 
   /**
@@ -299,6 +312,7 @@
     if (!replaced) {
       counters.add(Counter.WATCHES_BROKEN);
       broken.run();
+      afterCall.run();
     }
   }
 
--- a/src/main/java/beampoint/emulator/MemberFleet.java
+++ b/src/main/java/beampoint/emulator/MemberFleet.java
@@ -8,16 +8,15 @@
 import beampoint.fleet.membership.MemberTerms;
 import beampoint.fleet.membership.Membership;
 import beampoint.fleet.message.Codec;
-import beampoint.fleet.message.FormException;
 import beampoint.fleet.message.Message;
 import beampoint.fleet.message.News;
 import beampoint.fleet.message.Status;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashSet;
+import java.util.BitSet;
 import java.util.List;
-import java.util.Objects;
-import java.util.Set;
+import java.util.function.IntPredicate;
+import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -28,14 +27,25 @@
  */
 public final class MemberFleet {
 
-  /** Who was declared dead, by whom, and when; {@code lived} tells that it was wrong. */
-  public record Death(double at, int of, int by, boolean lived) {}
+  /**
+   * Who was declared dead, or became known as dead, to whom and when; {@code lived} tells that it was wrong.
+   *
+   * @param ranFor for how long the member had run since it was started, in ms; 0 where it was down
+   */
+  public record Death(double at, int of, int by, boolean lived, double ranFor) {}
 
-  private final class Host {
+  /** What one member was told, and when. */
+  public record TimedEvent(double at, MemberEvent event) {}
+
+  private static final class Host {
     final int number;
     Membership membership; // null while it is down
+    long seed;
+    double startedAt;
     int life;
     boolean paused;
+    final BitSet living = new BitSet(); // in its view, kept by what it says has changed
+    List<TimedEvent> recorded; // null where nobody asked for it
     final List<Runnable> waiting = new ArrayList<>(); // for the end of its pause
 
     Host(int number) {
@@ -43,36 +53,58 @@
     }
   }
 
+  private static final long FIRST_INCARNATION = 1; // with which a member begins
+
   private final Clock clock = new Clock(0);
   private final MemberTerms terms;
   private final UniformRandomProvider random;
   private final UniformRandomProvider seeds;
-  private final Codec codec = new Codec("emulated");
   private final List<Host> hosts = new ArrayList<>();
-  private final List<News> known = new ArrayList<>();
+  private final List<News> known;
   private final double[][] losses;
   private final List<Death> deaths = new ArrayList<>();
   private double delay = 0.5;
   private double jitter = 2;
   private double repeats;
   private long messages;
-  private long bytes;
+  private final MemberTraffic traffic;
+  private final MemberWire wire = new MemberWire(new Codec("emulated"));
+  private LongSupplier nanoClock = () -> 0;
+  private long machineNanos;
 
-  /** So many members that all know each other's addresses. */
+  /** So many members that all know each other's addresses, and have heard of none yet. */
   public MemberFleet(int members, MemberTerms terms, long seed) {
+    this(terms, seed, known(members, 0));
+  }
+
+  /** The same long after they were started: none is news to another. */
+  public static MemberFleet settled(int members, MemberTerms terms, long seed) {
+    return new MemberFleet(terms, seed, known(members, FIRST_INCARNATION));
+  }
+
+  private MemberFleet(MemberTerms terms, long seed, List<News> known) {
+    int members = known.size();
     this.terms = terms;
     this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
     this.seeds = RandomSource.SPLIT_MIX_64.create(seed);
     this.losses = new double[members][members];
-    for (int i = 0; i < members; i++) {
-      known.add(new News(name(i), "10.0.0." + i + ":7946", Status.ALIVE, 0, false, name(i)));
-    }
+    this.traffic = new MemberTraffic(members);
+    this.known = known;
     for (int i = 0; i < members; i++) {
       hosts.add(new Host(i));
       start(i);
     }
   }
 
+  /** So many members, as each knows the others; under incarnation 0 before it has heard of them. */
+  public static List<News> known(int members, long incarnation) {
+    List<News> known = new ArrayList<>();
+    for (int i = 0; i < members; i++) {
+      known.add(new News(name(i), "10.0.0." + i + ":7946", Status.ALIVE, incarnation, false, name(i)));
+    }
+    return known;
+  }
+
   private static String name(int number) {
     return String.format("n%04d", number);
   }
@@ -90,18 +122,48 @@
     return clock.now();
   }
 
+  /** Plans something for a time. */
+  public void at(double time, Runnable task) {
+    clock.at(time, task);
+  }
+
   /** Starts a member, or one that is down again: it knows the addresses and nothing else. */
   public void start(int member) {
     Host host = hosts.get(member);
     host.life++;
     host.paused = false;
     host.waiting.clear();
-    host.membership = new Membership(terms, name(member), known.get(member).address(), known,
-        RandomSource.XO_SHI_RO_256_PP.create(seeds.nextLong()), clock.now());
+    host.seed = seeds.nextLong();
+    host.startedAt = clock.now();
+    host.membership = asAtItsStart(member);
+    host.living.set(0, known.size());
     int life = host.life;
     clock.after(random.nextDouble() * terms.step(), () -> tick(host, life));
   }
 
+  /** A machine as the member's present one was at its start: the same events give the same actions. */
+  public Membership asAtItsStart(int member) {
+    Host host = hosts.get(member);
+    return new Membership(terms, name(member), known.get(member).address(), known,
+        RandomSource.XO_SHI_RO_256_PP.create(host.seed), host.startedAt);
+  }
+
+  /** The events of a member from now on, in a list that grows with them. */
+  public List<TimedEvent> record(int member) {
+    hosts.get(member).recorded = new ArrayList<>();
+    return hosts.get(member).recorded;
+  }
+
+  /** Measures the state machines' own time, apart from the emulator's, by a clock of the caller's. */
+  public void measureBy(LongSupplier nanoseconds) {
+    nanoClock = nanoseconds;
+  }
+
+  /** What the state machines have taken so far. */
+  public long machineNanos() {
+    return machineNanos;
+  }
+
   public void kill(int member) {
     hosts.get(member).membership = null;
     hosts.get(member).life++;
@@ -156,15 +218,13 @@
 
   /** True where all that run see the same members live. */
   public boolean isOfOneView() {
-    return hosts.stream().map(h -> h.membership).filter(Objects::nonNull).map(MemberFleet::living).distinct()
-        .count() <= 1;
+    return isOfOneView(member -> true);
   }
 
-  private static Set<String> living(Membership membership) {
-    Set<String> names = new HashSet<>();
-    membership.view().stream().filter(n -> n.status() == Status.ALIVE || n.status() == Status.SUSPECT)
-        .forEach(n -> names.add(n.member()));
-    return names;
+  /** True where all that run, of some members, see the same members live. */
+  public boolean isOfOneView(IntPredicate among) {
+    return hosts.stream().filter(host -> host.membership != null && among.test(host.number))
+        .map(host -> host.living).distinct().count() <= 1;
   }
 
   public List<Death> deaths() {
@@ -175,9 +235,14 @@
     return messages;
   }
 
-  /** Of all messages together. */
+  /** Of all datagrams together. */
   public long bytes() {
-    return bytes;
+    return traffic.datagramBytes();
+  }
+
+  /** What they sent, whole views included. */
+  public MemberTraffic traffic() {
+    return traffic;
   }
 
   private void tick(Host host, int life) {
@@ -201,9 +266,16 @@
   }
 
   private void give(Host host, MemberEvent event) {
-    if (host.membership != null) {
-      host.membership.handle(clock.now(), event).forEach(action -> carryOut(host, action));
+    if (host.membership == null) {
+      return;
+    }
+    if (host.recorded != null) {
+      host.recorded.add(new TimedEvent(clock.now(), event));
     }
+    long begin = nanoClock.getAsLong();
+    List<MemberAction> actions = host.membership.handle(clock.now(), event);
+    machineNanos += nanoClock.getAsLong() - begin;
+    actions.forEach(action -> carryOut(host, action));
   }
 
   private void carryOut(Host host, MemberAction action) {
@@ -211,33 +283,36 @@
       send(host, hosts.get(number(a.to().member())), a.message());
     } else if (action instanceof Exchange a) {
       exchange(host, hosts.get(number(a.with().member())));
-    } else if (action instanceof Changed a && a.now().status() == Status.DEAD) {
-      int of = number(a.now().member());
-      deaths.add(new Death(clock.now(), of, host.number, hosts.get(of).membership != null));
+    } else if (action instanceof Changed a) {
+      changed(host, number(a.now().member()), a.now().status());
+    }
+  }
+
+  private void changed(Host by, int of, Status status) {
+    by.living.set(of, status == Status.ALIVE || status == Status.SUSPECT);
+    if (status == Status.DEAD) {
+      Host dead = hosts.get(of);
+      boolean lived = dead.membership != null;
+      deaths.add(new Death(clock.now(), of, by.number, lived, lived ? clock.now() - dead.startedAt : 0));
     }
   }
 
   private void send(Host from, Host to, Message message) {
-    byte[] sent = codec.write(message);
+    MemberWire.Datagram sent = wire.datagram(message);
     messages++;
-    bytes += sent.length;
+    traffic.datagram(from.number, clock.now(), sent.bytes());
     if (random.nextDouble() < losses[from.number][to.number]) {
       return;
     }
-    deliver(to, sent);
+    deliver(to, sent.arrives());
     if (random.nextDouble() < repeats) {
-      deliver(to, sent);
+      deliver(to, sent.arrives());
     }
   }
 
-  private void deliver(Host to, byte[] sent) {
-    clock.after(delay + jitter * random.nextDouble(), () -> whenAwake(to, () -> {
-      try {
-        give(to, new MemberEvent.Received(codec.read(sent, sent.length)));
-      } catch (FormException e) {
-        throw new IllegalStateException(e);
-      }
-    }));
+  private void deliver(Host to, Message message) {
+    clock.after(delay + jitter * random.nextDouble(),
+        () -> whenAwake(to, () -> give(to, new MemberEvent.Received(message))));
   }
 
   /** A connection: it stands where both directions do, and loses nothing. */
@@ -246,14 +321,20 @@
     if (!stands || other.membership == null || other.paused) {
       return;
     }
-    List<News> asked = one.membership.view();
+    List<News> asked = view(one);
     clock.after(3 * (delay + jitter), () -> {
       if (other.membership != null) {
-        List<News> answer = other.membership.view();
+        List<News> answer = view(other);
         give(other, new MemberEvent.ViewReceived(asked));
         clock.after(delay + jitter,
             () -> whenAwake(one, () -> give(one, new MemberEvent.ViewReceived(answer))));
       }
     });
   }
+
+  private List<News> view(Host of) {
+    List<News> view = of.membership.view();
+    traffic.view(of.number, clock.now(), wire.bytesOfView(view));
+    return view;
+  }
 }
--- a/src/main/java/beampoint/emulator/Report.java
+++ b/src/main/java/beampoint/emulator/Report.java
@@ -14,8 +14,8 @@
 /** What was counted on one day. A request belongs to the day if it was due after the warm-up. */
 public final class Report {
 
-  private static final int MOST_TOLD = 20; // broken rules that are told each by itself
-  private static final long LONGEST_MICROS = 3_600_000_000L;
+  private static final int MAX_TOLD = 20; // broken rules that are told each by itself
+  private static final long MAX_MICROS = 3_600_000_000L;
 
   /** How the requests of one kind or tenant ended. */
   private static final class Tally {
@@ -26,7 +26,7 @@
     private long failed;
     private double worth;
     private double earned;
-    private final Histogram micros = new Histogram(LONGEST_MICROS, 3); // from when it was due
+    private final Histogram micros = new Histogram(MAX_MICROS, 3); // from when it was due
   }
 
   private final Scenario scenario;
@@ -109,41 +109,41 @@
 
   void broken(double at, String rule) {
     breaks++;
-    if (broken.size() < MOST_TOLD) {
+    if (broken.size() < MAX_TOLD) {
       broken.add(String.format(Locale.ROOT, "%.3f s, seed %d: %s", (at - start) / 1000, scenario.seed(),
           rule));
     }
   }
 
-  private List<Tally> tallies(Ask ask) {
-    boolean counts = ask.dueAt >= start + scenario.warmUp();
-    return counts ? List.of(all, kinds.get(ask.kindNumber), tenants.get(ask.tenant)) : List.of();
+  private List<Tally> tallies(ClientRequest request) {
+    boolean counts = request.dueAt >= start + scenario.warmUp();
+    return counts ? List.of(all, kinds.get(request.kindNumber), tenants.get(request.tenant)) : List.of();
   }
 
-  void asked(Ask ask) {
-    for (Tally tally : tallies(ask)) {
+  void asked(ClientRequest request) {
+    for (Tally tally : tallies(request)) {
       tally.asked++;
       // What is due so late that the day ends before its time is over owes nothing.
-      tally.worth += ask.endsAt() <= start + scenario.length() ? ask.kind.rules().worth() : 0;
+      tally.worth += request.endsAt() <= start + scenario.length() ? request.kind.rules().worth() : 0;
     }
   }
 
-  void served(Ask ask, double time) {
-    boolean inTime = time <= ask.kind.rules().aim();
-    for (Tally tally : tallies(ask)) {
+  void served(ClientRequest request, double time) {
+    boolean inTime = time <= request.kind.rules().aim();
+    for (Tally tally : tallies(request)) {
       tally.inTime += inTime ? 1 : 0;
       tally.late += inTime ? 0 : 1;
-      tally.micros.recordValue((long) Math.min(LONGEST_MICROS, time * 1000));
-      if (ask.endsAt() <= start + scenario.length()) {
-        tally.earned += ask.kind.rules().worth() * (inTime ? 1 : ask.kind.rules().lateWorth());
+      tally.micros.recordValue((long) Math.min(MAX_MICROS, time * 1000));
+      if (request.endsAt() <= start + scenario.length()) {
+        tally.earned += request.kind.rules().worth() * (inTime ? 1 : request.kind.rules().lateWorth());
       }
     }
   }
 
-  void notServed(Ask ask, Ask.End end) {
-    for (Tally tally : tallies(ask)) {
-      tally.refused += end == Ask.End.REFUSED ? 1 : 0;
-      tally.failed += end == Ask.End.REFUSED ? 0 : 1;
+  void notServed(ClientRequest request, ClientRequest.Outcome outcome) {
+    for (Tally tally : tallies(request)) {
+      tally.refused += outcome == ClientRequest.Outcome.REFUSED ? 1 : 0;
+      tally.failed += outcome == ClientRequest.Outcome.REFUSED ? 0 : 1;
     }
   }
 
--- a/src/main/java/beampoint/ops/Calls.java
+++ b/src/main/java/beampoint/ops/AdminServer.java
@@ -32,21 +32,26 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
 /**
- * The operators' address: reads a call, asks the desk and answers; one call to a connection. Belongs to the
- * decision thread. Guards against callers that never finish: they are few at a time, and none stays long.
+ * The HTTP server at the operators' address: reads a call, has the service carry it out and answers; one call
+ * to a connection. Belongs to the decision thread. Guards against callers that never finish: they are few at
+ * a time, and none stays long.
  */
-public final class Calls {
-
-  /** Connections that may be open at once; the longest unfinished one makes room for the next. */
-  public static final int MOST = 16;
-  private static final long LONGEST_MS = 3000;
-  private static final int MAX_BODY = 16 * 1024;
+public final class AdminServer {
+
+  /**
+   * Connections that may be open at once; the one that has been open longest makes room for the next. Each
+   * call is answered in the pass in which it is read, so a few are enough however many nodes are called out,
+   * and more would take descriptors from clients and cache nodes.
+   */
+  public static final int MAX_CONNECTIONS = 16;
+  private static final long MAX_CALL_MS = 3000;
+  private static final int MAX_BODY_BYTES = 16 * 1024; // of a call, which needs none
   private static final String DETACH = "/_cache-nodes/detach/";
   private static final String ATTACH = "/_cache-nodes/attach/";
 
   private final TCPNIOTransport transport;
   private final ScheduledExecutorService loop;
-  private final Desk desk;
+  private final AdminService service;
   private final Counters counters;
   private final HttpWriter writer;
   private final Map<Connection<SocketAddress>, Call> open = new LinkedHashMap<>(); // the longest open first
@@ -63,10 +68,11 @@
   /** An answer's head and its text. */
   private record Reply(int status, String reason, String text) {}
 
-  public Calls(TCPNIOTransport transport, ScheduledExecutorService loop, Desk desk, Counters counters) {
+  public AdminServer(TCPNIOTransport transport, ScheduledExecutorService loop, AdminService service,
+      Counters counters) {
     this.transport = transport;
     this.loop = loop;
-    this.desk = desk;
+    this.service = service;
     this.counters = counters;
     this.writer = new HttpWriter(transport.getMemoryManager());
   }
@@ -116,11 +122,11 @@
   }
 
   private void opened(Connection<SocketAddress> connection) {
-    if (open.size() >= MOST) {
+    if (open.size() >= MAX_CONNECTIONS) {
       end(open.keySet().iterator().next());
     }
     Call call = new Call();
-    call.end = loop.schedule(() -> end(connection), LONGEST_MS, TimeUnit.MILLISECONDS);
+    call.end = loop.schedule(() -> end(connection), MAX_CALL_MS, TimeUnit.MILLISECONDS);
     open.put(connection, call);
   }
 
@@ -154,7 +160,7 @@
       }
     } else if (message instanceof HttpContent content) {
       call.body += content.bytes().remaining();
-      if (call.body > MAX_BODY) {
+      if (call.body > MAX_BODY_BYTES) {
         answer(connection, new Reply(413, "Content Too Large", "no call has a body"));
       } else if (content.last()) {
         answer(connection, carryOut(call.request));
@@ -177,7 +183,7 @@
     String target = request.target();
     if (target.equals("/_ready")) {
       return !request.method().equals("GET") ? notAllowed()
-          : desk.isReady() ? new Reply(200, "OK", "ready")
+          : service.isReady() ? new Reply(200, "OK", "ready")
           : new Reply(503, "Service Unavailable", "not ready");
     }
     boolean detach = target.startsWith(DETACH);
@@ -191,7 +197,7 @@
     if (node == null) {
       return new Reply(400, "Bad Request", "an id that can't be decoded");
     }
-    return switch (detach ? desk.detach(node) : desk.attach(node)) {
+    return switch (detach ? service.detach(node) : service.attach(node)) {
       case DONE -> new Reply(200, "OK", detach ? "out" : "in use");
       case NOT_STORED -> new Reply(500, "Internal Server Error",
           "done, but not stored: it ends with this process");
--- a/src/main/java/beampoint/policy/Logic.java
+++ b/src/main/java/beampoint/policy/BalancerPolicy.java
@@ -18,10 +18,10 @@
 import java.util.Map;
 
 /**
- * Every decision of a balancer, one instance each: takes events, and decides with the parts of this package
- * where a request goes, whether it goes again, and when it is given up.
+ * The front of the decision module, one instance a balancer: takes events, and decides with the parts of this
+ * package where a request goes, whether it is retried, and when it is given up.
  */
-public final class Logic implements Balancer {
+public final class BalancerPolicy implements Balancer {
 
   private static final double SPILL_FACTOR = 2; // a primary spills above this multiple of the mean in flight
   private static final int SPILL_EXTRA = 2; // and at least so many over it
@@ -43,7 +43,7 @@
   private final List<Node> idle = new ArrayList<>(); // endpoints with perhaps an idle connection
   private double retryBudget = 1;
 
-  public Logic(Settings settings) {
+  public BalancerPolicy(Settings settings) {
     facts.take(new SettingsChanged(settings, List.of(), Collections.nCopies(settings.tenants().size(), -1)));
   }
 
@@ -156,7 +156,7 @@
     r.yields = shares.yields(e, r);
     requests.put(r.id, r);
     ring.take(r);
-    facts.taken.add(facts.now, Evidence.LONGEST_FADE, 1);
+    facts.taken.add(facts.now, Evidence.MAX_FADE, 1);
     retryBudget = Math.min(RETRY_SAVED, retryBudget + RETRY_SHARE);
     dispatch(r);
   }
@@ -190,7 +190,7 @@
       return;
     }
     boolean answered = e.result() == Result.OK || e.result() == Result.MISS;
-    facts.landed(r, attempt, answered);
+    facts.completed(r, attempt, answered);
     idle.remove(attempt.node);
     idle.add(attempt.node);
     cold.ended(e.result() == Result.OK);
@@ -213,7 +213,7 @@
 
   /** Held while used often enough for its price. */
   private boolean worthHolding(Node node) {
-    double rate = facts.taken.rate(facts.now, Evidence.LONGEST_FADE);
+    double rate = facts.taken.rate(facts.now, Evidence.MAX_FADE);
     double hold = 100_000 * facts.caches.size() * facts.settings.prices().handshake();
     // As many uses as an even share brings stand in for what was not seen yet.
     double seen = (1 - Math.pow(0.5, (facts.now - facts.startedAt) / USE_FADE)) * USE_FADE / Math.log(2);
@@ -258,7 +258,7 @@
     finish(r);
   }
 
-  /** A request is kept until its last attempt has landed. */
+  /** A request is kept until its last attempt has ended. */
   private void finish(Request r) {
     r.over = true;
     r.asked = null;
--- a/src/test/java/beampoint/serve/ProxyFixture.java
+++ b/src/test/java/beampoint/serve/ProxyFixture.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -19,6 +20,12 @@
 /** A proxy with a scripted module, among scripted peers on loopback, and a client that talks to it. */
 final class ProxyFixture implements AutoCloseable {
 
+  /** A client's read of a value. */
+  static final String READ = "mg 7f3a v O9b Pc=read,t=acme,d=4000\r\n";
+
+  /** A client's write of a value. */
+  static final String WRITE = "ms 7f3a 5 O9b Pc=put,t=acme,d=4000,k=5c\r\nhello\r\n";
+
   static final String SETTINGS = """
       {"discovery":"automatic","siblings":2,"zone":0,"localities":["a"],"skus":["m2","origin"],
        "family-info":{"mode":"aside","origin-kind":1},
@@ -101,12 +108,22 @@
     public void close() throws IOException {
       socket.close();
     }
+
+    static void closeAll(List<Client> clients) throws IOException {
+      for (Client client : clients) {
+        client.close();
+      }
+    }
   }
 
   final Module module = new Module();
   final Proxy proxy;
   final int port;
-  private final Stub discovery = new Stub(Stub.Peer::beSilent);
+  private final Stub discovery = new Stub(peer -> {
+    peer.head();
+    peer.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"); // nothing has changed
+    peer.beSilent();
+  });
 
   /** A proxy that knows a cache node and an origin at these addresses. */
   ProxyFixture(String cache, String origin, int sockets) throws Exception {
@@ -167,6 +184,12 @@
     };
   }
 
+  /** Refuses every request. */
+  void refuseAll() {
+    module.script = event -> event instanceof Balancer.RequestReceived e
+        ? List.of(new Balancer.Refuse(e.id(), 0)) : List.of();
+  }
+
   /** Waits until the proxy has accepted so many connections of clients, since its start. */
   void awaitClients(long count) {
     while (proxy.counters().get(Counter.CLIENT_CONNECTIONS) < count) {
@@ -174,6 +197,15 @@
     }
   }
 
+  /** Waits in a script of the module, which declares no exceptions. */
+  static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   Balancer.AttemptEnded ended() throws InterruptedException {
     return module.next(Balancer.AttemptEnded.class);
   }
