Membership: whole views are exchanged less often the larger the fleet, past 128 members

Ruled out: the form of a view (34 bytes a member), the exchanges with members that come back (none in a settled fleet). Cause: one exchange each 30 s at every size, in Membership.tick.

Change: 30 s up to 128 members, and as much again with each doubling, so 180 s at 2,300. What gossip has missed is repaired later by that much in a larger fleet.

--- a/src/main/java/beampoint/fleet/membership/Membership.java
+++ b/src/main/java/beampoint/fleet/membership/Membership.java
@@ -25,7 +25,8 @@
 public final class Membership {
 
   private static final double REACH_OUT_EVERY = 1_000; // ms, to one that is held for dead
-  private static final double EXCHANGE_EVERY = 30_000; // ms, with one that lives
+  private static final double EXCHANGE_EVERY = 30_000; // ms, with one that lives, in a fleet of usual size
+  private static final int USUAL_SIZE = 128; // members, up to which whole views are exchanged that often
 
   private final MemberTerms terms;
   private final UniformRandomProvider random;
@@ -129,12 +130,21 @@
       table.dead().draw(1, random, null).forEach(peer -> gossip.send(peer, Kind.PING, 0, ""));
     }
     if (now >= exchangeAt) {
-      exchangeAt = now + EXCHANGE_EVERY;
+      exchangeAt = now + exchangeInterval();
       table.living().draw(1, random, null).forEach(peer -> gossip.exchange(peer, now));
     }
     gossip.tick();
   }
 
+  /**
+   * Grows by one step with each doubling of the fleet. Guards against whole views that cost a member more than
+   * all its probes: each is as long as the fleet is large, and repairs only what gossip has missed.
+   */
+  private double exchangeInterval() {
+    int doublings = Integer.SIZE - Integer.numberOfLeadingZeros((living() - 1) / USUAL_SIZE);
+    return EXCHANGE_EVERY * (1 + doublings);
+  }
+
   /**
    * Who hears nobody is suspected before long, and will not hear of it: it refutes ahead, under ever higher
    * incarnations, and tells the others not to wait for its answers.
