--- a/src/main/java/beampoint/fleet/membership/Membership.java
+++ b/src/main/java/beampoint/fleet/membership/Membership.java
@@ -137,8 +137,8 @@
   }
 
   /**
-   * Grows by one step with each doubling of the fleet. Guards against whole views that cost a member more than
-   * all its probes: each is as long as the fleet is large, and repairs only what gossip has missed.
+   * Grows by one step with each doubling of the fleet. Guards against whole views that cost a member more
+   * than all its probes: each is as long as the fleet is large, and repairs only what gossip has missed.
    */
   private double exchangeInterval() {
     int doublings = Integer.SIZE - Integer.numberOfLeadingZeros((living() - 1) / USUAL_SIZE);
--- a/src/test/java/beampoint/fleet/membership/ExchangeIntervalTest.java
+++ b/src/test/java/beampoint/fleet/membership/ExchangeIntervalTest.java
@@ -13,7 +13,7 @@
 
   private static final double TEN_MINUTES = 600_000;
 
-  /** At 2,300 members a view each 30 s took 5.1 KB a second of each member, ten times what its probes take. */
+  /** Guards against 5.1 KB a second of whole views at 2,300 members, ten times what probes take. */
   @ParameterizedTest
   @CsvSource({"2,20", "100,20", "128,20", "129,10", "256,10", "257,7", "2300,4", "4096,4"})
   void itGrowsWithEachDoublingOfALargeFleet(int members, int exchanges) {
