--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,19 @@
 # The everyday tasks; CI runs .ci/run.
-.PHONY: build test lint run clean
+.PHONY: build test lint format run clean
 
 CONFIG ?= $(PROXY_CONFIG)
 
 build:            ## the runnable jar, target/beampoint.jar
 	mvn -B -DskipTests package
 
-test:             ## all tests and the style check, as CI runs them
+test:             ## all tests and both checks of style, as CI runs them
 	mvn -B verify
 
-lint:             ## the style check alone
-	mvn -B checkstyle:check@default
+lint:             ## the style check and the formatter's check alone
+	mvn -B checkstyle:check@default formatter:validate@default
+
+format:           ## lays the sources out as the formatter's profile says
+	mvn -B formatter:format
 
 run: build        ## one proxy; CONFIG names its configuration file
 	java -jar target/beampoint.jar serve --config $(CONFIG)
