--- a/src/benchmark/java/beampoint/benchmark/ListCosts.java
+++ b/src/benchmark/java/beampoint/benchmark/ListCosts.java
@@ -75,7 +75,7 @@
       Collections.sort(wall);
       points.add(new LinearFit.Point(entries, cpu.get(STARTS / 2)));
       System.out.printf(Locale.ROOT, "start with a list of %d: processor %.0f ms (%.0f to %.0f), ready after"
-              + " %.0f ms (%.0f to %.0f), load %s%n", entries, cpu.get(STARTS / 2), cpu.get(0),
+          + " %.0f ms (%.0f to %.0f), load %s%n", entries, cpu.get(STARTS / 2), cpu.get(0),
           cpu.get(STARTS - 1), wall.get(STARTS / 2), wall.get(0), wall.get(STARTS - 1),
           ProcessAccount.machineLoad());
     }
--- a/src/benchmark/java/beampoint/benchmark/LoadClients.java
+++ b/src/benchmark/java/beampoint/benchmark/LoadClients.java
@@ -93,7 +93,7 @@
       refused.incrementAndGet();
       return;
     }
-    for (int left = Integer.parseInt(head.split(" ")[1]) + 2; left > 0; ) {
+    for (int left = Integer.parseInt(head.split(" ")[1]) + 2; left > 0;) {
       int read = in.read(buffer, 0, Math.min(left, buffer.length));
       if (read < 0) {
         throw new IOException("closed within a value");
--- a/src/benchmark/java/beampoint/benchmark/RequestCosts.java
+++ b/src/benchmark/java/beampoint/benchmark/RequestCosts.java
@@ -144,9 +144,9 @@
       thread.join(WINDOW_MS);
     }
     System.out.printf(Locale.ROOT, "%d caches, price %s, %d sockets, %d bytes, offered %.0f: served %.0f"
-            + " a second, refused %.0f, %.2f Gbit/s, processor %.0f ms a second, %.1f us a request, p50 %.2f"
-            + " p99 %.2f ms,"
-            + " resident %.1f MB, %d descriptors, %.1f connections made a second, load %s%n",
+        + " a second, refused %.0f, %.2f Gbit/s, processor %.0f ms a second, %.1f us a request, p50 %.2f"
+        + " p99 %.2f ms,"
+        + " resident %.1f MB, %d descriptors, %.1f connections made a second, load %s%n",
         load.caches, load.price, load.sockets, load.valueBytes, load.rate, served, refused,
         served * load.valueBytes * 8 / 1e9, cpu, 1_000 * cpu / Math.max(1, served + refused),
         clients.times().getValueAtPercentile(50) / 1e3, clients.times().getValueAtPercentile(99) / 1e3,
--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -66,7 +66,7 @@
   private Call before; // at the address that was left, until the new one has brought something
   private final Set<Call> late = new LinkedHashSet<>(); // without an answer, beside those made after them
   private long wait = FIRST_BACKOFF_MS;
-  private Runnable afterCall = () -> { }; // told of each outcome of a call
+  private Runnable afterCall = () -> {}; // told of each outcome of a call
 
   /** One watch, from its connection to its end. */
   private static final class Call {
--- a/src/main/java/beampoint/fleet/changes/Leader.java
+++ b/src/main/java/beampoint/fleet/changes/Leader.java
@@ -85,7 +85,8 @@
   private static void commit(Turn turn) {
     List<Long> held = Stream.concat(Stream.of(turn.log.last()),
         turn.leadership.followers().values().stream().filter(p -> p.inStep() && p.voter())
-            .map(Progress::acknowledged)).sorted(Comparator.reverseOrder()).toList();
+            .map(Progress::acknowledged))
+        .sorted(Comparator.reverseOrder()).toList();
     if (held.size() < turn.terms.majority()) {
       return;
     }
--- a/src/main/java/beampoint/fleet/membership/Membership.java
+++ b/src/main/java/beampoint/fleet/membership/Membership.java
@@ -187,7 +187,8 @@
       case PING -> gossip.send(sender, Kind.ACK, message.number(), message.about());
       case ACK -> prober.answered(message);
       case RELAY -> prober.relay(sender, message, now);
-      default -> { }
+      default -> {
+      }
     }
     if ((sender.isBehind() || !sender.isLiving()) && message.kind() != Kind.ACK) {
       gossip.send(sender, Kind.GOSSIP, 0, ""); // it is told what is said of it, and refutes
--- a/src/main/java/beampoint/fleet/message/Codec.java
+++ b/src/main/java/beampoint/fleet/message/Codec.java
@@ -49,7 +49,7 @@
 
   /** The bytes of a message; news that would make it too long for a datagram are left out. */
   public byte[] write(Message message) {
-    for (int news = message.news().size(); ; news--) {
+    for (int news = message.news().size();; news--) {
       byte[] bytes = write(message, news);
       if (bytes.length <= MAX_DATAGRAM_BYTES || news == 0) {
         return bytes;
@@ -71,8 +71,8 @@
    * members fit, some of the last are left out, of which datagrams tell.
    */
   public byte[] writeView(List<News> view) {
-    for (int members = view.size(); ; members -= 1 + members / 16) {
-      byte[] bytes = bytes(view.subList(0, members), out -> { });
+    for (int members = view.size();; members -= 1 + members / 16) {
+      byte[] bytes = bytes(view.subList(0, members), out -> {});
       if (bytes.length <= MAX_VIEW_BYTES) {
         return bytes;
       }
--- a/src/main/java/beampoint/fleet/message/Message.java
+++ b/src/main/java/beampoint/fleet/message/Message.java
@@ -13,5 +13,7 @@
 public record Message(Kind kind, long number, News from, String about, List<News> news) {
 
   /** PING asks for a sign of life, RELAY asks to ping another, NACK says that this one did not answer. */
-  public enum Kind { PING, ACK, RELAY, NACK, GOSSIP }
+  public enum Kind {
+    PING, ACK, RELAY, NACK, GOSSIP
+  }
 }
--- a/src/main/java/beampoint/fleet/node/FleetNode.java
+++ b/src/main/java/beampoint/fleet/node/FleetNode.java
@@ -79,8 +79,8 @@
     InetSocketAddress address = views.listen(settings.listen());
     datagrams.listen(address);
     List<News> known = new ArrayList<>();
-    settings.peers().forEach((peer, at) ->
-        known.add(new News(peer, Address.text(at), Status.ALIVE, 0, false, peer)));
+    settings.peers()
+        .forEach((peer, at) -> known.add(new News(peer, Address.text(at), Status.ALIVE, 0, false, peer)));
     LOG.info(name + " is a member of " + settings.cluster() + " at " + Address.text(address));
     long step = (long) terms.step();
     loop.execute(() -> {
--- a/src/main/java/beampoint/fleet/transport/Views.java
+++ b/src/main/java/beampoint/fleet/transport/Views.java
@@ -134,7 +134,7 @@
     counters.add(Counter.MEMBER_BYTES_SENT, LENGTH_BYTES + bytes.length);
     Buffer frame = transport.getMemoryManager().allocate(LENGTH_BYTES + bytes.length);
     frame.putInt(bytes.length).put(bytes).flip();
-    ((Connection<SocketAddress>) connection).write(frame, new EmptyCompletionHandler<>() { });
+    ((Connection<SocketAddress>) connection).write(frame, new EmptyCompletionHandler<>() {});
   }
 
   private FilterChain chain(boolean answers) {
--- a/src/main/java/beampoint/memcache/Command.java
+++ b/src/main/java/beampoint/memcache/Command.java
@@ -14,7 +14,9 @@
     String requestClass, String tenant, int waitMs, boolean again, String problem, Budget.Claim claim) {
 
   /** What a client asks; BAD is answered with the problem, FATAL also ends the connection. */
-  public enum Kind { READ, WRITE, READY, STATS, VERSION, QUIT, BAD, FATAL }
+  public enum Kind {
+    READ, WRITE, READY, STATS, VERSION, QUIT, BAD, FATAL
+  }
 
   static Command of(Kind kind, String problem) {
     return new Command(kind, null, null, null, null, null, null, 0, false, problem, null);
--- a/src/main/java/beampoint/memcache/Reply.java
+++ b/src/main/java/beampoint/memcache/Reply.java
@@ -10,7 +10,9 @@
 public record Reply(Kind kind, Buffer id, Buffer body, boolean surplus, int length, String load) {
 
   /** What the answer says; BAD is not of this protocol, and what follows it can't be read. */
-  public enum Kind { VALUE, RECEIPT, MISS, FAILED, BUSY, ALIVE, BAD }
+  public enum Kind {
+    VALUE, RECEIPT, MISS, FAILED, BUSY, ALIVE, BAD
+  }
 
   Reply(Kind kind, Buffer id, Buffer body, boolean surplus, String load) {
     this(kind, id, body, surplus, 0, load);
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -294,8 +294,8 @@
       flights.remove(flight.exchange.id());
     }
     counters.add(COUNTERS.get(result));
-    loop.execute(() ->
-        reports.ended(flight.exchange, flight.number, flight.endpoint, elapsed, result, answer, flight.load));
+    loop.execute(() -> reports.ended(flight.exchange, flight.number, flight.endpoint, elapsed, result, answer,
+        flight.load));
   }
 
   private Future<?> at(double time, Runnable task) {
--- a/src/test/java/beampoint/emulator/EmulationTest.java
+++ b/src/test/java/beampoint/emulator/EmulationTest.java
@@ -149,7 +149,8 @@
     Report report = play(day("clients: {retries: 0}"), (event, seen) -> event instanceof RequestReceived e
         ? List.of(new Send(e.id(), "origin", 30))
         : event instanceof AttemptEnded e && e.result() == Result.TIMEOUT && e.attempt() < 2
-        ? List.of(new Send(e.id(), "origin", 0)) : List.of());
+            ? List.of(new Send(e.id(), "origin", 0))
+        : List.of());
     assertTold(report, "ran twice");
   }
 
--- a/src/test/java/beampoint/emulator/LoopbackTest.java
+++ b/src/test/java/beampoint/emulator/LoopbackTest.java
@@ -92,7 +92,7 @@
       }
     });
     for (int i = 0; i < 5; i++) {
-      clock.at(now + 1, () -> { });
+      clock.at(now + 1, () -> {});
     }
     clock.runTo(now + 80);
     assertTrue(clock.lateness() > 50, "late: " + clock.lateness());
--- a/src/test/java/beampoint/emulator/ModelTest.java
+++ b/src/test/java/beampoint/emulator/ModelTest.java
@@ -44,7 +44,7 @@
           waited[0] += clock.now() - came;
           waited[1]++;
           return -Math.log(1 - random.nextDouble()) * work;
-        }, () -> { }));
+        }, () -> {}));
       }
       clock.runTo(at + 100_000);
       assertEquals(200_000, waited[1]);
--- a/src/test/java/beampoint/fleet/changes/LogSimulationTest.java
+++ b/src/test/java/beampoint/fleet/changes/LogSimulationTest.java
@@ -45,7 +45,7 @@
 
   private static void print(String what, SimulatedCluster cluster) {
     System.out.printf("%s, %d voters: %d committed, p50 %.0f ms, p99 %.0f ms, max %.0f ms, %d elections,"
-            + " %d messages, %.1f KB/s from each, %.0f s%n", what, cluster.names.size(),
+        + " %d messages, %.1f KB/s from each, %.0f s%n", what, cluster.names.size(),
         cluster.ledger.size(), percentile(cluster.latencies, 0.5), percentile(cluster.latencies, 0.99),
         percentile(cluster.latencies, 1), cluster.elections, cluster.messages,
         cluster.bytes / cluster.now / cluster.names.size(), cluster.now / SECOND);
--- a/src/test/java/beampoint/memcache/CommandFilterTest.java
+++ b/src/test/java/beampoint/memcache/CommandFilterTest.java
@@ -32,7 +32,7 @@
   }
 
   private static CommandReader reader() {
-    return new CommandReader(MEMORY, new Budget(1 << 20), () -> { });
+    return new CommandReader(MEMORY, new Budget(1 << 20), () -> {});
   }
 
   private static Command parse(String text) {
--- a/src/test/java/beampoint/policy/FleetTest.java
+++ b/src/test/java/beampoint/policy/FleetTest.java
@@ -76,7 +76,7 @@
 
   /** Reads of ever other keys at the stated rate, each answered at once. */
   private void run(int cold, double time) {
-    for (double end = now + time; now < end; ) {
+    for (double end = now + time; now < end;) {
       now += -Math.log(1 - random.nextDouble()) / RATE;
       boolean toTheBusy = random.nextDouble() < busyPart;
       Fixture f = fleet.get(toTheBusy ? 0 : random.nextInt(INSTANCES));
@@ -136,7 +136,7 @@
 
   /** Half of the caches give no answer, while the list goes on naming them. */
   private void silence(int silent, double time) {
-    for (double end = now + time; now < end; ) {
+    for (double end = now + time; now < end;) {
       now += -Math.log(1 - random.nextDouble()) / RATE;
       Fixture f = fleet.get(random.nextInt(INSTANCES));
       f.now = now;
--- a/src/test/java/beampoint/policy/OriginJamTest.java
+++ b/src/test/java/beampoint/policy/OriginJamTest.java
@@ -36,8 +36,8 @@
 
   private record Task(double at, long order, Runnable what) {}
 
-  private final PriorityQueue<Task> tasks = new PriorityQueue<>((a, b) ->
-      a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
+  private final PriorityQueue<Task> tasks = new PriorityQueue<>(
+      (a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
   private final List<Fixture> fleet = new ArrayList<>();
   private final Map<String, Integer> attempts = new HashMap<>(); // by instance and request
   private final Random random = new Random(11);
--- a/src/test/java/beampoint/policy/ServesNobodyTest.java
+++ b/src/test/java/beampoint/policy/ServesNobodyTest.java
@@ -54,8 +54,6 @@
       }
     }
 
-
-
     /** Plays so many ms at a rate; returns the most that were turned away in a row over the longest time. */
     List<String> play(double length, double perSecond, Result now) {
       List<String> problems = new ArrayList<>();
--- a/src/test/java/beampoint/serve/AttemptOutcomeTest.java
+++ b/src/test/java/beampoint/serve/AttemptOutcomeTest.java
@@ -158,8 +158,9 @@
         ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
         Client client = new Client(proxy)) {
       proxy.module.script = event -> event instanceof RequestReceived e
-          ? List.of(new Send(e.id(), "cache", 300)) : event instanceof AttemptEnded e && e.attempt() == 0
-          ? List.of(new Send(e.id(), "cache", 0), new Cancel(e.id(), 1))
+          ? List.of(new Send(e.id(), "cache", 300))
+          : event instanceof AttemptEnded e && e.attempt() == 0
+              ? List.of(new Send(e.id(), "cache", 0), new Cancel(e.id(), 1))
           : event instanceof AttemptEnded e ? List.of(new Refuse(e.id(), 40)) : List.of();
       assertEquals("SERVER_ERROR busy 40", client.ask(READ));
       assertEquals(Result.TIMEOUT, proxy.ended().result());
@@ -177,8 +178,10 @@
     }); ProxyFixture proxy = new ProxyFixture(cache.address(), origin.address());
         Client client = new Client(proxy)) {
       proxy.module.script = event -> event instanceof RequestReceived e
-          ? List.of(new SetTimer(5, e.id())) : event instanceof TimerFired e
-          ? List.of(new Probe("cache"), new Probe("origin"), new Refuse(e.token(), 700)) : List.of();
+          ? List.of(new SetTimer(5, e.id()))
+          : event instanceof TimerFired e
+              ? List.of(new Probe("cache"), new Probe("origin"), new Refuse(e.token(), 700))
+          : List.of();
       assertEquals("SERVER_ERROR busy 700", client.ask(READ));
       assertEquals(Result.OK, proxy.module.next(ProbeEnded.class).result());
       assertEquals(Result.OK, proxy.module.next(ProbeEnded.class).result());
--- a/src/test/java/beampoint/serve/ClientConnectionTest.java
+++ b/src/test/java/beampoint/serve/ClientConnectionTest.java
@@ -92,8 +92,8 @@
         }
       }
       // What is still on its way, if the machine is busy.
-      for (Balancer.Event event = proxy.module.events.poll(200, TimeUnit.MILLISECONDS); event != null;
-          event = proxy.module.events.poll(200, TimeUnit.MILLISECONDS)) {
+      for (Balancer.Event event = proxy.module.events.poll(200, TimeUnit.MILLISECONDS); event != null; event =
+          proxy.module.events.poll(200, TimeUnit.MILLISECONDS)) {
         if (event instanceof RequestGone e) {
           gone.add(e.id());
         }
--- a/src/test/java/beampoint/serve/FleetNodeTest.java
+++ b/src/test/java/beampoint/serve/FleetNodeTest.java
@@ -49,7 +49,8 @@
         {"name":"n%d","listen":"127.0.0.1:0","discovery":"%s","seed":"%d","known":{"seq":1,"whole":true,
          "hosts":[]},"settings":%s,"fleet":{"cluster":"test","listen":"%s","peers":[%s]}%s}"""
         .formatted(number, discovery.address(), number + 1, ProxyFixture.SETTINGS, listen, peers,
-            directory == null ? "" : ",\"ops\":\"127.0.0.1:0\"")).getAsJsonObject();
+            directory == null ? "" : ",\"ops\":\"127.0.0.1:0\""))
+        .getAsJsonObject();
     ProxyFixture.Module module = new ProxyFixture.Module();
     Config config = Config.read("test", json);
     Proxy proxy = directory == null ? new Proxy(config, settings -> module)
--- a/src/test/java/beampoint/serve/OperationsTest.java
+++ b/src/test/java/beampoint/serve/OperationsTest.java
@@ -248,7 +248,8 @@
       module.script = event -> event instanceof Balancer.RequestReceived e
           ? List.of(new Balancer.Send(e.id(), "cache", 0))
           : event instanceof Balancer.AttemptEnded e
-          ? List.of(e.attempt() < 1 ? new Balancer.Send(e.id(), "cache", 0) : new Balancer.Refuse(e.id(), 0))
+              ? List.of(
+                  e.attempt() < 1 ? new Balancer.Send(e.id(), "cache", 0) : new Balancer.Refuse(e.id(), 0))
           : List.of();
       try (Client client = new Client(proxy.port())) {
         client.say("mg 1 v O1 Pc=read,d=5000\r\n");
--- a/src/test/java/beampoint/serve/ProxyLifecycleTest.java
+++ b/src/test/java/beampoint/serve/ProxyLifecycleTest.java
@@ -165,7 +165,7 @@
         String prefix = "Oc" + i + "n";
         Client client = new Client(proxy);
         ends.add(clients.submit(() -> {
-          for (int n = 0; ; n++) {
+          for (int n = 0;; n++) {
             String line;
             try {
               line = client.ask(READ.replace("O9b", prefix + n));
--- a/src/test/java/beampoint/serve/ScriptedCache.java
+++ b/src/test/java/beampoint/serve/ScriptedCache.java
@@ -5,8 +5,7 @@
 /** Cache nodes on loopback that answer by a script. */
 final class ScriptedCache {
 
-  private ScriptedCache() {
-  }
+  private ScriptedCache() {}
 
   /** A cache node that answers every command so. */
   static Stub answering(String answer) throws Exception {
