--- a/src/main/java/beampoint/emulator/MemberWire.java
+++ b/src/main/java/beampoint/emulator/MemberWire.java
@@ -1,7 +1,7 @@
 package beampoint.emulator;
 
 import beampoint.fleet.message.Codec;
-import beampoint.fleet.message.FormException;
+import beampoint.fleet.message.MalformedMessageException;
 import beampoint.fleet.message.Message;
 import beampoint.fleet.message.News;
 import java.util.HashMap;
@@ -38,7 +38,7 @@
     }
     try {
       return new Datagram(bytes.length, codec.read(bytes, bytes.length));
-    } catch (FormException e) {
+    } catch (MalformedMessageException e) {
       throw new IllegalStateException(e);
     }
   }
--- a/src/main/java/beampoint/fleet/message/Codec.java
+++ b/src/main/java/beampoint/fleet/message/Codec.java
@@ -14,7 +14,7 @@
 
 /**
  * Messages in CBOR (RFC 8949): one array that begins with the cluster's name and the version of the form. Any
- * bytes may come: what can't be read is a {@link FormException} and nothing else.
+ * bytes may come: what can't be read is a {@link MalformedMessageException} and nothing else.
  */
 public final class Codec {
 
@@ -102,33 +102,34 @@
   }
 
   /** Reads a whole view of this cluster. */
-  public List<News> readView(byte[] bytes) throws FormException {
+  public List<News> readView(byte[] bytes) throws MalformedMessageException {
     try (JsonParser in = FORM.createParser(bytes)) {
       begin(in);
       return newsToTheEnd(in, MAX_VIEW_MEMBERS);
     } catch (IOException | RuntimeException e) {
-      throw new FormException("no view: " + e.getMessage());
+      throw new MalformedMessageException("no view: " + e.getMessage());
     }
   }
 
-  private void begin(JsonParser in) throws IOException, FormException {
+  private void begin(JsonParser in) throws IOException, MalformedMessageException {
     expect(in, JsonToken.START_ARRAY);
     if (!text(in).equals(cluster)) {
-      throw new FormException("of another cluster");
+      throw new MalformedMessageException("of another cluster");
     }
     long version = number(in);
     if (version != VERSION) {
-      throw new FormException("of an unknown version: " + version);
+      throw new MalformedMessageException("of an unknown version: " + version);
     }
   }
 
-  private static List<News> newsToTheEnd(JsonParser in, int most) throws IOException, FormException {
+  private static List<News> newsToTheEnd(JsonParser in, int most)
+      throws IOException, MalformedMessageException {
     List<News> news = new ArrayList<>();
     while (in.nextToken() == JsonToken.START_ARRAY && news.size() < most) {
       news.add(news(in));
     }
     if (in.currentToken() != JsonToken.END_ARRAY || in.nextToken() != null) {
-      throw new FormException("with more than there may be");
+      throw new MalformedMessageException("with more than there may be");
     }
     return List.copyOf(news);
   }
@@ -145,9 +146,9 @@
   }
 
   /** Reads a message of this cluster. */
-  public Message read(byte[] bytes, int length) throws FormException {
+  public Message read(byte[] bytes, int length) throws MalformedMessageException {
     if (length > MAX_DATAGRAM_BYTES) {
-      throw new FormException("longer than a datagram of members: " + length);
+      throw new MalformedMessageException("longer than a datagram of members: " + length);
     }
     try (JsonParser in = FORM.createParser(bytes, 0, length)) {
       begin(in);
@@ -157,11 +158,11 @@
       expect(in, JsonToken.START_ARRAY);
       return new Message(kind, number, news(in), about, newsToTheEnd(in, MAX_NEWS));
     } catch (IOException | RuntimeException e) {
-      throw new FormException("no message: " + e.getMessage());
+      throw new MalformedMessageException("no message: " + e.getMessage());
     }
   }
 
-  private static News news(JsonParser in) throws IOException, FormException {
+  private static News news(JsonParser in) throws IOException, MalformedMessageException {
     String member = text(in);
     String address = text(in);
     Status status = of(Status.values(), number(in));
@@ -169,38 +170,38 @@
     JsonToken deaf = in.nextToken();
     boolean flag = deaf == JsonToken.VALUE_TRUE || deaf == JsonToken.VALUE_FALSE;
     if (!flag || member.isEmpty() || incarnation < 0) {
-      throw new FormException("with odd news");
+      throw new MalformedMessageException("with odd news");
     }
     News news = new News(member, address, status, incarnation, deaf == JsonToken.VALUE_TRUE, text(in));
     expect(in, JsonToken.END_ARRAY);
     return news;
   }
 
-  private static <T> T of(T[] values, long number) throws FormException {
+  private static <T> T of(T[] values, long number) throws MalformedMessageException {
     if (number < 0 || number >= values.length) {
-      throw new FormException("with an unknown number: " + number);
+      throw new MalformedMessageException("with an unknown number: " + number);
     }
     return values[(int) number];
   }
 
-  private static String text(JsonParser in) throws IOException, FormException {
+  private static String text(JsonParser in) throws IOException, MalformedMessageException {
     expect(in, JsonToken.VALUE_STRING);
     String text = in.getText();
     // Guards against a name that can be read and not written, which who passes it on would fall over.
     if (text.length() > MAX_TEXT_LENGTH || !text.chars().allMatch(c -> c >= ' ' && c <= '~')) {
-      throw new FormException("with a text that is no name");
+      throw new MalformedMessageException("with a text that is no name");
     }
     return text;
   }
 
-  private static long number(JsonParser in) throws IOException, FormException {
+  private static long number(JsonParser in) throws IOException, MalformedMessageException {
     expect(in, JsonToken.VALUE_NUMBER_INT);
     return in.getLongValue();
   }
 
-  private static void expect(JsonParser in, JsonToken token) throws IOException, FormException {
+  private static void expect(JsonParser in, JsonToken token) throws IOException, MalformedMessageException {
     if (in.nextToken() != token) {
-      throw new FormException("cut off, or of another form");
+      throw new MalformedMessageException("cut off, or of another form");
     }
   }
 }
--- a/src/main/java/beampoint/fleet/message/FormException.java
+++ b/src/main/java/beampoint/fleet/message/MalformedMessageException.java
@@ -1,11 +1,11 @@
 package beampoint.fleet.message;
 
 /** Bytes that are no message of this cluster, or of no version that this program reads. */
-public final class FormException extends Exception {
+public final class MalformedMessageException extends Exception {
 
   private static final long serialVersionUID = 1L;
 
-  FormException(String problem) {
+  MalformedMessageException(String problem) {
     super(problem);
   }
 }
--- a/src/main/java/beampoint/fleet/transport/Datagrams.java
+++ b/src/main/java/beampoint/fleet/transport/Datagrams.java
@@ -3,7 +3,7 @@
 import beampoint.count.Counter;
 import beampoint.count.Counters;
 import beampoint.fleet.message.Codec;
-import beampoint.fleet.message.FormException;
+import beampoint.fleet.message.MalformedMessageException;
 import beampoint.fleet.message.Message;
 import beampoint.settings.FleetSettings;
 import java.io.IOException;
@@ -86,7 +86,7 @@
     waiting.decrementAndGet();
     try {
       received.accept(codec.read(bytes, bytes.length));
-    } catch (FormException e) {
+    } catch (MalformedMessageException e) {
       counters.add(Counter.MEMBER_MESSAGES_DROPPED);
     }
   }
--- a/src/main/java/beampoint/fleet/transport/Views.java
+++ b/src/main/java/beampoint/fleet/transport/Views.java
@@ -3,7 +3,7 @@
 import beampoint.count.Counter;
 import beampoint.count.Counters;
 import beampoint.fleet.message.Codec;
-import beampoint.fleet.message.FormException;
+import beampoint.fleet.message.MalformedMessageException;
 import beampoint.fleet.message.News;
 import beampoint.transport.PeerFilter;
 import java.io.IOException;
@@ -122,7 +122,7 @@
         connection.terminateSilently();
       }
       received.accept(view);
-    } catch (FormException e) {
+    } catch (MalformedMessageException e) {
       counters.add(Counter.MEMBER_MESSAGES_DROPPED);
       connection.terminateSilently();
     }
--- a/src/test/java/beampoint/emulator/MemberScaleStudy.java
+++ b/src/test/java/beampoint/emulator/MemberScaleStudy.java
@@ -7,7 +7,7 @@
 import beampoint.fleet.membership.MemberTerms;
 import beampoint.fleet.membership.Membership;
 import beampoint.fleet.message.Codec;
-import beampoint.fleet.message.FormException;
+import beampoint.fleet.message.MalformedMessageException;
 import beampoint.fleet.message.Message;
 import beampoint.fleet.message.News;
 import beampoint.fleet.message.Status;
@@ -53,7 +53,7 @@
   private final Map<String, double[]> figures = new LinkedHashMap<>();
 
   @Test
-  void slopes() throws FormException {
+  void slopes() throws MalformedMessageException {
     measureFleet(0, WARM_UP_SIZE);
     figures.clear();
     for (int i = 0; i < SIZES.length; i++) {
@@ -80,7 +80,7 @@
   }
 
   /** A fleet that has run for long, and then crashes of single members. */
-  private void measureFleet(int index, int members) throws FormException {
+  private void measureFleet(int index, int members) throws MalformedMessageException {
     MemberFleet fleet = MemberFleet.settled(members, TERMS, SEED);
     fleet.measureBy(System::nanoTime);
     fleet.loseEverywhere(LOSS);
@@ -134,7 +134,7 @@
   }
 
   /** What a member that joins exchanges: the view's length, and the time to write, read and merge it. */
-  private void wholeView(int index, List<News> known) throws FormException {
+  private void wholeView(int index, List<News> known) throws MalformedMessageException {
     double[] written = new double[REPLAYS];
     double[] readAndMerged = new double[REPLAYS];
     for (int i = 0; i < REPLAYS; i++) {
@@ -173,7 +173,7 @@
 
   /** Plays the events of some members again, each alone, as a process of its own would meet them. */
   private void replay(int index, MemberFleet fleet, Map<Integer, List<TimedEvent>> recorded)
-      throws FormException {
+      throws MalformedMessageException {
     double all = 0;
     double ofViews = 0;
     double withCodec = 0;
@@ -190,7 +190,8 @@
     put("CPU ms a member a second, machine and codec", index, withCodec / perSecond);
   }
 
-  private Replayed replay(MemberFleet fleet, int member, List<TimedEvent> recorded) throws FormException {
+  private Replayed replay(MemberFleet fleet, int member, List<TimedEvent> recorded)
+      throws MalformedMessageException {
     List<List<byte[]>> written = new ArrayList<>();
     for (TimedEvent event : recorded) {
       written.add(write(event.event()));
@@ -207,7 +208,7 @@
   }
 
   private double replayOnce(Membership membership, List<TimedEvent> recorded, List<List<byte[]>> written)
-      throws FormException {
+      throws MalformedMessageException {
     int next = 0;
     while (next < recorded.size() && recorded.get(next).at() < MEASURED_FROM) {
       membership.handle(recorded.get(next).at(), recorded.get(next).event());
@@ -257,7 +258,7 @@
     return written;
   }
 
-  private MemberEvent read(MemberEvent event, List<byte[]> written) throws FormException {
+  private MemberEvent read(MemberEvent event, List<byte[]> written) throws MalformedMessageException {
     if (event instanceof MemberEvent.Received) {
       Message message = codec.read(written.get(0), written.get(0).length);
       return new MemberEvent.Received(message);
@@ -273,7 +274,7 @@
   }
 
   /** What a member holds that has read a whole view, each entry with texts of its own. */
-  private double heapOfOne(List<News> known) throws FormException {
+  private double heapOfOne(List<News> known) throws MalformedMessageException {
     Membership[] copies = new Membership[HEAP_COPIES];
     long before = heap();
     for (int i = 0; i < HEAP_COPIES; i++) {
--- a/src/test/java/beampoint/fleet/message/CodecTest.java
+++ b/src/test/java/beampoint/fleet/message/CodecTest.java
@@ -23,7 +23,7 @@
   }
 
   @Test
-  void aMessageIsReadAsItWasWritten() throws FormException {
+  void aMessageIsReadAsItWasWritten() throws MalformedMessageException {
     for (int news : new int[] {0, 1, 10}) {
       byte[] bytes = CODEC.write(message(news));
       assertEquals(message(news), CODEC.read(bytes, bytes.length));
@@ -31,7 +31,7 @@
   }
 
   @Test
-  void newsThatDoNotFitADatagramAreLeftOut() throws FormException {
+  void newsThatDoNotFitADatagramAreLeftOut() throws MalformedMessageException {
     Message long32 = new Message(Kind.GOSSIP, 0, SELF, "", IntStream.range(0, 30)
         .mapToObj(i -> new News("x".repeat(150) + i, "10.0.0.9:7946", Status.ALIVE, i, false, "n3"))
         .toList());
@@ -45,20 +45,20 @@
   @Test
   void anotherClusterAnotherVersionOrWhatIsCutOffIsNoMessage() {
     byte[] bytes = CODEC.write(message(2));
-    assertThrows(FormException.class, () -> new Codec("south").read(bytes, bytes.length));
+    assertThrows(MalformedMessageException.class, () -> new Codec("south").read(bytes, bytes.length));
     for (int length = 0; length < bytes.length; length++) {
       int cut = length;
-      assertThrows(FormException.class, () -> CODEC.read(bytes, cut), "cut to " + cut);
+      assertThrows(MalformedMessageException.class, () -> CODEC.read(bytes, cut), "cut to " + cut);
     }
     byte[] next = bytes.clone();
     next[7] = 2; // the version, behind the array's start and the name
-    assertThrows(FormException.class, () -> CODEC.read(next, next.length));
+    assertThrows(MalformedMessageException.class, () -> CODEC.read(next, next.length));
     byte[] longer = Arrays.copyOf(bytes, bytes.length + 1);
-    assertThrows(FormException.class, () -> CODEC.read(longer, longer.length));
-    assertThrows(FormException.class, () -> CODEC.read(new byte[2_000], 2_000));
+    assertThrows(MalformedMessageException.class, () -> CODEC.read(longer, longer.length));
+    assertThrows(MalformedMessageException.class, () -> CODEC.read(new byte[2_000], 2_000));
   }
 
-  /** Hostile datagrams cost themselves: nothing but a FormException comes of any bytes. */
+  /** Hostile datagrams cost themselves: nothing but a MalformedMessageException comes of any bytes. */
   @Test
   void aHundredThousandOddDatagramsAreReadOrRefused() {
     Random random = new Random(11);
@@ -77,7 +77,7 @@
         Message read = CODEC.read(odd, random.nextInt(odd.length + 1));
         byte[] again = CODEC.write(read);
         assertEquals(read, CODEC.read(again, again.length));
-      } catch (FormException e) {
+      } catch (MalformedMessageException e) {
         refused++;
       }
     }
@@ -93,7 +93,8 @@
 
   /** Guards against a limit that a fleet of the size planned meets: it would exchange no views at all. */
   @Test
-  void aViewOfTheLargestFleetWithTheLongestNamesIsReadWholeAndOneMoreIsRefused() throws FormException {
+  void aViewOfTheLargestFleetWithTheLongestNamesIsReadWholeAndOneMoreIsRefused()
+      throws MalformedMessageException {
     for (int members : new int[] {2_300, Codec.MAX_VIEW_MEMBERS - 1, Codec.MAX_VIEW_MEMBERS}) {
       List<News> view = view(members, 100);
       byte[] bytes = CODEC.writeView(view);
@@ -101,12 +102,12 @@
       assertEquals(view, CODEC.readView(bytes));
     }
     byte[] oneMore = CODEC.writeView(view(Codec.MAX_VIEW_MEMBERS + 1, 20));
-    assertThrows(FormException.class, () -> CODEC.readView(oneMore));
+    assertThrows(MalformedMessageException.class, () -> CODEC.readView(oneMore));
   }
 
   /** Guards against a view that every member refuses for its length. */
   @Test
-  void whatDoesNotFitAViewIsLeftOut() throws FormException {
+  void whatDoesNotFitAViewIsLeftOut() throws MalformedMessageException {
     List<News> view = view(Codec.MAX_VIEW_MEMBERS, 190);
     byte[] bytes = CODEC.writeView(view);
     assertTrue(bytes.length <= Codec.MAX_VIEW_BYTES, "bytes: " + bytes.length);
