--- a/src/benchmark/java/beampoint/benchmark/DecisionCosts.java
+++ b/src/benchmark/java/beampoint/benchmark/DecisionCosts.java
@@ -20,19 +20,19 @@
 
   private static final int[] ENDPOINTS = {14, 60, 200, 610};
   private static final String[] PROXIES = {"14", "100", "400", "2300"};
-  private static final String[] MOST_PROXIES = {"2300"};
-  private static final String[] MOST_ENDPOINTS = {"610"};
+  private static final String[] MAX_PROXIES = {"2300"};
+  private static final String[] MAX_ENDPOINTS = {"610"};
   private static final int INSTANCES = 20;
 
   private DecisionCosts() {}
 
   public static void main(String[] args) throws RunnerException {
     for (String price : new String[] {"0", "0.03"}) {
-      time("request", "endpoints", texts(ENDPOINTS), MOST_PROXIES, price);
-      time("request", "proxies", MOST_ENDPOINTS, PROXIES, price);
+      time("request", "endpoints", texts(ENDPOINTS), MAX_PROXIES, price);
+      time("request", "proxies", MAX_ENDPOINTS, PROXIES, price);
     }
-    time("changeOfOne", "endpoints", texts(ENDPOINTS), MOST_PROXIES, "0.03");
-    time("wholeList", "endpoints", texts(ENDPOINTS), MOST_PROXIES, "0.03");
+    time("changeOfOne", "endpoints", texts(ENDPOINTS), MAX_PROXIES, "0.03");
+    time("wholeList", "endpoints", texts(ENDPOINTS), MAX_PROXIES, "0.03");
     memory();
   }
 
--- a/src/benchmark/java/beampoint/benchmark/FleetProcesses.java
+++ b/src/benchmark/java/beampoint/benchmark/FleetProcesses.java
@@ -29,7 +29,7 @@
   private static final int KNOWN_PEERS = 5;
   private static final int REQUESTS_A_SECOND = 2; // of each proxy
   private static final int STARTS_AT_ONCE = 10;
-  private static final long LONGEST_START_MS = 60_000;
+  private static final long MAX_START_MS = 60_000;
   private static final String SHARED_AMONG = "the load is shared among ";
   private static final long SETTLE_MS = 15_000; // until all know each other and the compiler is quiet
 
@@ -120,11 +120,11 @@
       }
       proxies.add(ServeProcess.start(directory, name(i), config));
       if (proxies.size() % STARTS_AT_ONCE == 0) {
-        proxies.get(i).awaitReady(LONGEST_START_MS);
+        proxies.get(i).awaitReady(MAX_START_MS);
       }
     }
     for (ServeProcess proxy : proxies) {
-      proxy.awaitReady(LONGEST_START_MS);
+      proxy.awaitReady(MAX_START_MS);
     }
   }
 
--- a/src/benchmark/java/beampoint/benchmark/ListCosts.java
+++ b/src/benchmark/java/beampoint/benchmark/ListCosts.java
@@ -24,7 +24,7 @@
   private static final int PROXIES = 2_300;
   private static final int SOCKETS = 2_048;
   private static final int STARTS = 9;
-  private static final long LONGEST_START_MS = 30_000;
+  private static final long MAX_START_MS = 30_000;
 
   private ListCosts() {}
 
@@ -89,7 +89,7 @@
           SOCKETS, 0);
       long begin = System.nanoTime();
       try (ServeProcess proxy = ServeProcess.start(directory, "n0", config)) {
-        proxy.awaitReady(LONGEST_START_MS);
+        proxy.awaitReady(MAX_START_MS);
         wall.add((System.nanoTime() - begin) / 1e6);
         cpu.add(ProcessAccount.cpuMs(proxy.pid()));
       }
--- a/src/benchmark/java/beampoint/benchmark/LoadClients.java
+++ b/src/benchmark/java/beampoint/benchmark/LoadClients.java
@@ -17,14 +17,14 @@
 
   private static final int KEYS = 1 << 16;
   private static final int BUFFER = 1 << 18;
-  private static final long LONGEST_US = 10_000_000;
+  private static final long MAX_US = 10_000_000;
 
   private final ServeProcess proxy;
   private final long[] keys = Workload.keys(KEYS);
   private final AtomicLong lastId = new AtomicLong();
   private final AtomicLong served = new AtomicLong();
   private final AtomicLong refused = new AtomicLong();
-  private final Histogram times = new ConcurrentHistogram(LONGEST_US, 3);
+  private final Histogram times = new ConcurrentHistogram(MAX_US, 3);
   private volatile boolean ended;
 
   LoadClients(ServeProcess proxy) {
@@ -71,7 +71,7 @@
           LockSupport.parkNanos(wait);
         }
         ask(socket, in, buffer);
-        times.recordValue(Math.min(LONGEST_US, Math.max(0, System.nanoTime() - due) / 1_000));
+        times.recordValue(Math.min(MAX_US, Math.max(0, System.nanoTime() - due) / 1_000));
       }
     } catch (IOException e) {
       if (!ended) {
--- a/src/benchmark/java/beampoint/benchmark/RequestCosts.java
+++ b/src/benchmark/java/beampoint/benchmark/RequestCosts.java
@@ -23,7 +23,7 @@
   private static final int MANY_CLIENTS = 64;
   private static final long WARM_UP_MS = 8_000;
   private static final long WINDOW_MS = 6_000;
-  private static final long LONGEST_START_MS = 30_000;
+  private static final long MAX_START_MS = 30_000;
   private static final int SMALL_VALUE = 100;
   private static final int PEAK_VALUE = 420_000; // 3.8 Gbit/s in 1,130 requests a second
 
@@ -109,7 +109,7 @@
         ServeProcess proxy = ServeProcess.start(directory, "n0", ServeConfig.of(
             peers.list(load.caches, ZONES), peers.discoveryAddress(), PROXIES, ZONES, load.sockets,
             load.price))) {
-      proxy.awaitReady(LONGEST_START_MS);
+      proxy.awaitReady(MAX_START_MS);
       return measure(load, proxy);
     } finally {
       try (Stream<Path> files = Files.list(directory)) {
--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/Watch.java
@@ -45,7 +45,7 @@
   /** Until an answer begins, with its connection: who answers at all does so at once. */
   public static final long ANSWER_TIMEOUT_MS = 200;
   private static final long FIRST_BACKOFF_MS = 100;
-  static final long LONGEST_BACKOFF_MS = 150; // what is told counts soon after it could be heard
+  static final long MAX_BACKOFF_MS = 150; // what is told counts soon after it could be heard
   private static final long PAUSE_MS = 1;
   private static final int MAX_LATE_CALLS = 6; // without an answer that are read on
   /** Of one list: 4,096 entries of 512 bytes, as indented ones with long names have. */
@@ -182,7 +182,7 @@
   /** Asks again after a while; every wait without a word between is longer. */
   public void followLater() {
     long scattered = wait / 2 + (long) (random.nextDouble() * wait);
-    wait = Math.min(LONGEST_BACKOFF_MS, wait * 2);
+    wait = Math.min(MAX_BACKOFF_MS, wait * 2);
     loop.schedule(() -> {
       if (call == null) {
         follow();
--- a/src/main/java/beampoint/emulator/MemberWire.java
+++ b/src/main/java/beampoint/emulator/MemberWire.java
@@ -13,7 +13,7 @@
 
   /** More than the news of any emulated member take: where so much is free, none was left out. */
   private static final int ROOM = 250;
-  private static final int MOST_SIZES = 100_000;
+  private static final int MAX_SIZES = 100_000;
 
   /** A datagram's length, and the message as it is read. */
   record Datagram(int bytes, Message arrives) {}
@@ -45,7 +45,7 @@
 
   /** How long a whole view is, by the sizes of its entries, of which most stand in the next view as well. */
   int bytesOfView(List<News> view) {
-    if (sizes.size() > MOST_SIZES) {
+    if (sizes.size() > MAX_SIZES) {
       sizes.clear();
     }
     int bytes = bytesOfEmptyView;
--- a/src/main/java/beampoint/fleet/changes/ChangeCodec.java
+++ b/src/main/java/beampoint/fleet/changes/ChangeCodec.java
@@ -36,20 +36,20 @@
 public final class ChangeCodec {
 
   /** The most bytes of a message. */
-  public static final int MOST_BYTES = 1 << 20;
+  public static final int MAX_BYTES = 1 << 20;
 
   /** The most parts of a snapshot. */
-  static final int MOST_PARTS = 4_096;
+  static final int MAX_PARTS = 4_096;
 
   /** The most submitters in a snapshot. */
-  static final int MOST_ORIGINS = 1_024;
+  static final int MAX_ORIGINS = 1_024;
 
   private static final int VERSION = 1;
-  private static final int MOST_DEPTH = 4;
-  private static final int MOST_DIGITS = 20;
+  private static final int MAX_DEPTH = 4;
+  private static final int MAX_DIGITS = 20;
   private static final CBORFactory FORM = CBORFactory.builder()
-      .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MOST_DEPTH)
-          .maxStringLength(ConfigurationChange.MOST_DOCUMENT_BYTES).maxNumberLength(MOST_DIGITS).build())
+      .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH)
+          .maxStringLength(ConfigurationChange.MAX_DOCUMENT_BYTES).maxNumberLength(MAX_DIGITS).build())
       .build();
 
   /** The kinds of messages; their order is their number on the wire, so that new ones come last. */
@@ -77,7 +77,7 @@
     } catch (IOException e) {
       throw new IllegalStateException("bytes in memory can't be written", e);
     }
-    if (bytes.size() > MOST_BYTES) {
+    if (bytes.size() > MAX_BYTES) {
       throw new IllegalArgumentException("a message of " + bytes.size() + " bytes");
     }
     return bytes.toByteArray();
@@ -185,7 +185,7 @@
 
   /** Reads a message of this cluster. */
   public LogMessage read(byte[] bytes) throws ChangeFormException {
-    if (bytes.length > MOST_BYTES) {
+    if (bytes.length > MAX_BYTES) {
       throw new ChangeFormException("longer than a message may be: " + bytes.length);
     }
     try (JsonParser parser = FORM.createParser(bytes)) {
@@ -219,7 +219,7 @@
       case ACCEPTED ->
         new Accepted(in.epoch(), in.number(), in.flag(), in.flag(), in.index(), in.index());
       case REFUSED -> new Refused(in.epoch());
-      case FETCH -> new Fetch(in.epoch(), in.index(), in.index(), (int) in.within(0, MOST_PARTS - 1));
+      case FETCH -> new Fetch(in.epoch(), in.index(), in.index(), (int) in.within(0, MAX_PARTS - 1));
       case COMMITTED -> new Committed(in.epoch(), EntryForm.readWithoutGaps(in));
       case SNAPSHOT_PART -> snapshotPart(in);
       case REJOIN -> new Rejoin(in.number());
@@ -250,8 +250,8 @@
     Epoch identity = in.epoch();
     long index = in.index();
     long completeFrom = in.within(0, index);
-    int part = (int) in.within(0, MOST_PARTS - 1);
-    int parts = (int) in.within(part + 1L, MOST_PARTS);
+    int part = (int) in.within(0, MAX_PARTS - 1);
+    int parts = (int) in.within(part + 1L, MAX_PARTS);
     List<ChangeEntry> entries = EntryForm.read(in);
     if (!entries.isEmpty() && entries.get(entries.size() - 1).index() > index) {
       throw new ChangeFormException("with entries that a snapshot can't have");
@@ -261,7 +261,7 @@
 
   private static SortedMap<String, Long> floors(FormReader in) throws IOException, ChangeFormException {
     SortedMap<String, Long> floors = new TreeMap<>();
-    for (long left = in.within(0, MOST_ORIGINS); left > 0; left--) {
+    for (long left = in.within(0, MAX_ORIGINS); left > 0; left--) {
       ChangeId last = new ChangeId(in.text(), in.number());
       if (floors.put(last.origin(), last.number()) != null) {
         throw new ChangeFormException("with a submitter twice");
--- a/src/main/java/beampoint/fleet/changes/ChangeId.java
+++ b/src/main/java/beampoint/fleet/changes/ChangeId.java
@@ -10,10 +10,10 @@
 public record ChangeId(String origin, long number) {
 
   /** The most bytes of a submitter's name. */
-  public static final int MOST_ORIGIN_BYTES = 100;
+  public static final int MAX_ORIGIN_BYTES = 100;
 
   public ChangeId {
-    Texts.check("origin", origin, 1, MOST_ORIGIN_BYTES);
+    Texts.check("origin", origin, 1, MAX_ORIGIN_BYTES);
     if (number < 0) {
       throw new IllegalArgumentException("a change's number is negative: " + number);
     }
--- a/src/main/java/beampoint/fleet/changes/ConfigurationChange.java
+++ b/src/main/java/beampoint/fleet/changes/ConfigurationChange.java
@@ -8,11 +8,11 @@
 public record ConfigurationChange(int formatVersion, String document) implements Change {
 
   /** The most bytes of a document of settings, in UTF-8. */
-  public static final int MOST_DOCUMENT_BYTES = 64 * 1024;
+  public static final int MAX_DOCUMENT_BYTES = 64 * 1024;
 
   public ConfigurationChange {
     Texts.checkVersion(formatVersion);
-    Texts.check("document", document, 0, MOST_DOCUMENT_BYTES);
+    Texts.check("document", document, 0, MAX_DOCUMENT_BYTES);
   }
 
   @Override
--- a/src/main/java/beampoint/fleet/changes/EntryForm.java
+++ b/src/main/java/beampoint/fleet/changes/EntryForm.java
@@ -10,7 +10,7 @@
 final class EntryForm {
 
   /** The most entries of one message. */
-  static final int MOST_ENTRIES = 1_024;
+  static final int MAX_ENTRIES = 1_024;
 
   private static final int CONFIGURATION = 1;
   private static final int PURGE = 2;
@@ -57,7 +57,7 @@
     long before = 0;
     in.begin();
     while (in.another()) {
-      if (entries.size() == MOST_ENTRIES) {
+      if (entries.size() == MAX_ENTRIES) {
         throw new ChangeFormException("with more entries than there may be");
       }
       ChangeEntry entry = entry(in);
--- a/src/main/java/beampoint/fleet/changes/FormReader.java
+++ b/src/main/java/beampoint/fleet/changes/FormReader.java
@@ -9,10 +9,10 @@
 final class FormReader {
 
   /** The most characters of a control machine's name. */
-  static final int MOST_NAME = 200;
+  static final int MAX_NAME = 200;
 
   /** The highest index and number of an epoch: so far below the end of a long that sums stay within it. */
-  static final long MOST_INDEX = 1L << 53;
+  static final long MAX_INDEX = 1L << 53;
 
   private final JsonParser in;
 
@@ -51,7 +51,7 @@
 
   String name() throws IOException, ChangeFormException {
     String name = text();
-    if (name.length() > MOST_NAME || !name.chars().allMatch(c -> c >= ' ' && c <= '~')) {
+    if (name.length() > MAX_NAME || !name.chars().allMatch(c -> c >= ' ' && c <= '~')) {
       throw new ChangeFormException("with a text that is no name");
     }
     return name;
@@ -71,7 +71,7 @@
   }
 
   long index() throws IOException, ChangeFormException {
-    return within(0, MOST_INDEX);
+    return within(0, MAX_INDEX);
   }
 
   boolean flag() throws IOException, ChangeFormException {
--- a/src/main/java/beampoint/fleet/changes/LogLimits.java
+++ b/src/main/java/beampoint/fleet/changes/LogLimits.java
@@ -21,12 +21,12 @@
       1_024);
 
   /** So that what is in flight, and the submitters of a snapshot beside it, fit one message. */
-  private static final int MOST_BYTES_IN_FLIGHT = ChangeCodec.MOST_BYTES / 2;
+  private static final int MAX_BYTES_IN_FLIGHT = ChangeCodec.MAX_BYTES / 2;
 
   public LogLimits {
     boolean isSome = entriesInFlight >= 1 && bytesInFlight >= 1 && origins >= 1;
-    boolean fits = entriesInFlight <= EntryForm.MOST_ENTRIES && bytesInFlight <= MOST_BYTES_IN_FLIGHT
-        && origins <= ChangeCodec.MOST_ORIGINS;
+    boolean fits = entriesInFlight <= EntryForm.MAX_ENTRIES && bytesInFlight <= MAX_BYTES_IN_FLIGHT
+        && origins <= ChangeCodec.MAX_ORIGINS;
     boolean isNegative = queuedChanges < 0 || queuedBytes < 0 || keptEntries < 0 || keptPurges < 0
         || keptBytes < 0;
     if (!isSome || !fits || isNegative
@@ -37,6 +37,6 @@
 
   /** A part ends with the number of entries, or where one more would make it too long. */
   private static boolean mayBeSentInParts(int entries, int bytes, int purges, int purgeBytes) {
-    return 2L + purges / entries + 2L * purgeBytes / bytes <= ChangeCodec.MOST_PARTS;
+    return 2L + purges / entries + 2L * purgeBytes / bytes <= ChangeCodec.MAX_PARTS;
   }
 }
--- a/src/main/java/beampoint/fleet/changes/PurgeChange.java
+++ b/src/main/java/beampoint/fleet/changes/PurgeChange.java
@@ -11,14 +11,14 @@
     implements Change {
 
   /** The most bytes of a key, prefix or tenant, in UTF-8. */
-  public static final int MOST_VALUE_BYTES = 1_024;
+  public static final int MAX_VALUE_BYTES = 1_024;
 
   public PurgeChange {
     Texts.checkVersion(formatVersion);
     if (scope == null) {
       throw new IllegalArgumentException("a purge without a scope");
     }
-    Texts.check("value", value, 1, MOST_VALUE_BYTES);
+    Texts.check("value", value, 1, MAX_VALUE_BYTES);
   }
 
   @Override
--- a/src/main/java/beampoint/fleet/changes/Submissions.java
+++ b/src/main/java/beampoint/fleet/changes/Submissions.java
@@ -15,7 +15,7 @@
 final class Submissions {
 
   /** What a change takes beside its content, at most. */
-  private static final int FIXED_WEIGHT = 64 + ChangeId.MOST_ORIGIN_BYTES;
+  private static final int FIXED_WEIGHT = 64 + ChangeId.MAX_ORIGIN_BYTES;
 
   private Submissions() {}
 
--- a/src/main/java/beampoint/fleet/changes/Texts.java
+++ b/src/main/java/beampoint/fleet/changes/Texts.java
@@ -3,7 +3,7 @@
 /** Bounds of texts, counted in bytes of UTF-8. */
 final class Texts {
 
-  private static final int MOST_VERSION = 1_000_000;
+  private static final int MAX_VERSION = 1_000_000;
 
   private Texts() {}
 
@@ -38,7 +38,7 @@
   }
 
   static void checkVersion(int version) {
-    if (version < 1 || version > MOST_VERSION) {
+    if (version < 1 || version > MAX_VERSION) {
       throw new IllegalArgumentException("no version of a form: " + version);
     }
   }
--- a/src/main/java/beampoint/fleet/membership/MemberTerms.java
+++ b/src/main/java/beampoint/fleet/membership/MemberTerms.java
@@ -22,10 +22,10 @@
   }
 
   /** Sized for a fleet of 2,300, with room for members that came back under new names. */
-  private static final int MOST_MEMBERS = 4_096;
+  private static final int MAX_MEMBERS = 4_096;
 
   /** A pause of 3 s is outlived, a crash known within 5 s. */
   public static MemberTerms usual() {
-    return new MemberTerms(100, 400, 150, 3_400, 500, 1_200, 8, MOST_MEMBERS);
+    return new MemberTerms(100, 400, 150, 3_400, 500, 1_200, 8, MAX_MEMBERS);
   }
 }
--- a/src/main/java/beampoint/fleet/membership/SuspicionHandler.java
+++ b/src/main/java/beampoint/fleet/membership/SuspicionHandler.java
@@ -14,7 +14,7 @@
 final class SuspicionHandler {
 
   private static final int ENOUGH_ACCUSERS = 3; // after which a suspicion runs out soonest
-  private static final double LONGEST_SUSPICION = 2; // times the least, with one accuser
+  private static final double MAX_SUSPICION = 2; // times the least, with one accuser
 
   private final MemberTerms terms;
   private final MemberTable table;
@@ -131,7 +131,7 @@
       return terms.suspectFor();
     }
     double part = Math.log(Math.max(1, accusers)) / Math.log(possibleAccusers);
-    double longest = terms.suspectFor() * LONGEST_SUSPICION;
+    double longest = terms.suspectFor() * MAX_SUSPICION;
     return Math.max(terms.suspectFor(), longest - (longest - terms.suspectFor()) * part);
   }
 }
--- a/src/test/java/beampoint/discovery/WatchTest.java
+++ b/src/test/java/beampoint/discovery/WatchTest.java
@@ -424,7 +424,7 @@
   /** All ways in which a call can fail: what discovery has is told within 6 s of its being reached. */
   @Test
   void noWayToFailMakesTheNextCallWaitForLong() {
-    long longestWait = 3 * Watch.LONGEST_BACKOFF_MS / 2;
+    long longestWait = 3 * Watch.MAX_BACKOFF_MS / 2;
     assertTrue(Watch.HEARTBEAT_TIMEOUT_MS + longestWait + Watch.ANSWER_TIMEOUT_MS < 6000 - 1000);
     assertTrue(Watch.ANSWER_TIMEOUT_MS + longestWait < 2000);
   }
--- a/src/test/java/beampoint/emulator/MemberScaleStudy.java
+++ b/src/test/java/beampoint/emulator/MemberScaleStudy.java
@@ -31,7 +31,7 @@
   private static final int[] SIZES = Arrays.stream(System.getProperty("study.sizes", "100,400,1000,2300")
       .split(",")).mapToInt(Integer::parseInt).toArray();
   private static final int SEED = Integer.getInteger("study.seed", 1);
-  private static final int MOST_AT_START = Integer.getInteger("study.most.at.start", Integer.MAX_VALUE);
+  private static final int MAX_AT_START = Integer.getInteger("study.most.at.start", Integer.MAX_VALUE);
   private static final int WARM_UP_SIZE = 400;
   private static final MemberTerms TERMS = MemberTerms.usual();
   private static final double LOSS = 0.01;
@@ -58,7 +58,7 @@
     figures.clear();
     for (int i = 0; i < SIZES.length; i++) {
       measureFleet(i, SIZES[i]);
-      if (SIZES[i] <= MOST_AT_START) {
+      if (SIZES[i] <= MAX_AT_START) {
         massStart(i, SIZES[i]);
       }
       List<News> known = MemberFleet.known(SIZES[i], 1);
--- a/src/test/java/beampoint/fleet/changes/ChangeCodecTest.java
+++ b/src/test/java/beampoint/fleet/changes/ChangeCodecTest.java
@@ -82,7 +82,7 @@
   void entriesAreReadAsTheyWereWritten(@ForAll @Size(max = 20) List<PurgeScope> scopes,
       @ForAll @LongRange(min = 0, max = 1L << 52) long commit, @ForAll long number,
       @ForAll String text) throws ChangeFormException {
-    String value = Texts.bytes(text) < 1 || Texts.bytes(text) > PurgeChange.MOST_VALUE_BYTES ? "k" : text;
+    String value = Texts.bytes(text) < 1 || Texts.bytes(text) > PurgeChange.MAX_VALUE_BYTES ? "k" : text;
     List<ChangeEntry> entries = new ArrayList<>();
     for (PurgeScope scope : scopes) {
       entries.add(entry(commit + 1 + entries.size(), new PurgeChange(1, scope, value, number)));
@@ -149,14 +149,14 @@
 
   @Test
   void boundsOfTextsHold() throws ChangeFormException {
-    for (int bytes : new int[] {1, PurgeChange.MOST_VALUE_BYTES - 1, PurgeChange.MOST_VALUE_BYTES}) {
+    for (int bytes : new int[] {1, PurgeChange.MAX_VALUE_BYTES - 1, PurgeChange.MAX_VALUE_BYTES}) {
       assertRead(new Committed(EPOCH, purges(1, 1, "x".repeat(bytes))));
     }
     assertThrows(IllegalArgumentException.class, () -> purges(1, 1, ""));
     assertThrows(IllegalArgumentException.class, () -> purges(1, 1, "x".repeat(1_025)));
     assertThrows(IllegalArgumentException.class, () -> purges(1, 1, "é".repeat(513)));
     assertThrows(IllegalArgumentException.class, () -> purges(1, 1, "\uD83D"));
-    int most = ConfigurationChange.MOST_DOCUMENT_BYTES;
+    int most = ConfigurationChange.MAX_DOCUMENT_BYTES;
     for (int bytes : new int[] {0, most - 1, most}) {
       assertRead(new Committed(EPOCH, List.of(entry(1, new ConfigurationChange(1, "y".repeat(bytes))))));
     }
@@ -219,11 +219,11 @@
     assertRefused(new Recover(new Epoch(1, "", 0)), "an epoch without a name");
     assertRefused(new Accepted(EPOCH, 0, true, true, most + 1, 0), "an index");
     assertRefused(new Accepted(EPOCH, 0, true, true, -1, 0), "an index");
-    assertRead(new Fetch(EPOCH, 1, 1, ChangeCodec.MOST_PARTS - 1));
-    assertRefused(new Fetch(EPOCH, 1, 1, ChangeCodec.MOST_PARTS), "a part");
+    assertRead(new Fetch(EPOCH, 1, 1, ChangeCodec.MAX_PARTS - 1));
+    assertRefused(new Fetch(EPOCH, 1, 1, ChangeCodec.MAX_PARTS), "a part");
     assertRefused(new Fetch(EPOCH, 1, 1, -1), "a part");
-    assertRead(new SnapshotPart(EPOCH, 9, 9, 0, ChangeCodec.MOST_PARTS, List.of(), NO_FLOORS));
-    assertRefused(new SnapshotPart(EPOCH, 9, 9, 0, ChangeCodec.MOST_PARTS + 1, List.of(), NO_FLOORS),
+    assertRead(new SnapshotPart(EPOCH, 9, 9, 0, ChangeCodec.MAX_PARTS, List.of(), NO_FLOORS));
+    assertRefused(new SnapshotPart(EPOCH, 9, 9, 0, ChangeCodec.MAX_PARTS + 1, List.of(), NO_FLOORS),
         "parts");
     assertRefused(new SnapshotPart(EPOCH, 9, 9, 1, 1, List.of(), NO_FLOORS), "part 1 of 1");
     assertRefused(new SnapshotPart(EPOCH, 9, 10, 0, 1, List.of(), NO_FLOORS), "complete from later");
@@ -232,10 +232,10 @@
 
   @Test
   void boundsOfListsHold() throws ChangeFormException {
-    for (int count : new int[] {0, EntryForm.MOST_ENTRIES - 1, EntryForm.MOST_ENTRIES}) {
+    for (int count : new int[] {0, EntryForm.MAX_ENTRIES - 1, EntryForm.MAX_ENTRIES}) {
       assertRead(new Committed(EPOCH, purges(1, count, "x")));
     }
-    assertRefused(new Committed(EPOCH, purges(1, EntryForm.MOST_ENTRIES + 1, "x")), "many entries");
+    assertRefused(new Committed(EPOCH, purges(1, EntryForm.MAX_ENTRIES + 1, "x")), "many entries");
     List<ChangeEntry> gap = new ArrayList<>(purges(1, 2, "x"));
     gap.addAll(purges(4, 1, "x"));
     assertRefused(new Committed(EPOCH, gap), "a gap");
@@ -243,7 +243,7 @@
     Collections.reverse(gap);
     assertRefused(new SnapshotPart(EPOCH, 9, 0, 0, 1, gap, NO_FLOORS), "out of order");
     SortedMap<String, Long> floors = new TreeMap<>();
-    for (int i = 0; i < ChangeCodec.MOST_ORIGINS; i++) {
+    for (int i = 0; i < ChangeCodec.MAX_ORIGINS; i++) {
       floors.put("o" + i, (long) i);
     }
     assertRead(new SnapshotPart(EPOCH, 9, 0, 0, 1, List.of(), floors));
@@ -254,18 +254,18 @@
   /** The longest messages that the limits of a log allow fit; what is longer is not even parsed. */
   @Test
   void theLongestMessagesFit() throws ChangeFormException {
-    String longest = "v".repeat(PurgeChange.MOST_VALUE_BYTES);
+    String longest = "v".repeat(PurgeChange.MAX_VALUE_BYTES);
     List<ChangeEntry> entries = Batches.first(purges(1, 2_000, longest),
         new LogLimits(1_024, 512 << 10, 0, 0, 0, 0, 0, 1));
     SortedMap<String, Long> floors = new TreeMap<>();
-    for (int i = 0; i < ChangeCodec.MOST_ORIGINS; i++) {
+    for (int i = 0; i < ChangeCodec.MAX_ORIGINS; i++) {
       floors.put(String.valueOf(10_000 + i).repeat(20), Long.MAX_VALUE);
     }
     byte[] bytes = CODEC.write(new SnapshotPart(EPOCH, 9_000, 0, 0, 1, entries, floors));
-    assertTrue(bytes.length > 500_000 && bytes.length <= ChangeCodec.MOST_BYTES, "bytes: " + bytes.length);
+    assertTrue(bytes.length > 500_000 && bytes.length <= ChangeCodec.MAX_BYTES, "bytes: " + bytes.length);
     CODEC.read(bytes);
-    assertRefused(new byte[ChangeCodec.MOST_BYTES], "nothing of the longest length");
-    assertRefused(new byte[ChangeCodec.MOST_BYTES + 1], "too long");
+    assertRefused(new byte[ChangeCodec.MAX_BYTES], "nothing of the longest length");
+    assertRefused(new byte[ChangeCodec.MAX_BYTES + 1], "too long");
     assertThrows(IllegalArgumentException.class,
         () -> CODEC.write(new Committed(EPOCH, purges(1, 1_024, longest))));
   }
--- a/src/test/java/beampoint/fleet/changes/LogSimulationTest.java
+++ b/src/test/java/beampoint/fleet/changes/LogSimulationTest.java
@@ -20,7 +20,7 @@
   private static final LogLimits SMALL = new LogLimits(32, 20_000, 64, 40_000, 40, 100, 40_000, 10);
   private static final double SECOND = 1_000;
   private static final double START = 5 * SECOND;
-  private static final double LONGEST_WAIT = 8 * SimulatedCluster.LEASE;
+  private static final double MAX_WAIT = 8 * SimulatedCluster.LEASE;
   private static final int SEEDS = Integer.getInteger("log.seeds", 1); // more for a longer trial
 
   private static PurgeChange purge(long number) {
@@ -132,11 +132,11 @@
     double healed = cluster.now;
     long before = cluster.ledger.size();
     cluster.submit(purge(-1));
-    while (cluster.ledger.size() == before && cluster.now < healed + LONGEST_WAIT) {
+    while (cluster.ledger.size() == before && cluster.now < healed + MAX_WAIT) {
       cluster.runTo(cluster.now + 20);
     }
     double waited = cluster.now - healed;
-    assertTrue(waited < LONGEST_WAIT, "the first commit after the faults, seed " + seed);
+    assertTrue(waited < MAX_WAIT, "the first commit after the faults, seed " + seed);
     System.out.printf("goes on after %.0f ms; ", waited);
     submit(cluster, 10, cluster.now + 10 * SECOND);
     cluster.runTo(cluster.now + 5 * SECOND);
--- a/src/test/java/beampoint/fleet/changes/SubmissionsTest.java
+++ b/src/test/java/beampoint/fleet/changes/SubmissionsTest.java
@@ -114,7 +114,7 @@
   @Test
   void bytesInFlightAreBoundedToo() {
     String value = "v".repeat(1_000);
-    int one = 1_000 + 64 + ChangeId.MOST_ORIGIN_BYTES;
+    int one = 1_000 + 64 + ChangeId.MAX_ORIGIN_BYTES;
     limits(new LogLimits(IN_FLIGHT, 2 * one, 1, one, 2, 5, 100_000, 3));
     submit("s", 1, value);
     submit("s", 2, value);
@@ -178,9 +178,9 @@
         () -> new LogLimits(1_024, (512 << 10) + 1, 0, 0, 0, 0, 0, 1_024));
     assertThrows(IllegalArgumentException.class,
         () -> new LogLimits(1_024, 512 << 10, 0, 0, 0, 0, 0, 1_025));
-    new LogLimits(1, 1_000, 0, 0, 0, ChangeCodec.MOST_PARTS - 2, 0, 1);
+    new LogLimits(1, 1_000, 0, 0, 0, ChangeCodec.MAX_PARTS - 2, 0, 1);
     assertThrows(IllegalArgumentException.class,
-        () -> new LogLimits(1, 1_000, 0, 0, 0, ChangeCodec.MOST_PARTS - 1, 0, 1));
+        () -> new LogLimits(1, 1_000, 0, 0, 0, ChangeCodec.MAX_PARTS - 1, 0, 1));
     assertThrows(IllegalArgumentException.class, () -> new LogLimits(0, 1, 0, 0, 0, 0, 0, 1));
     assertThrows(IllegalArgumentException.class, () -> new LogLimits(1, 1, -1, 0, 0, 0, 0, 1));
     assertThrows(IllegalArgumentException.class, () -> new LogTerms(new TreeSet<>(List.of("a", "b")), 1,
--- a/src/test/java/beampoint/fleet/membership/RecordedFleet.java
+++ b/src/test/java/beampoint/fleet/membership/RecordedFleet.java
@@ -24,7 +24,7 @@
  */
 final class RecordedFleet {
 
-  private static final int MOST_WAITING = 200;
+  private static final int MAX_WAITING = 200;
 
   /** Something that happens at a time; those of one time in the order in which they were planned. */
   private record Planned(double time, long sequence, Runnable task) implements Comparable<Planned> {
@@ -187,7 +187,7 @@
     }
     if (!host.paused) {
       handle(host, event);
-    } else if (host.waiting.size() < MOST_WAITING) {
+    } else if (host.waiting.size() < MAX_WAITING) {
       host.waiting.add(event);
     }
   }
--- a/src/test/java/beampoint/policy/ServesNobodyTest.java
+++ b/src/test/java/beampoint/policy/ServesNobodyTest.java
@@ -18,7 +18,7 @@
 /** A balancer that has seen a jam still tries: it does not turn away all that it gets for seconds on end. */
 class ServesNobodyTest {
 
-  private static final double LONGEST_MS = 4_000; // in which all may be turned away, with no attempt between
+  private static final double MAX_MS = 4_000; // in which all may be turned away, with no attempt between
   private static final int FEW = 15; // fewer in that time tell nothing
   private static final int CACHES = 14;
 
@@ -71,7 +71,7 @@
         List<Action> actions = balancer.read(random.nextInt(10_000));
         refusedSince += Fixture.sentTo(actions) == null ? 1 : 0;
         note(actions);
-        if (refusedSince >= FEW && balancer.now - lastAttempt > LONGEST_MS) {
+        if (refusedSince >= FEW && balancer.now - lastAttempt > MAX_MS) {
           problems.add("at " + perSecond + "/s, " + now + ": " + refusedSince + " refused in "
               + (balancer.now - lastAttempt) + " ms");
           return problems;
--- a/src/test/java/beampoint/policy/SlowStartFleetTest.java
+++ b/src/test/java/beampoint/policy/SlowStartFleetTest.java
@@ -37,7 +37,7 @@
   private static final Rules RULES = new Rules(1_000, 3, 2_000, 0.14, 20_000, 10_000);
   private static final int SEEDS = 6;
   /** In so many groups instances are told, lest as many runs of one request at the least take minutes. */
-  private static final int MOST_GROUPS = 100;
+  private static final int MAX_GROUPS = 100;
   /** At the size of docs/CAPACITY.md one cache does so many requests a ms. */
   private static final double COMING_CAPACITY = 4.26;
 
@@ -98,7 +98,7 @@
       sent.clear();
       told.clear();
       List<Endpoint> entries = list(drained);
-      int groups = Math.min(instances, MOST_GROUPS);
+      int groups = Math.min(instances, MAX_GROUPS);
       for (int i = 0; i < instances; i++) {
         if (i * groups / instances != (i - 1) * groups / instances || i == 0) {
           run(within / groups, 0.6);
