--- a/src/main/java/beampoint/upstream/Replies.java
+++ b/src/main/java/beampoint/upstream/Replies.java
@@ -32,7 +32,7 @@
   interface Outcomes {
 
     /** A flight has ended; the answer is null where there is none. */
-    void land(InFlight flight, Result result, Answer answer);
+    void complete(InFlight flight, Result result, Answer answer);
 
     /** A connection is of no use any more; its flight ends like this if it was written whole. */
     void end(PooledConnection link, Result afterWriting);
@@ -144,7 +144,7 @@
         pools.close(link);
       }
     });
-    outcomes.land(flight, Result.OK, Answer.streamed(link.stream));
+    outcomes.complete(flight, Result.OK, Answer.streamed(link.stream));
   }
 
   private void setReading(PooledConnection link, boolean on) {
@@ -189,7 +189,7 @@
     pools.release(link, reply.surplus());
     boolean served = result == Result.OK && !flight.isProbe();
     Answer.Kind kind = reply.kind() == Reply.Kind.VALUE ? Answer.Kind.VALUE : Answer.Kind.RECEIPT;
-    outcomes.land(flight, result, served ? Answer.whole(kind, reply.body()) : null);
+    outcomes.complete(flight, result, served ? Answer.whole(kind, reply.body()) : null);
   }
 
   private void content(PooledConnection link, InFlight flight, HttpContent content) {
@@ -225,10 +225,10 @@
     if (head.status() == 200) {
       boolean write = !flight.isProbe() && flight.exchange.command().kind() == Command.Kind.WRITE;
       Answer.Kind kind = write ? Answer.Kind.RECEIPT : Answer.Kind.VALUE;
-      outcomes.land(flight, Result.OK, flight.isProbe() ? null : Answer.whole(kind, body));
+      outcomes.complete(flight, Result.OK, flight.isProbe() ? null : Answer.whole(kind, body));
     } else {
       boolean neverRan = head.declined() && (head.status() == 503 || head.status() == 504);
-      outcomes.land(flight, neverRan ? Result.FULL : Result.ERROR, null);
+      outcomes.complete(flight, neverRan ? Result.FULL : Result.ERROR, null);
     }
   }
 
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -93,12 +93,12 @@
 
     @Override
     public void barred(InFlight flight) {
-      Upstreams.this.land(flight, Result.CONNECT_FAILED, null);
+      Upstreams.this.complete(flight, Result.CONNECT_FAILED, null);
     }
 
     @Override
-    public void land(InFlight flight, Result result, Answer answer) {
-      Upstreams.this.land(flight, result, answer);
+    public void complete(InFlight flight, Result result, Answer answer) {
+      Upstreams.this.complete(flight, result, answer);
     }
 
     @Override
@@ -191,7 +191,7 @@
     Pool pool = pools.pool(flight.endpoint);
     flight.timer = at(flight.endsAt, () -> giveUp(flight, Result.TIMEOUT));
     if (pool == null) {
-      land(flight, Result.CONNECT_FAILED, null);
+      complete(flight, Result.CONNECT_FAILED, null);
       return;
     }
     PooledConnection link = pools.idle(pool);
@@ -205,7 +205,7 @@
     } else {
       // Guards against a cache that is blamed, and skipped, for this proxy's own shortage.
       LOG.warn("all upstream connections are in use: " + pools.connections());
-      land(flight, Result.NOT_SENT, null);
+      complete(flight, Result.NOT_SENT, null);
     }
   }
 
@@ -221,7 +221,7 @@
     long timeLeft = (long) Math.floor(flight.endsAt - now);
     if (!flight.isProbe() && (!flight.exchange.isWanted() || now >= flight.startBy || timeLeft < 1)) {
       pools.release(link, false);
-      land(flight, Result.NOT_SENT, null);
+      complete(flight, Result.NOT_SENT, null);
       return;
     }
     link.written = false;
@@ -257,7 +257,7 @@
     }
     if (flight != null) {
       // Before the request's last byte was written it can't have run: a cache node begins it only then.
-      land(flight, written ? afterWriting : Result.CONNECT_FAILED, null);
+      complete(flight, written ? afterWriting : Result.CONNECT_FAILED, null);
     }
   }
 
@@ -273,10 +273,10 @@
     } else if (link != null) {
       pools.close(link);
     }
-    land(flight, written ? result : flight.isProbe() ? Result.TIMEOUT : Result.NOT_SENT, null);
+    complete(flight, written ? result : flight.isProbe() ? Result.TIMEOUT : Result.NOT_SENT, null);
   }
 
-  private void land(InFlight flight, Result result, Answer answer) {
+  private void complete(InFlight flight, Result result, Answer answer) {
     if (flight.over) {
       return;
     }
