--- a/src/main/java/beampoint/serve/Reload.java
+++ b/src/main/java/beampoint/serve/Reload.java
@@ -83,7 +83,7 @@
           + next.settings().limits().maxAttempts());
       decisions.settings(next.settings());
       directory.take(next.names());
-      upstreams.retime(next.settings().limits().connectTimeout(), next.names().connectionIdle());
+      upstreams.setTimeouts(next.settings().limits().connectTimeout(), next.names().connectionIdle());
       decisions.give(Transition.change(present, next));
     }
   }
--- a/src/main/java/beampoint/upstream/ConnectionPools.java
+++ b/src/main/java/beampoint/upstream/ConnectionPools.java
@@ -125,7 +125,7 @@
   }
 
   /** Sets how long a connection may take to be made, and after how long peers close an idle one. */
-  void retime(double connect, double idle) {
+  void setTimeouts(double connect, double idle) {
     connectTimeout = connect;
     // Guards against a request that crosses the cache node's own closing of an idle connection.
     idleTime = idle - Math.min(idle / 2, Math.max(idle / 10, 2 * connect));
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -64,7 +64,7 @@
     Heard heard = new Heard();
     this.pools = new ConnectionPools(transport, loop, clock, counters, heard);
     this.replies = new Replies(pools, transport.getMemoryManager(), clock, counters, budget, heard);
-    pools.retime(connectTimeout, idleTime);
+    pools.setTimeouts(connectTimeout, idleTime);
     this.tidying = loop.scheduleWithFixedDelay(() -> {
       replies.endStalled();
       pools.closeOld();
@@ -108,8 +108,8 @@
   }
 
   /** Sets how long a connection may take to be made, and after how long peers close an idle one. */
-  public void retime(double connect, double idle) {
-    pools.retime(connect, idle);
+  public void setTimeouts(double connect, double idle) {
+    pools.setTimeouts(connect, idle);
   }
 
   /** Sets how many connections there may be; idle ones beyond that are closed. */
