--- a/src/main/java/beampoint/upstream/ConnectionPools.java
+++ b/src/main/java/beampoint/upstream/ConnectionPools.java
@@ -46,7 +46,7 @@
     void lost(PooledConnection link, boolean orderly);
 
     /** The connection's flight, of which nothing was written, can't go there any more. */
-    void barred(InFlight flight);
+    void unreachable(InFlight flight);
   }
 
   private static final double SETTLE_MS = 8; // after an answer, in which a second one may come
@@ -173,7 +173,7 @@
       InFlight flight = link.flight;
       link.flight = null; // the connection may still be made
       if (flight != null) {
-        user.barred(flight);
+        user.unreachable(flight);
       }
     }
   }
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -92,7 +92,7 @@
     }
 
     @Override
-    public void barred(InFlight flight) {
+    public void unreachable(InFlight flight) {
       Upstreams.this.complete(flight, Result.CONNECT_FAILED, null);
     }
 
