--- a/src/main/java/beampoint/memcache/CommandReader.java
+++ b/src/main/java/beampoint/memcache/CommandReader.java
@@ -37,42 +37,42 @@
   }
 
   private Command begin(Buffer in) {
-    Words words = Words.line(in);
-    if ((words == null ? in.remaining() : words.after() - in.position()) > CommandFilter.MAX_LINE) {
+    LineScanner scanner = LineScanner.line(in);
+    if ((scanner == null ? in.remaining() : scanner.after() - in.position()) > CommandFilter.MAX_LINE) {
       // Guards against a line without an end: where the next command would begin is not known.
       in.position(in.limit());
       return Command.of(Kind.FATAL, "CLIENT_ERROR line too long");
     }
-    if (words == null) {
+    if (scanner == null) {
       return null;
     }
-    if (!words.next()) {
-      in.position(words.after());
+    if (!scanner.next()) {
+      in.position(scanner.after());
       return Command.of(Kind.BAD, "ERROR");
     }
-    if (!words.isPlain()) {
+    if (!scanner.isPlain()) {
       // Guards against control characters in a key or an id, which would end a line of the request sent on.
       in.position(in.limit());
       return Command.of(Kind.FATAL, "CLIENT_ERROR control character");
     }
-    if (words.is("mg")) {
-      return request(in, words, Kind.READ);
+    if (scanner.is("mg")) {
+      return request(in, scanner, Kind.READ);
     }
-    if (words.is("ms")) {
-      return request(in, words, Kind.WRITE);
+    if (scanner.is("ms")) {
+      return request(in, scanner, Kind.WRITE);
     }
-    in.position(words.after());
-    Kind kind = words.is("mn") ? Kind.READY : words.is("stats") ? Kind.STATS
-        : words.is("version") ? Kind.VERSION : words.is("quit") ? Kind.QUIT : Kind.BAD;
+    in.position(scanner.after());
+    Kind kind = scanner.is("mn") ? Kind.READY : scanner.is("stats") ? Kind.STATS
+        : scanner.is("version") ? Kind.VERSION : scanner.is("quit") ? Kind.QUIT : Kind.BAD;
     return Command.of(kind, kind == Kind.BAD ? "ERROR" : null);
   }
 
-  private Command request(Buffer in, Words words, Kind kind) {
-    boolean hasKey = words.next() && words.length() <= CommandFilter.MAX_KEY;
-    Buffer key = hasKey ? words.slice(0) : null;
+  private Command request(Buffer in, LineScanner scanner, Kind kind) {
+    boolean hasKey = scanner.next() && scanner.length() <= CommandFilter.MAX_KEY;
+    Buffer key = hasKey ? scanner.slice(0) : null;
     int left = -1;
     if (kind == Kind.WRITE) {
-      int length = words.next() ? words.number() : -1;
+      int length = scanner.next() ? scanner.number() : -1;
       if (length < 0 || length > CommandFilter.MAX_VALUE) {
         // Guards against reading a value as commands: without its length the next command can't be found.
         in.position(in.limit());
@@ -85,23 +85,23 @@
     Buffer list = null;
     boolean wantsValue = false;
     boolean good = true;
-    while (words.next()) {
-      switch (words.first()) {
+    while (scanner.next()) {
+      switch (scanner.first()) {
         case 'O' -> {
-          good &= id == null && words.length() <= CommandFilter.MAX_ID + 1;
-          id = words.slice(1);
+          good &= id == null && scanner.length() <= CommandFilter.MAX_ID + 1;
+          id = scanner.slice(1);
         }
         case 'P' -> {
           good &= list == null;
-          list = words.slice(1);
+          list = scanner.slice(1);
         }
         default -> {
-          good &= words.is("v") && !wantsValue;
+          good &= scanner.is("v") && !wantsValue;
           wantsValue = true;
         }
       }
     }
-    in.position(words.after());
+    in.position(scanner.after());
     Command command = command(kind, hasKey, key, id, list, good && wantsValue == (kind == Kind.READ));
     return kind == Kind.READ ? command : value(in, command, left);
   }
@@ -200,21 +200,21 @@
     while (good && from <= list.limit()) {
       int to = find(list, ',', from, list.limit());
       int equals = find(list, '=', from, to);
-      String name = Words.text(list, from, equals);
+      String name = LineScanner.text(list, from, equals);
       good = equals > from && equals + 1 < to && names.add(name);
       if (good && name.equals("c")) {
-        requestClass = Words.text(list, equals + 1, to);
+        requestClass = LineScanner.text(list, equals + 1, to);
       } else if (good && name.equals("t")) {
-        tenant = Words.text(list, equals + 1, to);
+        tenant = LineScanner.text(list, equals + 1, to);
       } else if (good && name.equals("d")) {
         waitFrom = equals + 1;
         waitTo = to;
       } else if (good && name.equals("r")) {
-        again = Words.text(list, equals + 1, to).equals("1");
+        again = LineScanner.text(list, equals + 1, to).equals("1");
       }
       from = to + 1;
     }
-    int wait = Words.number(list, waitFrom, waitTo);
+    int wait = LineScanner.number(list, waitFrom, waitTo);
     if (!good || requestClass == null || wait < 0) {
       return Command.of(Kind.BAD, "CLIENT_ERROR class or time to wait missing");
     }
--- a/src/main/java/beampoint/memcache/Words.java
+++ b/src/main/java/beampoint/memcache/LineScanner.java
@@ -4,7 +4,7 @@
 import org.glassfish.grizzly.Buffer;
 
 /** A line in a buffer, read word by word where it lies. */
-final class Words {
+final class LineScanner {
 
   private final Buffer in;
   private int at;
@@ -14,7 +14,7 @@
   int start;
   int end;
 
-  private Words(Buffer in, int lineEnd, int after) {
+  private LineScanner(Buffer in, int lineEnd, int after) {
     this.in = in;
     this.at = in.position();
     this.lineEnd = lineEnd;
@@ -22,11 +22,11 @@
   }
 
   /** The next line of a buffer, or null while its end has not come; {@link #after()} tells where it ends. */
-  static Words line(Buffer in) {
+  static LineScanner line(Buffer in) {
     for (int i = in.position(); i < in.limit(); i++) {
       if (in.get(i) == '\n') {
         int end = i > in.position() && in.get(i - 1) == '\r' ? i - 1 : i;
-        return new Words(in, end, i + 1);
+        return new LineScanner(in, end, i + 1);
       }
     }
     return null;
--- a/src/main/java/beampoint/memcache/ReplyReader.java
+++ b/src/main/java/beampoint/memcache/ReplyReader.java
@@ -30,19 +30,19 @@
   /** What the words behind an answer's kind tell; an id that stands there twice names nothing. */
   private record Tail(Buffer id, Buffer receipt, String load) {
 
-    static Tail of(Words words) {
+    static Tail of(LineScanner scanner) {
       Buffer id = null;
       Buffer receipt = null;
       String load = null;
       int ids = 0;
-      while (words.next()) {
-        if (words.first() == 'O') {
-          id = words.slice(1);
+      while (scanner.next()) {
+        if (scanner.first() == 'O') {
+          id = scanner.slice(1);
           ids++;
-        } else if (words.first() == 'c') {
-          receipt = words.slice(1);
-        } else if (words.first() == 'L' && words.length() <= MAX_LOAD) {
-          load = words.slice(1).toStringContent(StandardCharsets.ISO_8859_1);
+        } else if (scanner.first() == 'c') {
+          receipt = scanner.slice(1);
+        } else if (scanner.first() == 'L' && scanner.length() <= MAX_LOAD) {
+          load = scanner.slice(1).toStringContent(StandardCharsets.ISO_8859_1);
         }
       }
       return new Tail(ids == 1 ? id : null, receipt, load);
@@ -50,35 +50,37 @@
   }
 
   private Reply begin(Buffer in) {
-    Words words = Words.line(in);
-    if (words == null && in.remaining() <= CommandFilter.MAX_LINE) {
+    LineScanner scanner = LineScanner.line(in);
+    if (scanner == null && in.remaining() <= CommandFilter.MAX_LINE) {
       return null;
     }
-    if (words == null || !words.next()) {
+    if (scanner == null || !scanner.next()) {
       return bad(in);
     }
-    int after = words.after();
-    if (words.is("VA")) {
-      int length = words.next() ? words.number() : -1;
-      return length < 0 || length > ReplyFilter.MAX_VALUE ? bad(in) : value(in, words, length);
+    int after = scanner.after();
+    if (scanner.is("VA")) {
+      int length = scanner.next() ? scanner.number() : -1;
+      return length < 0 || length > ReplyFilter.MAX_VALUE ? bad(in) : value(in, scanner, length);
     }
     in.position(after);
-    if (words.is("HD") || words.is("EN")) {
-      Kind said = words.is("HD") ? Kind.RECEIPT : Kind.MISS;
-      Tail tail = Tail.of(words);
+    if (scanner.is("HD") || scanner.is("EN")) {
+      Kind said = scanner.is("HD") ? Kind.RECEIPT : Kind.MISS;
+      Tail tail = Tail.of(scanner);
       return new Reply(said, tail.id, said == Kind.MISS ? null : tail.receipt, in.hasRemaining(), tail.load);
     }
-    Kind kind = words.is("MN") ? Kind.ALIVE : words.is("ERROR") || words.is("CLIENT_ERROR") ? Kind.FAILED
-        : !words.is("SERVER_ERROR") ? Kind.BAD : words.next() && words.is("busy") ? Kind.BUSY : Kind.FAILED;
+    Kind kind =
+        scanner.is("MN") ? Kind.ALIVE : scanner.is("ERROR") || scanner.is("CLIENT_ERROR") ? Kind.FAILED
+            : !scanner.is("SERVER_ERROR") ? Kind.BAD : scanner.next() && scanner.is("busy") ? Kind.BUSY
+            : Kind.FAILED;
     return kind == Kind.BAD ? bad(in)
-        : new Reply(kind, null, null, in.hasRemaining(), Tail.of(words).load);
+        : new Reply(kind, null, null, in.hasRemaining(), Tail.of(scanner).load);
   }
 
-  private Reply value(Buffer in, Words words, int length) {
-    Tail tail = Tail.of(words);
+  private Reply value(Buffer in, LineScanner scanner, int length) {
+    Tail tail = Tail.of(scanner);
     Buffer own = tail.id;
     load = tail.load;
-    in.position(words.after());
+    in.position(scanner.after());
     if (length > ReplyFilter.WHOLE_VALUE) {
       streams = length + 2;
       Buffer copy = own == null ? null : Collector.copy(memory, own);
