--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/HostListWatcher.java
@@ -37,7 +37,7 @@
  * for again after a wait that grows and is scattered, lest all proxies come back at once. Belongs to the
  * decision thread.
  */
-public final class Watch {
+public final class HostListWatcher {
 
   private static final Log LOG = Log.of("discovery");
   /** The heartbeat time-out: an empty line comes every 2 s, and what it should tell counts after 6 s. */
@@ -85,7 +85,8 @@
   }
 
   /** The given call back is told of every list, {@code broken} of every end of a watch. */
-  public Watch(TCPNIOTransport transport, ScheduledExecutorService loop, Counters counters, Random random,
+  public HostListWatcher(TCPNIOTransport transport, ScheduledExecutorService loop, Counters counters,
+      Random random,
       InetSocketAddress address, long version, Consumer<HostList> listed, Runnable broken,
       long silenceMs, long answerMs) {
     this.loop = loop;
--- a/src/main/java/beampoint/serve/Decisions.java
+++ b/src/main/java/beampoint/serve/Decisions.java
@@ -15,7 +15,7 @@
 import beampoint.Balancer.TimerFired;
 import beampoint.count.Counter;
 import beampoint.count.Counters;
-import beampoint.discovery.Watch;
+import beampoint.discovery.HostListWatcher;
 import beampoint.exchange.Answer;
 import beampoint.exchange.Exchange;
 import beampoint.exchange.Intake;
@@ -52,7 +52,7 @@
   private final Predicate<String> isOut; // by operators
   private Settings settings; // in force; open requests may have been taken under others
   private Upstreams upstreams;
-  private Watch watch;
+  private HostListWatcher watch;
   private final Map<Long, Exchange> exchanges = new HashMap<>(); // open, or with an attempt out
   private final Set<String> idsInUse = new HashSet<>(); // of these, as the clients word them
   private long lastId;
@@ -73,7 +73,7 @@
   }
 
   /** Takes what carries out the decisions; before the first event. */
-  void carryOutWith(Upstreams attempts, Watch list) {
+  void carryOutWith(Upstreams attempts, HostListWatcher list) {
     upstreams = attempts;
     watch = list;
   }
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -11,7 +11,7 @@
 import beampoint.count.Counters;
 import beampoint.discovery.HostList;
 import beampoint.discovery.HostList.Host;
-import beampoint.discovery.Watch;
+import beampoint.discovery.HostListWatcher;
 import beampoint.fleet.membership.MemberTerms;
 import beampoint.fleet.message.News;
 import beampoint.fleet.node.FleetNode;
@@ -64,7 +64,7 @@
   private final Budget budget;
   private final Upstreams upstreams;
   private final Sessions sessions;
-  private final Watch watch;
+  private final HostListWatcher watch;
   private final FleetNode fleet; // null where the proxy is a member of none
   private final Decisions decisions;
   private final Reload reload;
@@ -110,9 +110,9 @@
         settings.limits().connectTimeout(), config.socketSettings().connectionIdle());
     this.sessions = new Sessions(transport, loop, clock, decisions, counters, budget);
     share(1);
-    this.watch = new Watch(transport, loop, counters, new Random(config.seed()), config.discovery(),
+    this.watch = new HostListWatcher(transport, loop, counters, new Random(config.seed()), config.discovery(),
         config.known().version(), list -> listed(list, list.whole() ? ListKind.FULL : ListKind.CHANGES),
-        this::watchBroken, Watch.HEARTBEAT_TIMEOUT_MS, Watch.ANSWER_TIMEOUT_MS);
+        this::watchBroken, HostListWatcher.HEARTBEAT_TIMEOUT_MS, HostListWatcher.ANSWER_TIMEOUT_MS);
     decisions.carryOutWith(upstreams, watch);
     watch.afterEachCall(decisions::heardDiscovery);
     this.reload = new Reload(config, this.directory, decisions, upstreams, watch, counters, loop);
--- a/src/main/java/beampoint/serve/Reload.java
+++ b/src/main/java/beampoint/serve/Reload.java
@@ -2,7 +2,7 @@
 
 import beampoint.count.Counter;
 import beampoint.count.Counters;
-import beampoint.discovery.Watch;
+import beampoint.discovery.HostListWatcher;
 import beampoint.log.Log;
 import beampoint.settings.Transition;
 import beampoint.settings.Transition.Terms;
@@ -18,12 +18,12 @@
   private final Directory directory;
   private final Decisions decisions;
   private final Upstreams upstreams;
-  private final Watch watch;
+  private final HostListWatcher watch;
   private final Counters counters;
   private final Loop loop;
   private int reloads;
 
-  Reload(Config config, Directory directory, Decisions decisions, Upstreams upstreams, Watch watch,
+  Reload(Config config, Directory directory, Decisions decisions, Upstreams upstreams, HostListWatcher watch,
       Counters counters, Loop loop) {
     this.config = config;
     this.directory = directory;
--- a/src/test/java/beampoint/discovery/WatchTest.java
+++ b/src/test/java/beampoint/discovery/HostListWatcherTest.java
@@ -32,7 +32,7 @@
 
 /** The watch of the list, against a scripted discovery. */
 @Timeout(30)
-class WatchTest {
+class HostListWatcherTest {
 
   private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -52,7 +52,7 @@
       };
   private final LinkedBlockingQueue<HostList> lists = new LinkedBlockingQueue<>();
   private final Counters counters = new Counters();
-  private Watch watch;
+  private HostListWatcher watch;
 
   @BeforeEach
   void start() throws Exception {
@@ -66,8 +66,9 @@
   }
 
   private void follow(Stub discovery, long silenceMs) {
-    watch = new Watch(transport, loop, counters, new Random(1), Address.parse(discovery.address()), 41,
-        lists::add, () -> watch.followLater(), silenceMs, silenceMs / 2);
+    watch =
+        new HostListWatcher(transport, loop, counters, new Random(1), Address.parse(discovery.address()), 41,
+            lists::add, () -> watch.followLater(), silenceMs, silenceMs / 2);
     loop.execute(watch::follow);
   }
 
@@ -116,10 +117,10 @@
         peer.beSilent();
       }
     })) {
-      follow(discovery, Watch.HEARTBEAT_TIMEOUT_MS);
+      follow(discovery, HostListWatcher.HEARTBEAT_TIMEOUT_MS);
       assertEquals(44, next().version());
       assertEquals(6, waits.size());
-      assertTrue(Collections.max(waits) + Watch.HEARTBEAT_TIMEOUT_MS < 6000, "waits: " + waits);
+      assertTrue(Collections.max(waits) + HostListWatcher.HEARTBEAT_TIMEOUT_MS < 6000, "waits: " + waits);
       assertTrue(Collections.max(waits) <= 150, "waits: " + waits);
     }
   }
@@ -247,7 +248,7 @@
       peer.beSilent();
     })) {
       LinkedBlockingQueue<Boolean> broken = new LinkedBlockingQueue<>();
-      watch = new Watch(transport, loop, counters, new Random(1), Address.parse(Stub.nobody()), 41,
+      watch = new HostListWatcher(transport, loop, counters, new Random(1), Address.parse(Stub.nobody()), 41,
           lists::add, () -> broken.add(true), 5000, 5000);
       loop.execute(watch::follow);
       assertTrue(broken.take());
@@ -307,13 +308,14 @@
       free.release();
       peer.beSilent();
     })) {
-      List<Watch> fleet = new ArrayList<>();
+      List<HostListWatcher> fleet = new ArrayList<>();
       for (int i = 0; i < 14; i++) {
         int number = i;
-        fleet.add(new Watch(transport, loop, counters, new Random(i), Address.parse(discovery.address()),
-            41, lists::add, () -> fleet.get(number).followLater(), 60_000, 60_000));
+        fleet.add(
+            new HostListWatcher(transport, loop, counters, new Random(i), Address.parse(discovery.address()),
+                41, lists::add, () -> fleet.get(number).followLater(), 60_000, 60_000));
       }
-      loop.execute(() -> fleet.forEach(Watch::follow));
+      loop.execute(() -> fleet.forEach(HostListWatcher::follow));
       for (int i = 0; i < 14; i++) {
         assertTrue(next().whole());
       }
@@ -344,8 +346,10 @@
       peer.say(HEAD + chunk(hostList(44, "Terminating")));
       peer.beSilent();
     })) {
-      watch = new Watch(transport, loop, counters, new Random(1), Address.parse(discovery.address()), 41,
-          lists::add, () -> watch.followLater(), Watch.HEARTBEAT_TIMEOUT_MS, Watch.ANSWER_TIMEOUT_MS);
+      watch = new HostListWatcher(transport, loop, counters, new Random(1),
+          Address.parse(discovery.address()), 41,
+          lists::add, () -> watch.followLater(), HostListWatcher.HEARTBEAT_TIMEOUT_MS,
+          HostListWatcher.ANSWER_TIMEOUT_MS);
       loop.execute(watch::follow);
       assertEquals(HostList.Health.TERMINATING, next().hosts().get(0).health());
       long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - backAt.get());
@@ -366,7 +370,8 @@
       }
       peer.beSilent();
     })) {
-      watch = new Watch(transport, loop, counters, new Random(1), Address.parse(discovery.address()), 41,
+      watch = new HostListWatcher(transport, loop, counters, new Random(1),
+          Address.parse(discovery.address()), 41,
           lists::add, () -> watch.followLater(), 20_000, 50);
       loop.execute(watch::follow);
       assertEquals(44, next().version());
@@ -424,8 +429,9 @@
   /** All ways in which a call can fail: what discovery has is told within 6 s of its being reached. */
   @Test
   void noWayToFailMakesTheNextCallWaitForLong() {
-    long longestWait = 3 * Watch.MAX_BACKOFF_MS / 2;
-    assertTrue(Watch.HEARTBEAT_TIMEOUT_MS + longestWait + Watch.ANSWER_TIMEOUT_MS < 6000 - 1000);
-    assertTrue(Watch.ANSWER_TIMEOUT_MS + longestWait < 2000);
+    long longestWait = 3 * HostListWatcher.MAX_BACKOFF_MS / 2;
+    assertTrue(
+        HostListWatcher.HEARTBEAT_TIMEOUT_MS + longestWait + HostListWatcher.ANSWER_TIMEOUT_MS < 6000 - 1000);
+    assertTrue(HostListWatcher.ANSWER_TIMEOUT_MS + longestWait < 2000);
   }
 }
--- a/src/test/java/beampoint/discovery/WatchLimitsTest.java
+++ b/src/test/java/beampoint/discovery/WatchLimitsTest.java
@@ -52,7 +52,8 @@
   /** Guards against a list without end that takes the memory, and a limit that a long one meets. */
   @Test
   void aListMayBeAsLongAsTheLimitAndEndsTheWatchOneAbove() throws Exception {
-    int[] lengths = {Watch.MAX_LIST_BYTES - 1, Watch.MAX_LIST_BYTES, Watch.MAX_LIST_BYTES + 1};
+    int[] lengths = {HostListWatcher.MAX_LIST_BYTES - 1, HostListWatcher.MAX_LIST_BYTES,
+        HostListWatcher.MAX_LIST_BYTES + 1};
     for (int length : lengths) {
       LinkedBlockingQueue<Boolean> breaks = new LinkedBlockingQueue<>();
       try (Stub discovery = new Stub(peer -> {
@@ -61,10 +62,10 @@
         say(peer, length);
         peer.beSilent();
       })) {
-        Watch watch = new Watch(transport, loop, new Counters(), new Random(1),
+        HostListWatcher watch = new HostListWatcher(transport, loop, new Counters(), new Random(1),
             Address.parse(discovery.address()), 0, lists::add, () -> breaks.add(true), 10_000, 5_000);
         loop.execute(watch::follow);
-        if (length <= Watch.MAX_LIST_BYTES) {
+        if (length <= HostListWatcher.MAX_LIST_BYTES) {
           HostList list = lists.poll(10, TimeUnit.SECONDS);
           assertTrue(list != null && list.version() == 42, "a list of " + length + " bytes");
           assertTrue(breaks.isEmpty());
--- a/src/test/java/beampoint/discovery/WatchMoveTest.java
+++ b/src/test/java/beampoint/discovery/WatchMoveTest.java
@@ -29,7 +29,7 @@
   private final TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance().build();
   private final ScheduledExecutorService loop = Executors.newSingleThreadScheduledExecutor();
   private final LinkedBlockingQueue<HostList> lists = new LinkedBlockingQueue<>();
-  private Watch watch;
+  private HostListWatcher watch;
 
   @BeforeEach
   void start() throws IOException {
@@ -63,8 +63,10 @@
         default -> tell(peer, 44);
       }
     })) {
-      watch = new Watch(transport, loop, new Counters(), new Random(1), Address.parse(old.address()), 41,
-          lists::add, () -> watch.followLater(), Watch.HEARTBEAT_TIMEOUT_MS, Watch.ANSWER_TIMEOUT_MS);
+      watch = new HostListWatcher(transport, loop, new Counters(), new Random(1),
+          Address.parse(old.address()), 41,
+          lists::add, () -> watch.followLater(), HostListWatcher.HEARTBEAT_TIMEOUT_MS,
+          HostListWatcher.ANSWER_TIMEOUT_MS);
       loop.execute(watch::follow);
       assertEquals(42, lists.poll(5, TimeUnit.SECONDS).version());
       long movedAt = System.nanoTime();
--- a/src/test/java/beampoint/serve/FirstListTest.java
+++ b/src/test/java/beampoint/serve/FirstListTest.java
@@ -10,7 +10,7 @@
 import beampoint.Balancer.RequestReceived;
 import beampoint.Stub;
 import beampoint.count.Counter;
-import beampoint.discovery.Watch;
+import beampoint.discovery.HostListWatcher;
 import beampoint.serve.ProxyFixture.Client;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -94,7 +94,7 @@
         assertEquals("SERVER_ERROR busy", start.client.line());
       }
     }
-    assertTrue(heardInTime, "no call was answered within " + Watch.ANSWER_TIMEOUT_MS + " ms");
+    assertTrue(heardInTime, "no call was answered within " + HostListWatcher.ANSWER_TIMEOUT_MS + " ms");
   }
 
   /** Guards against clients that wait for a discovery which is down: it answers at once, or not at all. */
