--- /dev/null
+++ b/src/test/java/beampoint/fleet/distribution/DistributionTreeTest.java
@@ -0,0 +1,72 @@
+package beampoint.fleet.distribution;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** Whoever shares a view agrees on the tree, and no member has more children than the fan-out. */
+class DistributionTreeTest {
+
+  private static List<Place> fleet(int proxies, int sites) {
+    List<Place> all = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      all.add(Place.control("c" + i, "r" + i % 2));
+    }
+    for (int i = 0; i < proxies; i++) {
+      all.add(Place.proxy("p" + i, "r" + i % sites % 2, "s" + i % sites));
+    }
+    return all;
+  }
+
+  @Property(tries = 200, seed = "5")
+  void everyProxyHasAWayToAControlMachineWithinTheFanOut(@ForAll @IntRange(min = 1, max = 60) int proxies,
+      @ForAll @IntRange(min = 1, max = 4) int sites, @ForAll @IntRange(min = 0, max = 4) int fanOut,
+      @ForAll long seed) {
+    List<Place> all = fleet(proxies, sites);
+    List<Place> shuffled = new ArrayList<>(all);
+    Collections.shuffle(shuffled, new Random(seed));
+    DistributionTree tree = new DistributionTree(fanOut);
+    Map<String, Integer> children = new HashMap<>();
+    Map<String, String> chosen = new HashMap<>();
+    for (Place place : all) {
+      List<String> parents = tree.parents(place, all, "c0");
+      assertEquals(parents, tree.parents(place, shuffled, "c0"), "the order of a view makes no difference");
+      if (!place.isControl()) {
+        chosen.put(place.name(), parents.get(0));
+        children.merge(parents.get(0), 1, Integer::sum);
+        assertTrue(parents.containsAll(List.of("c0", "c1", "c2", "c3")));
+      }
+    }
+    chosen.forEach((child, parent) -> {
+      boolean isRelay = parent.startsWith("c");
+      assertTrue(isRelay || chosen.get(parent).startsWith("c"), child + " is further than two steps");
+      assertTrue(isRelay || children.get(parent) <= fanOut, parent + " has " + children.get(parent));
+    });
+  }
+
+  @Test
+  void aProxyPrefersTheControlMachinesOfItsRegion() {
+    List<Place> all = fleet(1, 1);
+    List<String> parents = new DistributionTree(2).parents(all.get(4), all, "c1");
+    assertTrue(List.of("c0", "c2").containsAll(parents.subList(0, 2)), parents.toString());
+  }
+
+  @Test
+  void controlMachinesSubscribeToTheirLeaderAlone() {
+    List<Place> all = fleet(3, 1);
+    DistributionTree tree = new DistributionTree(2);
+    assertEquals(List.of(), tree.parents(all.get(0), all, "c0"));
+    assertEquals(List.of("c0"), tree.parents(all.get(1), all, "c0"));
+    assertEquals(List.of(), tree.parents(all.get(1), all, ""));
+  }
+}
