--- /dev/null
+++ b/src/main/java/beampoint/fleet/distribution/ChangeTail.java
@@ -0,0 +1,86 @@
+package beampoint.fleet.distribution;
+
+import beampoint.fleet.changes.ChangeEntry;
+import beampoint.fleet.changes.ConfigurationChange;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** The last entries that were applied, in full, on a snapshot of those before; bounded in number and bytes. */
+final class ChangeTail {
+
+  private static final int ENTRY_OVERHEAD = 20; // bytes of an entry in a message, beside its text, about
+
+  private final ChangeEntry[] ring;
+  private final int mostBytes;
+  private Snapshot base = Snapshot.EMPTY;
+  private long last;
+  private int bytes;
+
+  ChangeTail(int mostEntries, int mostBytes) {
+    this.ring = new ChangeEntry[mostEntries];
+    this.mostBytes = mostBytes;
+  }
+
+  /** What stands for the entries before the first that is kept. */
+  Snapshot base() {
+    return base;
+  }
+
+  /** The last entry's index. */
+  long last() {
+    return last;
+  }
+
+  /** Starts anew from a snapshot. */
+  void restart(Snapshot snapshot) {
+    Arrays.fill(ring, null);
+    base = snapshot;
+    last = snapshot.index();
+    bytes = 0;
+  }
+
+  /** Takes the next entry. */
+  void append(ChangeEntry entry) {
+    if (entry.index() != last + 1) {
+      throw new IllegalArgumentException("entry " + entry.index() + " after " + last);
+    }
+    while (last - base.index() == ring.length || bytes > 0 && bytes + weight(entry) > mostBytes) {
+      dropFirst();
+    }
+    ring[slot(entry.index())] = entry;
+    bytes += weight(entry);
+    last = entry.index();
+  }
+
+  private void dropFirst() {
+    ChangeEntry first = ring[slot(base.index() + 1)];
+    ring[slot(first.index())] = null;
+    bytes -= weight(first);
+    base = new Snapshot(first.index(), first.epoch(),
+        first.change() instanceof ConfigurationChange ? first : base.configuration());
+  }
+
+  private int slot(long index) {
+    return (int) (index % ring.length);
+  }
+
+  /** Entries from an index on, of about so many bytes: one at the least where there is any. */
+  List<ChangeEntry> from(long index, int most, int mostBytesOfThem) {
+    List<ChangeEntry> entries = new ArrayList<>();
+    int size = 0;
+    for (long i = Math.max(index, base.index() + 1); i <= last && entries.size() < most; i++) {
+      ChangeEntry entry = ring[slot(i)];
+      size += weight(entry);
+      if (size > mostBytesOfThem && !entries.isEmpty()) {
+        break;
+      }
+      entries.add(entry);
+    }
+    return entries;
+  }
+
+  private static int weight(ChangeEntry entry) {
+    return ENTRY_OVERHEAD + entry.change().weight();
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/fleet/distribution/DistributionEvent.java
@@ -0,0 +1,27 @@
+package beampoint.fleet.distribution;
+
+import beampoint.fleet.changes.ChangeEntry;
+import java.util.List;
+import java.util.Set;
+
+/** What a member of the tree observes. */
+public sealed interface DistributionEvent {
+
+  /** Some time has passed. */
+  record Tick() implements DistributionEvent {}
+
+  /** A message has come. */
+  record Received(String from, DistributionMessage message) implements DistributionEvent {}
+
+  /** Whom it may subscribe to, the best first, as {@link DistributionTree} has it. */
+  record ParentsChanged(List<Parent> parents) implements DistributionEvent {}
+
+  /** Its own copy of the log has these entries committed. */
+  record Committed(List<ChangeEntry> entries) implements DistributionEvent {}
+
+  /** It leads the control machines from now on; these proxies are expected to apply every change. */
+  record Leads(Set<String> expected) implements DistributionEvent {}
+
+  /** It leads no longer. */
+  record Follows() implements DistributionEvent {}
+}
--- a/src/main/java/beampoint/fleet/distribution/DistributionTree.java
+++ b/src/main/java/beampoint/fleet/distribution/DistributionTree.java
@@ -15,6 +15,8 @@
  */
 public final class DistributionTree {
 
+  private static final int MOST_PARENTS = 6; // that a member may try in turn
+
   private final int fanOut;
 
   /**
@@ -37,24 +39,25 @@
    * @param living who lives, the member itself among them or not
    * @param leader the control machine that leads; empty where that is not known
    */
-  public List<String> parents(Place self, Collection<Place> living, String leader) {
+  public List<Parent> parents(Place self, Collection<Place> living, String leader) {
     if (self.isControl()) {
-      return leader.isEmpty() || leader.equals(self.name()) ? List.of() : List.of(leader);
+      return leader.isEmpty() || leader.equals(self.name()) ? List.of()
+          : List.of(new Parent(leader, true));
     }
-    List<String> parents = new ArrayList<>();
+    List<Parent> parents = new ArrayList<>();
     String relay = relays(self, living).get(self.name());
     if (relay != null) {
-      parents.add(relay);
+      parents.add(new Parent(relay, false));
     }
     parents.addAll(controls(self, living, true));
     parents.addAll(controls(self, living, false));
-    return parents;
+    return List.copyOf(parents.subList(0, Math.min(parents.size(), MOST_PARENTS)));
   }
 
-  private static List<String> controls(Place self, Collection<Place> living, boolean ofOwnRegion) {
+  private static List<Parent> controls(Place self, Collection<Place> living, boolean ofOwnRegion) {
     return Rendezvous.ranked(self.name(), living.stream()
         .filter(p -> p.isControl() && p.region().equals(self.region()) == ofOwnRegion).map(Place::name)
-        .toList());
+        .toList()).stream().map(name -> new Parent(name, true)).toList();
   }
 
   /** The relay of each proxy of a site that is no relay itself. */
--- /dev/null
+++ b/src/main/java/beampoint/fleet/distribution/Snapshot.java
@@ -0,0 +1,18 @@
+package beampoint.fleet.distribution;
+
+import beampoint.fleet.changes.ChangeEntry;
+import beampoint.fleet.facts.Epoch;
+
+/**
+ * What stands for all entries up to an index: the configuration then in force. Of the purges it says only
+ * that there may have been some.
+ *
+ * @param index the last entry that it stands for; 0 for the empty log
+ * @param epoch the epoch of that entry
+ * @param configuration the last change of configuration among them, or null
+ */
+public record Snapshot(long index, Epoch epoch, ChangeEntry configuration) {
+
+  /** Of the empty log. */
+  public static final Snapshot EMPTY = new Snapshot(0, Epoch.NONE, null);
+}
--- a/src/test/java/beampoint/fleet/distribution/DistributionTreeTest.java
+++ b/src/test/java/beampoint/fleet/distribution/DistributionTreeTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -39,12 +40,12 @@
     Map<String, Integer> children = new HashMap<>();
     Map<String, String> chosen = new HashMap<>();
     for (Place place : all) {
-      List<String> parents = tree.parents(place, all, "c0");
+      List<Parent> parents = tree.parents(place, all, "c0");
       assertEquals(parents, tree.parents(place, shuffled, "c0"), "the order of a view makes no difference");
       if (!place.isControl()) {
-        chosen.put(place.name(), parents.get(0));
-        children.merge(parents.get(0), 1, Integer::sum);
-        assertTrue(parents.containsAll(List.of("c0", "c1", "c2", "c3")));
+        chosen.put(place.name(), parents.get(0).name());
+        children.merge(parents.get(0).name(), 1, Integer::sum);
+        assertEquals(4, parents.stream().filter(Parent::isControl).count());
       }
     }
     chosen.forEach((child, parent) -> {
@@ -57,8 +58,8 @@
   @Test
   void aProxyPrefersTheControlMachinesOfItsRegion() {
     List<Place> all = fleet(1, 1);
-    List<String> parents = new DistributionTree(2).parents(all.get(4), all, "c1");
-    assertTrue(List.of("c0", "c2").containsAll(parents.subList(0, 2)), parents.toString());
+    List<Parent> parents = new DistributionTree(2).parents(all.get(4), all, "c1");
+    assertTrue(Set.of("c0", "c2").equals(Set.of(parents.get(0).name(), parents.get(1).name())), parents.toString());
   }
 
   @Test
@@ -66,7 +67,7 @@
     List<Place> all = fleet(3, 1);
     DistributionTree tree = new DistributionTree(2);
     assertEquals(List.of(), tree.parents(all.get(0), all, "c0"));
-    assertEquals(List.of("c0"), tree.parents(all.get(1), all, "c0"));
+    assertEquals(List.of(new Parent("c0", true)), tree.parents(all.get(1), all, "c0"));
     assertEquals(List.of(), tree.parents(all.get(1), all, ""));
   }
 }
