Emulator: a fleet of control machines and hollow proxies that change under troubles

Need: the tree's machines played together, with loss, repeats, late messages, crashes, pauses, cuts, parents lost and new leaders. Change: ControlFleet in virtual time; the log is a single ordered source, not the replicated one, and who sees whom follows a model of membership. Checks hold each proxy's entries against the log, and what the leader believes against what is so.

--- /dev/null
+++ b/src/main/java/beampoint/emulator/ControlFleet.java
@@ -0,0 +1,294 @@
+package beampoint.emulator;
+
+import beampoint.fleet.changes.Change;
+import beampoint.fleet.changes.ChangeEntry;
+import beampoint.fleet.changes.ChangeId;
+import beampoint.fleet.distribution.DistributionAction.Send;
+import beampoint.fleet.distribution.DistributionCodec;
+import beampoint.fleet.distribution.DistributionEvent;
+import beampoint.fleet.distribution.DistributionEvent.Committed;
+import beampoint.fleet.distribution.DistributionEvent.Follows;
+import beampoint.fleet.distribution.DistributionEvent.Leads;
+import beampoint.fleet.distribution.DistributionEvent.ParentsChanged;
+import beampoint.fleet.distribution.DistributionEvent.Received;
+import beampoint.fleet.distribution.DistributionEvent.Tick;
+import beampoint.fleet.distribution.DistributionMessage;
+import beampoint.fleet.distribution.DistributionNode;
+import beampoint.fleet.distribution.DistributionTerms;
+import beampoint.fleet.distribution.DistributionTree;
+import beampoint.fleet.distribution.MessageFormException;
+import beampoint.fleet.distribution.Place;
+import beampoint.fleet.distribution.ProgressTracker;
+import beampoint.fleet.facts.Epoch;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Control machines and hollow proxies in virtual time, each with the state machine that carries changes. The
+ * log is a single ordered source at the control machine that leads, and not the replicated one; it survives
+ * whatever happens to that machine. Hosts may be killed, stand still, be cut off and come back.
+ */
+public final class ControlFleet {
+
+  static final long LOG = 1_764_000_000L;
+  private static final long FIRST_LIFE = 1_764_000_000_000L; // as a process that takes its time of start
+  private static final double TICK = 50;
+  private static final double CHECK_EVERY = 250;
+  private static final double CLOCK_SCATTER = 0.004; // under half of the drift that the terms allow for
+
+  private final Clock clock = new Clock(0);
+  private final FleetLayout layout;
+  private final DistributionTerms terms;
+  private final DistributionTree tree;
+  private final UniformRandomProvider random;
+  private final ControlNetwork network;
+  private final DistributionCodec codec = new DistributionCodec("emulated");
+  private final List<ControlHost> hosts = new ArrayList<>();
+  private final ChangeChecks checks = new ChangeChecks();
+  private final ProgressChecks progressChecks = new ProgressChecks(hosts, checks);
+  private final ModelledViews views;
+  private int leader = -1;
+  private Epoch epoch = Epoch.NONE;
+  private long submitted;
+
+  /** A fleet whose hosts all run, and whose first control machine leads. */
+  public ControlFleet(FleetLayout layout, DistributionTerms terms, int fanOut, ControlNetwork.Delays delays,
+      long seed) {
+    this.layout = layout;
+    this.terms = terms;
+    this.tree = new DistributionTree(fanOut);
+    this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+    this.network = new ControlNetwork(layout, delays, RandomSource.XO_SHI_RO_256_PP.create(seed + 1));
+    for (int i = 0; i < layout.hosts(); i++) {
+      double rate = 1 + CLOCK_SCATTER * (2 * random.nextDouble() - 1);
+      hosts.add(new ControlHost(i, layout.place(i), rate));
+    }
+    this.views = new ModelledViews(clock, layout, hosts, network, random, this::findParents);
+    hosts.forEach(host -> start(host.number));
+    lead(0);
+    clock.after(CHECK_EVERY, this::check);
+  }
+
+  // ---- What happens to hosts ------------------------------------------------------------------------------
+
+  /** Starts a host, or one that is down again: it has applied nothing. */
+  public void start(int number) {
+    ControlHost host = hosts.get(number);
+    host.life++;
+    double since = reachable(number) ? clock.now() : Double.POSITIVE_INFINITY;
+    ChangeChecks.Record record = checks.new Record(clock, since);
+    boolean isControl = number < layout.controls();
+    host.begins(new DistributionNode(isControl ? terms.ofControl() : terms, host.place,
+        FIRST_LIFE + host.life, isControl ? LOG : 0, record, host.local(clock.now())), record);
+    views.started(host);
+    findParents(host);
+    long life = host.life;
+    clock.after(random.nextDouble() * TICK, () -> tick(host, life));
+  }
+
+  /** Ends a host without a word. */
+  public void kill(int number) {
+    ControlHost host = hosts.get(number);
+    host.ended();
+    host.record.reachableSince(Double.POSITIVE_INFINITY);
+    if (number == leader) {
+      leader = -1;
+    }
+  }
+
+  /** Tells the members of what was done to hosts, late, as their failure detector does. */
+  public void noticed() {
+    views.refreshSoon();
+  }
+
+  public void pause(int number) {
+    hosts.get(number).pause();
+    hosts.get(number).record.reachableSince(Double.POSITIVE_INFINITY);
+  }
+
+  public void resume(int number) {
+    hosts.get(number).resume();
+    reachableAgain(hosts.get(number));
+  }
+
+  /** Cuts hosts off together from all others, or heals that: island 0 is the mainland. */
+  public void isolate(Collection<Integer> numbers, int island) {
+    network.isolate(numbers, island);
+    hosts.forEach(this::reachableAgain);
+  }
+
+  /** Mends all links; hosts that are down stay so. */
+  public void mendNetwork() {
+    network.mendAll();
+    network.trouble(0, 0, 0, 0);
+    hosts.forEach(this::reachableAgain);
+  }
+
+  private void reachableAgain(ControlHost host) {
+    boolean isReachable = host.isUp() && !host.isPaused() && reachable(host.number);
+    if (!isReachable) {
+      host.record.reachableSince(Double.POSITIVE_INFINITY);
+    } else if (Double.isInfinite(host.record.reachableSince())) {
+      host.record.reachableSince(clock.now());
+    }
+  }
+
+  private boolean reachable(int number) {
+    return leader < 0 || network.island(number) == network.island(leader);
+  }
+
+  // ---- The log --------------------------------------------------------------------------------------------
+
+  /** Makes a control machine the leader; it has the whole log, as a replica of it would. */
+  public void lead(int number) {
+    if (leader >= 0) {
+      give(hosts.get(leader), new Follows());
+    }
+    leader = number;
+    ControlHost host = hosts.get(number);
+    epoch = new Epoch(epoch.number() + 1, host.place.name(), FIRST_LIFE + host.life);
+    List<ChangeEntry> log = checks.log();
+    give(host, new Committed(List.copyOf(log.subList((int) host.node.appliedUpTo(), log.size()))));
+    give(host, new Leads(layout.proxies()));
+    hosts.subList(0, layout.controls()).forEach(this::findParents);
+    hosts.forEach(this::reachableAgain);
+  }
+
+  /** Commits a change at the leader; returns its index, or 0 where nobody leads. */
+  public long commit(Change change) {
+    if (leader < 0) {
+      return 0;
+    }
+    String origin = layout.place(random.nextInt(layout.controls())).name();
+    ChangeEntry entry = new ChangeEntry(checks.log().size() + 1, epoch, new ChangeId(origin, ++submitted),
+        change);
+    checks.committed(entry, clock.now());
+    give(hosts.get(leader), new Committed(List.of(entry)));
+    return entry.index();
+  }
+
+  // ---- Playing --------------------------------------------------------------------------------------------
+
+  /** Plays on to a time, in ms. */
+  public void runTo(double time) {
+    clock.runTo(time);
+  }
+
+  public double now() {
+    return clock.now();
+  }
+
+  void at(double time, Runnable task) {
+    clock.at(time, task);
+  }
+
+  /** Counts bytes and times anew from now on. */
+  public void countFromNow() {
+    hosts.forEach(host -> host.traffic.restart(clock.now()));
+    checks.countFrom(clock.now());
+  }
+
+  private void tick(ControlHost host, long life) {
+    if (host.life == life && host.isUp()) {
+      if (!host.isPaused()) {
+        give(host, new Tick());
+      }
+      clock.after(TICK, () -> tick(host, life));
+    }
+  }
+
+  private void findParents(ControlHost host) {
+    if (host.isUp()) {
+      List<Place> living = new ArrayList<>();
+      for (int other : views.ofInterest(host)) {
+        if (!host.dead.contains(layout.place(other).name())) {
+          living.add(layout.place(other));
+        }
+      }
+      String leaderName = leader < 0 ? "" : layout.place(leader).name();
+      give(host, new ParentsChanged(tree.parents(host.place, living, leaderName)));
+    }
+  }
+
+  private void give(ControlHost host, DistributionEvent event) {
+    if (host.isUp()) {
+      host.node.handle(host.local(clock.now()), event).forEach(action -> {
+        if (action instanceof Send send) {
+          send(host, hosts.get(layout.number(send.to())), send.message());
+        }
+      });
+    }
+  }
+
+  private void send(ControlHost from, ControlHost to, DistributionMessage message) {
+    byte[] bytes = codec.write(message);
+    from.traffic.add(clock.now(), bytes.length);
+    for (int copies = network.copies(from.number, to.number); copies > 0; copies--) {
+      clock.after(network.delay(from.number, to.number), () -> deliver(from, to, bytes));
+    }
+  }
+
+  private void deliver(ControlHost from, ControlHost to, byte[] bytes) {
+    if (!to.isUp() || network.island(from.number) != network.island(to.number)) {
+      return;
+    }
+    to.traffic.add(clock.now(), bytes.length);
+    long life = to.life;
+    to.whenAwake(() -> {
+      if (to.life == life) {
+        give(to, new Received(from.place.name(), read(bytes)));
+      }
+    });
+  }
+
+  private DistributionMessage read(byte[] bytes) {
+    try {
+      return codec.read(bytes, bytes.length);
+    } catch (MessageFormException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void check() {
+    ProgressTracker tracker = leader < 0 ? null : hosts.get(leader).node.tracker();
+    if (tracker != null && !hosts.get(leader).isPaused()) {
+      progressChecks.check(clock.now(), tracker, hosts.get(leader).local(clock.now()));
+    }
+    clock.after(CHECK_EVERY, this::check);
+  }
+
+  // ---- What is seen ---------------------------------------------------------------------------------------
+
+  /** The machine of a host; null while it is down. */
+  public DistributionNode node(int number) {
+    return hosts.get(number).node;
+  }
+
+  /** The number of the control machine that leads; -1 for none. */
+  public int leader() {
+    return leader;
+  }
+
+  ControlNetwork network() {
+    return network;
+  }
+
+  ChangeChecks checks() {
+    return checks;
+  }
+
+  ProgressChecks progressChecks() {
+    return progressChecks;
+  }
+
+  List<ControlHost> hosts() {
+    return hosts;
+  }
+
+  FleetLayout layout() {
+    return layout;
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/emulator/FleetLayout.java
@@ -0,0 +1,91 @@
+package beampoint.emulator;
+
+import beampoint.fleet.distribution.Place;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/**
+ * Where the hosts of a fleet stand: proxies spread evenly over sites, sites over zones, zones over regions.
+ * The control machines have the first numbers.
+ */
+public final class FleetLayout {
+
+  private final int controls;
+  private final List<Place> places = new ArrayList<>();
+  private final List<Integer> zones = new ArrayList<>();
+  private final List<Integer> regions = new ArrayList<>();
+  private final Map<String, Integer> numbers = new HashMap<>();
+
+  public FleetLayout(int proxies, int sites, int zonesInAll, int regionsInAll, int controls) {
+    this.controls = controls;
+    for (int i = 0; i < controls; i++) {
+      add(Place.control(String.format("control-%02d", i), regionName(i % regionsInAll)), i % zonesInAll,
+          i % regionsInAll);
+    }
+    for (int i = 0; i < proxies; i++) {
+      int site = i % sites;
+      int zone = site % zonesInAll;
+      int region = zone % regionsInAll;
+      add(Place.proxy(String.format("s%03d-p%04d", site, i), regionName(region), String.format("s%03d", site)),
+          zone, region);
+    }
+  }
+
+  private static String regionName(int number) {
+    return "region-" + number;
+  }
+
+  private void add(Place place, int zone, int region) {
+    numbers.put(place.name(), places.size());
+    places.add(place);
+    zones.add(zone);
+    regions.add(region);
+  }
+
+  /** How many hosts there are, control machines and proxies. */
+  public int hosts() {
+    return places.size();
+  }
+
+  public int controls() {
+    return controls;
+  }
+
+  public Place place(int host) {
+    return places.get(host);
+  }
+
+  public int zone(int host) {
+    return zones.get(host);
+  }
+
+  public int region(int host) {
+    return regions.get(host);
+  }
+
+  /** The hosts of a zone. */
+  public List<Integer> ofZone(int zone) {
+    return IntStream.range(0, hosts()).filter(host -> zone(host) == zone).boxed().toList();
+  }
+
+  /** The hosts of a region. */
+  public List<Integer> ofRegion(int region) {
+    return IntStream.range(0, hosts()).filter(host -> region(host) == region).boxed().toList();
+  }
+
+  /** The names of all proxies. */
+  public Set<String> proxies() {
+    return places.stream().filter(p -> p.role() == Place.Role.PROXY).map(Place::name)
+        .collect(Collectors.toCollection(TreeSet::new));
+  }
+
+  public int number(String name) {
+    return numbers.get(name);
+  }
+}
--- a/src/main/java/beampoint/fleet/distribution/DistributionNode.java
+++ b/src/main/java/beampoint/fleet/distribution/DistributionNode.java
@@ -31,7 +31,6 @@
 
   private final DistributionTerms terms;
   private final Place self;
-  private final long life;
   private final AppliedChanges applied;
   private final ParentLink upward;
   private final ChildLinks children;
@@ -59,7 +58,6 @@
       double now) {
     this.terms = terms;
     this.self = self;
-    this.life = life;
     this.log = log;
     this.now = now;
     this.applied = new AppliedChanges(terms, applier);
@@ -164,7 +162,7 @@
       Part part = reports.next(now, isFirst && !self.isControl());
       List<MemberProgress> progress = new ArrayList<>();
       if (part.hasSelf()) {
-        progress.add(new MemberProgress(self.name(), life, appliedUpTo(), applied.refused()));
+        progress.add(MemberProgress.ofSender(appliedUpTo(), applied.refused()));
       }
       progress.addAll(part.progress());
       send(upward.parent(), new Report(log, upward.session(), part.token(), appliedUpTo(), progress));
@@ -221,11 +219,13 @@
     if (report.log() != log) {
       return; // how far it is in another log says nothing here
     }
+    List<MemberProgress> progress = report.progress().stream()
+        .map(p -> p.isOfSender() ? p.of(from, report.session() >> SESSION_BITS) : p).toList();
     if (tracker != null) {
-      tracker.heard(now, report.progress());
+      tracker.heard(now, progress);
       children.echo(from, report.session(), report.token());
-    } else if (!report.progress().isEmpty()) {
-      reports.add(new Passed(from, report.session(), report.token(), report.progress()));
+    } else if (!progress.isEmpty()) {
+      reports.add(new Passed(from, report.session(), report.token(), progress));
       reportSoon();
     }
   }
--- /dev/null
+++ b/src/test/java/beampoint/emulator/ControlFleetTest.java
@@ -0,0 +1,149 @@
+package beampoint.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.fleet.changes.PurgeChange;
+import beampoint.fleet.changes.PurgeScope;
+import beampoint.fleet.distribution.DistributionTerms;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A small fleet under troubles: every change at every proxy once and in order, and nobody wrongly done. */
+class ControlFleetTest {
+
+  private static ControlFleet fleet(long seed) {
+    return new ControlFleet(new FleetLayout(40, 6, 3, 2, 3), shortTails(), 2,
+        new ControlNetwork.Delays(0.3, 5, 40, 10), seed);
+  }
+
+  /** A control machine keeps 19 s of changes, so that who was away for longer needs a snapshot. */
+  private static DistributionTerms shortTails() {
+    DistributionTerms usual = DistributionTerms.usual();
+    return new DistributionTerms(usual.batchDelay(), usual.heartbeatEvery(), usual.reportEvery(),
+        usual.parentSilentAfter(), usual.orphanAfter(), usual.retryParentAfter(), usual.childSilentAfter(),
+        usual.fetchAgainAfter(), usual.lease(), usual.drift(), usual.window(), usual.batchBytes(), 64,
+        usual.tailBytes(), usual.aheadEntries(), usual.mostChildren());
+  }
+
+  private static void purge(ControlFleet fleet, int number) {
+    fleet.commit(new PurgeChange(1, PurgeScope.KEY, String.format("%016x", number * 0x9e3779b97f4a7c15L),
+        1_764_000_000_000L + number));
+  }
+
+  private static void play(ControlFleet fleet, double seconds, int perSecond) {
+    double end = fleet.now() + 1_000 * seconds;
+    int number = 0;
+    while (fleet.now() < end) {
+      purge(fleet, number++);
+      fleet.runTo(Math.min(end, fleet.now() + 1_000.0 / perSecond));
+    }
+  }
+
+  private static void assertSound(ControlFleet fleet) {
+    ChangeChecks checks = fleet.checks();
+    assertEquals(0, checks.twice(), "twice");
+    assertEquals(0, checks.outOfOrder(), "out of order");
+    assertEquals(0, checks.foreign(), "foreign");
+    assertEquals(0, fleet.progressChecks().falseDone(), "false done");
+    assertEquals(0, fleet.progressChecks().fencedFresh(), "fenced and fresh");
+  }
+
+  private static void assertAllReached(ControlFleet fleet) {
+    long last = fleet.checks().log().size();
+    for (ControlHost host : fleet.hosts()) {
+      assertEquals(last, host.isUp() ? host.node.appliedUpTo() : last, host.place.name());
+    }
+  }
+
+  @Test
+  void aQuietFleetHasEveryChangeSoonAndTheLeaderKnows() {
+    ControlFleet fleet = fleet(1);
+    fleet.runTo(5_000);
+    fleet.countFromNow();
+    play(fleet, 20, 27);
+    fleet.runTo(fleet.now() + 3_000);
+    assertSound(fleet);
+    assertAllReached(fleet);
+    assertTrue(fleet.checks().purgeMax() < 1_200, "longest: " + fleet.checks().purgeMax());
+    long last = fleet.checks().log().size();
+    assertEquals(last, fleet.node(0).tracker().doneEverywhereUpTo());
+    assertTrue(fleet.node(0).tracker().completion(last, fleet.now()).isDoneEverywhere());
+    for (ControlHost host : fleet.hosts().subList(3, 43)) {
+      assertTrue(host.node.isFresh(host.local(fleet.now())), host.place.name());
+      assertEquals(0, host.node.lapses());
+      double bytes = host.traffic.meanOfSecond(fleet.now());
+      assertTrue(bytes < 1_000 + 1_000 * host.node.children().size(), host.place.name() + ": " + bytes);
+    }
+  }
+
+  /** Everything at once: loss, repeats, late messages, crashes, pauses, cuts and new leaders. */
+  private static void trouble(ControlFleet fleet, Random random) {
+    int host = random.nextInt(fleet.layout().hosts());
+    int proxy = fleet.layout().controls() + random.nextInt(40);
+    switch (random.nextInt(7)) {
+      case 0 -> restart(fleet, proxy, 500 + 8_000 * random.nextDouble());
+      case 1 -> stall(fleet, proxy, 500 + 4_000 * random.nextDouble());
+      case 2 -> isolate(fleet, fleet.layout().ofRegion(1), 1_000 + 25_000 * random.nextDouble());
+      case 3 -> isolate(fleet, List.of(proxy), 1_000 + 25_000 * random.nextDouble());
+      case 4 -> cutOneWay(fleet, host, random.nextInt(fleet.layout().hosts()), 5_000 * random.nextDouble());
+      case 5 -> fleet.lead(random.nextInt(2) * 2); // the control machines of region 0
+      default -> fleet.network().trouble(0.05 * random.nextDouble(), 0.05 * random.nextDouble(),
+          0.1 * random.nextDouble(), 3_000);
+    }
+    fleet.noticed();
+  }
+
+  private static void restart(ControlFleet fleet, int proxy, double downFor) {
+    if (fleet.node(proxy) != null) {
+      fleet.kill(proxy);
+      fleet.at(fleet.now() + downFor, () -> {
+        fleet.start(proxy);
+        fleet.noticed();
+      });
+    }
+  }
+
+  private static void stall(ControlFleet fleet, int proxy, double time) {
+    fleet.pause(proxy);
+    fleet.at(fleet.now() + time, () -> fleet.resume(proxy));
+  }
+
+  private static void isolate(ControlFleet fleet, List<Integer> hosts, double time) {
+    fleet.isolate(hosts, hosts.size() == 1 ? 100 + hosts.get(0) : 1);
+    fleet.at(fleet.now() + time, () -> {
+      fleet.isolate(hosts, 0);
+      fleet.noticed();
+    });
+  }
+
+  private static void cutOneWay(ControlFleet fleet, int from, int to, double time) {
+    fleet.network().cut(from, to, true);
+    fleet.at(fleet.now() + time, () -> fleet.network().cut(from, to, false));
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void underAnyTroublesNothingIsLostTwiceOrWronglyDone(long seed) {
+    Random random = new Random(seed);
+    ControlFleet fleet = fleet(seed);
+    for (int i = 0; i < 40; i++) {
+      trouble(fleet, random);
+      play(fleet, 3 * random.nextDouble(), 27);
+      assertSound(fleet);
+    }
+    fleet.runTo(fleet.now() + 30_000); // until all troubles are over
+    fleet.mendNetwork();
+    fleet.noticed();
+    fleet.runTo(fleet.now() + 20_000);
+    assertSound(fleet);
+    assertAllReached(fleet);
+    long last = fleet.checks().log().size();
+    assertTrue(fleet.node(fleet.leader()).tracker().completion(last, fleet.now()).isDoneEverywhere());
+    assertTrue(fleet.checks().snapshots() > 0, "nobody needed a snapshot");
+    assertTrue(fleet.progressChecks().fencedSeen() > 0, "nobody was fenced");
+  }
+}
