--- a/src/test/java/beampoint/emulator/ControlFleetTest.java
+++ b/src/test/java/beampoint/emulator/ControlFleetTest.java
@@ -8,13 +8,17 @@
 import beampoint.fleet.distribution.DistributionTerms;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** A small fleet under troubles: every change at every proxy once and in order, and nobody wrongly done. */
 class ControlFleetTest {
 
+  private static final long FIRST = Long.getLong("control.first", 1); // a longer hunt names others
+  private static final int SEEDS = Integer.getInteger("control.seeds", 8);
+
   private static ControlFleet fleet(long seed) {
     return new ControlFleet(new FleetLayout(40, 6, 3, 2, 3), shortTails(), 2,
         new ControlNetwork.Delays(0.3, 5, 40, 10), seed);
@@ -125,8 +129,12 @@
     fleet.at(fleet.now() + time, () -> fleet.network().cut(from, to, false));
   }
 
+  static LongStream seeds() {
+    return LongStream.range(FIRST, FIRST + SEEDS);
+  }
+
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  @MethodSource("seeds")
   void underAnyTroublesNothingIsLostTwiceOrWronglyDone(long seed) {
     Random random = new Random(seed);
     ControlFleet fleet = fleet(seed);
