--- a/src/main/java/beampoint/cli/EmulateCommand.java
+++ b/src/main/java/beampoint/cli/EmulateCommand.java
@@ -1,6 +1,9 @@
 package beampoint.cli;
 
 import beampoint.policy.Logic;
+import beampoint.emulator.ControlEmulation;
+import beampoint.emulator.ControlReport;
+import beampoint.emulator.ControlScenario;
 import beampoint.emulator.Emulation;
 import beampoint.emulator.Loopback;
 import beampoint.emulator.Report;
@@ -12,6 +15,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -45,6 +49,9 @@
   public Integer call() {
     Report report;
     try {
+      if (ControlScenario.isOne(scenario)) {
+        return playControl(ControlScenario.read(scenario));
+      }
       Scenario day = Scenario.read(scenario);
       day = seed == null ? day : day.withSeed(seed);
       report = jar == null ? Emulation.run(day, Logic::new) : onLoopback(day);
@@ -55,11 +62,24 @@
       LOG.error("the run is void: " + e.getMessage());
       return VOID;
     }
+    print(report.broken(), report.figures());
+    return report.breaks() > 0 ? RULE_BROKEN : 0;
+  }
+
+  private int playControl(ControlScenario day) throws InputException {
+    if (jar != null) {
+      throw new InputException("a scenario of the model 'control' is played in virtual time only");
+    }
+    ControlReport report = ControlEmulation.run(seed == null ? day : day.withSeed(seed));
+    print(report.broken(), report.figures());
+    return report.broken().isEmpty() ? 0 : RULE_BROKEN;
+  }
+
+  private void print(List<String> broken, Map<String, ?> figures) {
     PrintWriter out = spec.commandLine().getOut();
-    report.broken().forEach(rule -> out.println("rule_broken=" + rule));
-    report.figures().forEach((name, figure) -> out.println(name + "=" + figure));
+    broken.forEach(rule -> out.println("rule_broken=" + rule));
+    figures.forEach((name, figure) -> out.println(name + "=" + figure));
     out.flush();
-    return report.breaks() > 0 ? RULE_BROKEN : 0;
   }
 
   private Report onLoopback(Scenario day) throws IOException {
--- a/src/main/java/beampoint/emulator/ChangeChecks.java
+++ b/src/main/java/beampoint/emulator/ChangeChecks.java
@@ -3,7 +3,7 @@
 import beampoint.fleet.changes.ChangeEntry;
 import beampoint.fleet.changes.ConfigurationChange;
 import beampoint.fleet.distribution.ChangeApplier;
-import beampoint.fleet.distribution.Snapshot;
+import beampoint.fleet.distribution.ConfigurationSnapshot;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -64,7 +64,7 @@
     }
 
     @Override
-    public Outcome restore(Snapshot snapshot) {
+    public Outcome restore(ConfigurationSnapshot snapshot) {
       snapshots++;
       if (snapshot.index() <= last) {
         twice++;
--- /dev/null
+++ b/src/main/java/beampoint/emulator/ControlScenario.java
@@ -0,0 +1,129 @@
+package beampoint.emulator;
+
+import beampoint.settings.InputException;
+import beampoint.yaml.Yaml;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A day of a fleet's control, as a file tells it: who stands where, what changes, and what breaks when. */
+public record ControlScenario(String name, long seed, double length, double warmUp, Size size, int fanOut,
+    Network network, Changes changes, Limits limits, List<Fault> faults) {
+
+  private static final int VERSION = 1;
+  private static final String MODEL = "control";
+  private static final double LONGEST = 3_600; // seconds
+  private static final double SECONDS_A_DAY = 24 * 3_600;
+
+  /** How many there are of each. */
+  public record Size(int proxies, int sites, int zones, int regions, int controls) {}
+
+  /** One way's times in ms by how far apart two hosts are, and the parts of messages lost and repeated. */
+  public record Network(double site, double region, double far, double jitter, double loss, double repeats) {}
+
+  /** Purges a second, changes of configuration a second, and the length of such a document. */
+  public record Changes(double purges, double configurations, int documentBytes) {}
+
+  /** What the operators allow: for a proxy, and from commit to the last proxy that can be reached. */
+  public record Limits(double bytes, double heapMb, double cpuPart, double purge, double configuration) {}
+
+  /** What may break. */
+  public enum What {
+    /** All hosts of a zone die, and start again after the time. */
+    ZONE_LOST,
+    /** A region is cut off from all others, both ways. */
+    REGION_CUT
+  }
+
+  /** One fault: the zone or region, when and for how long, in ms. */
+  public record Fault(What what, int place, double at, double length) {}
+
+  /** True where a file is a scenario of this kind. */
+  public static boolean isOne(Path file) throws InputException {
+    return Yaml.read(file).text("model", "requests").equals(MODEL);
+  }
+
+  /** Reads a file; whatever is wrong with it is told in one plain sentence. */
+  public static ControlScenario read(Path file) throws InputException {
+    return parse(Yaml.read(file));
+  }
+
+  static ControlScenario parse(String file, String text) throws InputException {
+    return parse(Yaml.read(file, text));
+  }
+
+  private static ControlScenario parse(Yaml top) throws InputException {
+    if (top.whole("version", Double.NaN, -1_000_000, 1_000_000) != VERSION) {
+      throw top.wrong("version", "this program reads version " + VERSION + " only");
+    }
+    if (!top.text("model", null).equals(MODEL)) {
+      throw top.wrong("model", "only '" + MODEL + "' is known");
+    }
+    double seconds = top.number("seconds", Double.NaN, 1, LONGEST);
+    Size size = size(top);
+    List<Fault> faults = new ArrayList<>();
+    for (Yaml fault : top.list("faults", 0)) {
+      faults.add(fault(fault, size, seconds));
+    }
+    ControlScenario scenario = new ControlScenario(top.text("name", "unnamed"),
+        (long) top.number("seed", 1, 0, 1e15), 1_000 * seconds,
+        1_000 * top.number("warm_up_seconds", 0, 0, seconds), size, top.whole("fan_out", 1, 0, 4),
+        network(top.fields("network")), changes(top.fields("changes")), limits(top.fields("limits")),
+        List.copyOf(faults));
+    top.end();
+    return scenario;
+  }
+
+  private static Size size(Yaml top) throws InputException {
+    int proxies = top.whole("proxies", Double.NaN, 1, 4_000);
+    int sites = top.whole("sites", Double.NaN, 1, proxies);
+    int zones = top.whole("zones", Double.NaN, 1, sites);
+    int regions = top.whole("regions", Double.NaN, 1, zones);
+    return new Size(proxies, sites, zones, regions, top.whole("control_machines", Double.NaN, 1, 64));
+  }
+
+  private static Network network(Yaml fields) throws InputException {
+    Network network = new Network(fields.number("site_ms", 0.3, 0, 1_000),
+        fields.number("region_ms", 5, 0, 1_000), fields.number("far_ms", 40, 0, 1_000),
+        fields.number("jitter_ms", 5, 0, 1_000), fields.number("loss", 0, 0, 0.5),
+        fields.number("repeats", 0, 0, 0.5));
+    fields.end();
+    return network;
+  }
+
+  private static Changes changes(Yaml fields) throws InputException {
+    Changes changes = new Changes(fields.number("purges_per_s", 27, 0.1, 1_000),
+        fields.number("configurations_per_day", 3_100, 0, 1e6) / SECONDS_A_DAY,
+        fields.whole("document_bytes", 2_000, 2, 60_000));
+    fields.end();
+    return changes;
+  }
+
+  private static Limits limits(Yaml fields) throws InputException {
+    Limits limits = new Limits(fields.number("bytes_s", 3_000, 1, 1e9), fields.number("heap_mb", 32, 0.1, 1e5),
+        fields.number("cpu_part", 0.032, 1e-6, 64), fields.number("purge_ms", 2_400, 1, 1e6),
+        fields.number("config_ms", 18_000, 1, 1e6));
+    fields.end();
+    return limits;
+  }
+
+  private static Fault fault(Yaml fields, Size size, double seconds) throws InputException {
+    What what = fields.word("what", null, What.class);
+    String field = what == What.ZONE_LOST ? "zone" : "region";
+    int most = what == What.ZONE_LOST ? size.zones() - 1 : size.regions() - 1;
+    int place = fields.whole(field, Double.NaN, 0, most);
+    if (place == 0) {
+      throw fields.wrong(field, "the leading control machine stands there, and this model has no other");
+    }
+    double at = fields.number("at_s", Double.NaN, 0, seconds);
+    Fault fault = new Fault(what, place, 1_000 * at,
+        1_000 * fields.number("for_s", Double.NaN, 0.1, seconds - at));
+    fields.end();
+    return fault;
+  }
+
+  /** The same day with other chances. */
+  public ControlScenario withSeed(long other) {
+    return new ControlScenario(name, other, length, warmUp, size, fanOut, network, changes, limits, faults);
+  }
+}
--- a/src/main/java/beampoint/fleet/distribution/AppliedChanges.java
+++ b/src/main/java/beampoint/fleet/distribution/AppliedChanges.java
@@ -76,7 +76,7 @@
   }
 
   /** Puts a snapshot into force, where it is ahead of what is applied; true where it was. */
-  boolean restore(Snapshot snapshot) {
+  boolean restore(ConfigurationSnapshot snapshot) {
     if (snapshot.index() <= upTo()) {
       return false;
     }
@@ -89,7 +89,7 @@
   /** Another log has taken this one's place. */
   void forget() {
     ahead.clear();
-    tail.restart(Snapshot.EMPTY);
+    tail.restart(ConfigurationSnapshot.EMPTY);
     refused = 0;
   }
 }
--- a/src/main/java/beampoint/fleet/distribution/ChangeApplier.java
+++ b/src/main/java/beampoint/fleet/distribution/ChangeApplier.java
@@ -18,5 +18,5 @@
    * Puts a snapshot into force in place of the entries up to its index, which never come: whatever a purge
    * among them may have named is to be held for purged.
    */
-  Outcome restore(Snapshot snapshot);
+  Outcome restore(ConfigurationSnapshot snapshot);
 }
--- a/src/main/java/beampoint/fleet/distribution/ChangeTail.java
+++ b/src/main/java/beampoint/fleet/distribution/ChangeTail.java
@@ -13,7 +13,7 @@
 
   private final ChangeEntry[] ring;
   private final int mostBytes;
-  private Snapshot base = Snapshot.EMPTY;
+  private ConfigurationSnapshot base = ConfigurationSnapshot.EMPTY;
   private long last;
   private int bytes;
 
@@ -23,7 +23,7 @@
   }
 
   /** What stands for the entries before the first that is kept. */
-  Snapshot base() {
+  ConfigurationSnapshot base() {
     return base;
   }
 
@@ -33,7 +33,7 @@
   }
 
   /** Starts anew from a snapshot. */
-  void restart(Snapshot snapshot) {
+  void restart(ConfigurationSnapshot snapshot) {
     Arrays.fill(ring, null);
     base = snapshot;
     last = snapshot.index();
@@ -57,7 +57,7 @@
     ChangeEntry first = ring[slot(base.index() + 1)];
     ring[slot(first.index())] = null;
     bytes -= weight(first);
-    base = new Snapshot(first.index(), first.epoch(),
+    base = new ConfigurationSnapshot(first.index(), first.epoch(),
         first.change() instanceof ConfigurationChange ? first : base.configuration());
   }
 
--- a/src/main/java/beampoint/fleet/distribution/Snapshot.java
+++ b/src/main/java/beampoint/fleet/distribution/ConfigurationSnapshot.java
@@ -11,8 +11,8 @@
  * @param epoch the epoch of that entry
  * @param configuration the last change of configuration among them, or null
  */
-public record Snapshot(long index, Epoch epoch, ChangeEntry configuration) {
+public record ConfigurationSnapshot(long index, Epoch epoch, ChangeEntry configuration) {
 
   /** Of the empty log. */
-  public static final Snapshot EMPTY = new Snapshot(0, Epoch.NONE, null);
+  public static final ConfigurationSnapshot EMPTY = new ConfigurationSnapshot(0, Epoch.NONE, null);
 }
--- a/src/main/java/beampoint/fleet/distribution/DistributionCodec.java
+++ b/src/main/java/beampoint/fleet/distribution/DistributionCodec.java
@@ -119,7 +119,7 @@
     EntryForm.write(out, batch.entries());
   }
 
-  private static void write(JsonGenerator out, Snapshot snapshot) throws IOException {
+  private static void write(JsonGenerator out, ConfigurationSnapshot snapshot) throws IOException {
     out.writeNumber(snapshot.index());
     out.writeNumber(snapshot.epoch().number());
     out.writeString(snapshot.epoch().holder());
@@ -198,13 +198,13 @@
     return new Batch(log, session, sourceAge, head, sentUpTo, List.copyOf(echoes), EntryForm.read(in));
   }
 
-  private static Snapshot snapshot(MessageReader in) throws IOException, MessageFormException {
+  private static ConfigurationSnapshot snapshot(MessageReader in) throws IOException, MessageFormException {
     long index = in.count();
     Epoch epoch = new Epoch(in.count(), in.name(), in.number());
     List<ChangeEntry> entries = EntryForm.read(in);
     if (entries.size() > 1 || !entries.isEmpty() && entries.get(0).index() > index) {
       throw new MessageFormException("with an odd snapshot");
     }
-    return new Snapshot(index, epoch, entries.isEmpty() ? null : entries.get(0));
+    return new ConfigurationSnapshot(index, epoch, entries.isEmpty() ? null : entries.get(0));
   }
 }
--- a/src/main/java/beampoint/fleet/distribution/DistributionMessage.java
+++ b/src/main/java/beampoint/fleet/distribution/DistributionMessage.java
@@ -40,7 +40,7 @@
   record Fetch(long log, long from) implements DistributionMessage {}
 
   /** Answers a fetch of entries that the sender has no longer. */
-  record SnapshotReply(long log, Snapshot snapshot) implements DistributionMessage {}
+  record SnapshotReply(long log, ConfigurationSnapshot snapshot) implements DistributionMessage {}
 
   /** A parent does not take, or no longer has, the child of a session. */
   record Refusal(long log, long session) implements DistributionMessage {}
--- a/src/test/java/beampoint/fleet/distribution/DistributionCodecTest.java
+++ b/src/test/java/beampoint/fleet/distribution/DistributionCodecTest.java
@@ -51,8 +51,8 @@
         new Batch(LOG, 1L << 60, 20, 5, 5, List.of(9L, 11L), entries()),
         new Batch(LOG, 0, 0, 0, 0, List.of(), List.of()),
         new Fetch(LOG, 88),
-        new SnapshotReply(LOG, Snapshot.EMPTY),
-        new SnapshotReply(LOG, new Snapshot(9, EPOCH, entries().get(4))),
+        new SnapshotReply(LOG, ConfigurationSnapshot.EMPTY),
+        new SnapshotReply(LOG, new ConfigurationSnapshot(9, EPOCH, entries().get(4))),
         new Refusal(LOG, 3),
         new Unsubscribe(LOG, 4));
   }
