--- a/src/main/java/beampoint/fleet/distribution/ChangeTail.java
+++ b/src/main/java/beampoint/fleet/distribution/ChangeTail.java
@@ -2,6 +2,7 @@
 
 import beampoint.fleet.changes.ChangeEntry;
 import beampoint.fleet.changes.ConfigurationChange;
+import beampoint.fleet.facts.Epoch;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -9,11 +10,15 @@
 /** The last entries that were applied, in full, on a snapshot of those before; bounded in number and bytes. */
 final class ChangeTail {
 
-  private static final int ENTRY_OVERHEAD = 20; // bytes of an entry in a message, beside its text, about
+  private static final int ENTRY_OVERHEAD = 12; // bytes of an entry in a message, beside its text, about
+
+  private static final int DEFLATED = 3; // a document becomes so many times shorter, about
 
   private final ChangeEntry[] ring;
   private final int mostBytes;
   private ConfigurationSnapshot base = ConfigurationSnapshot.EMPTY;
+  private ChangeEntry configuration; // the last one, here or in the snapshot; or null
+  private Epoch epoch = Epoch.NONE; // of the last entry
   private long last;
   private int bytes;
 
@@ -27,6 +32,11 @@
     return base;
   }
 
+  /** What stands for all entries up to the last. */
+  ConfigurationSnapshot latest() {
+    return new ConfigurationSnapshot(last, epoch, configuration);
+  }
+
   /** The last entry's index. */
   long last() {
     return last;
@@ -37,6 +47,8 @@
     Arrays.fill(ring, null);
     base = snapshot;
     last = snapshot.index();
+    epoch = snapshot.epoch();
+    configuration = snapshot.configuration();
     bytes = 0;
   }
 
@@ -51,6 +63,8 @@
     ring[slot(entry.index())] = entry;
     bytes += weight(entry);
     last = entry.index();
+    epoch = entry.epoch();
+    configuration = entry.change() instanceof ConfigurationChange ? entry : configuration;
   }
 
   private void dropFirst() {
@@ -71,7 +85,7 @@
     int size = 0;
     for (long i = Math.max(index, base.index() + 1); i <= last && entries.size() < most; i++) {
       ChangeEntry entry = ring[slot(i)];
-      size += weight(entry);
+      size += sentWeight(entry);
       if (size > mostBytesOfThem && !entries.isEmpty()) {
         break;
       }
@@ -80,6 +94,12 @@
     return entries;
   }
 
+  /** About its bytes in a message, where documents are deflated. */
+  private static int sentWeight(ChangeEntry entry) {
+    int weight = entry.change().weight();
+    return ENTRY_OVERHEAD + (entry.change() instanceof ConfigurationChange ? weight / DEFLATED : weight);
+  }
+
   private static int weight(ChangeEntry entry) {
     return ENTRY_OVERHEAD + entry.change().weight();
   }
--- a/src/main/java/beampoint/fleet/distribution/ChildLinks.java
+++ b/src/main/java/beampoint/fleet/distribution/ChildLinks.java
@@ -101,18 +101,32 @@
       double since = now - child.sentAt;
       boolean hasNews = !child.echoes.isEmpty() || child.sentUpTo < tail.last() && room(child) > 0;
       if (since >= terms.heartbeatEvery() || hasNews && since >= terms.batchDelay()) {
-        sends.add(new Send(name, batch(now, child, log, sourceAge, tail)));
+        skipToSnapshot(child, tail);
+        int batches = 0;
+        do {
+          sends.add(new Send(name, batch(now, child, log, sourceAge, tail)));
+        } while (++batches < terms.burst() && child.sentUpTo < tail.last() && room(child) > 0);
       }
     });
     return sends;
   }
 
+  /**
+   * Whoever begins, or is behind by more than is kept, is sent nothing of what it lacks: it finds so, fetches
+   * and is answered by a snapshot.
+   */
+  private void skipToSnapshot(Child child, ChangeTail tail) {
+    boolean begins = child.sentUpTo == 0 && tail.last() > terms.window();
+    if (begins || child.sentUpTo < tail.base().index()) {
+      child.sentUpTo = tail.last();
+    }
+  }
+
   private int room(Child child) {
     return (int) Math.max(0, child.appliedUpTo + terms.window() - child.sentUpTo);
   }
 
   private Batch batch(double now, Child child, long log, long sourceAge, ChangeTail tail) {
-    child.sentUpTo = Math.max(child.sentUpTo, tail.base().index());
     List<ChangeEntry> entries = tail.from(child.sentUpTo + 1, room(child), terms.batchBytes());
     child.sentUpTo += entries.size();
     child.sentAt = now;
--- a/src/main/java/beampoint/fleet/distribution/DistributionNode.java
+++ b/src/main/java/beampoint/fleet/distribution/DistributionNode.java
@@ -27,7 +27,6 @@
 public final class DistributionNode {
 
   private static final int SESSION_BITS = 20; // for the subscriptions of one life
-  private static final double SNAPSHOT_GAP = 20; // ms between two snapshots that it sends, at the least
 
   private final DistributionTerms terms;
   private final Place self;
@@ -35,6 +34,7 @@
   private final ParentLink upward;
   private final ChildLinks children;
   private final ReportParts reports = new ReportParts();
+  private final SnapshotQueue snapshots;
   private final Freshness freshness;
   private final List<DistributionAction> out = new ArrayList<>();
   private ProgressTracker tracker; // null while it does not lead
@@ -46,7 +46,6 @@
   private double reportedAt;
   private double fetchAgainAt;
   private int fetches; // without an answer
-  private double snapshotAt;
 
   /**
    * A member that has applied nothing.
@@ -63,6 +62,7 @@
     this.applied = new AppliedChanges(terms, applier);
     this.upward = new ParentLink(terms, life << SESSION_BITS, now);
     this.children = new ChildLinks(terms);
+    this.snapshots = new SnapshotQueue(terms.snapshotGap());
     this.freshness = new Freshness(terms);
   }
 
@@ -130,6 +130,7 @@
     children.forgetSilent(now);
     long sourceAge = tracker != null ? 0 : (long) Math.ceil(upward.sourceAge(now));
     out.addAll(children.due(now, log, sourceAge, applied.tail()));
+    sendSnapshots();
     if (now >= reportAt) {
       report();
     }
@@ -280,11 +281,10 @@
 
   private void answer(String to, Fetch fetch) {
     ChangeTail tail = applied.tail();
-    if (fetch.from() <= tail.base().index()) {
-      if (now >= snapshotAt + SNAPSHOT_GAP) {
-        snapshotAt = now;
-        send(to, new SnapshotReply(log, tail.base()));
-      }
+    boolean begins = fetch.from() == 1 && tail.last() > terms.window();
+    if (begins || fetch.from() <= tail.base().index()) {
+      snapshots.add(to);
+      sendSnapshots();
       return;
     }
     List<ChangeEntry> entries = tail.from(fetch.from(), terms.window(), terms.batchBytes());
@@ -293,6 +293,10 @@
     }
   }
 
+  private void sendSnapshots() {
+    snapshots.due(now).forEach(to -> send(to, new SnapshotReply(log, applied.tail().latest())));
+  }
+
   private void send(String to, DistributionMessage message) {
     out.add(new Send(to, message));
   }
