--- a/src/main/java/beampoint/emulator/ControlEmulation.java
+++ b/src/main/java/beampoint/emulator/ControlEmulation.java
@@ -1,10 +1,8 @@
 package beampoint.emulator;
 
-import beampoint.emulator.ControlScenario.Fault;
 import beampoint.emulator.ControlScenario.Limits;
 import beampoint.emulator.ControlScenario.Network;
 import beampoint.emulator.ControlScenario.Size;
-import beampoint.emulator.ControlScenario.What;
 import beampoint.fleet.changes.ConfigurationChange;
 import beampoint.fleet.changes.PurgeChange;
 import beampoint.fleet.changes.PurgeScope;
@@ -41,7 +39,7 @@
         new FleetLayout(size.proxies(), size.sites(), size.zones(), size.regions(), size.controls()),
         DistributionTerms.usual(), scenario.fanOut(),
         new ControlNetwork.Delays(network.site(), network.region(), network.far(), network.jitter()),
-        scenario.seed());
+        false, scenario.seed());
     fleet.network().trouble(network.loss(), network.repeats(), 0, 0);
   }
 
@@ -56,7 +54,7 @@
     fleet.at(FIRST_CHANGE, this::purge);
     fleet.at(FIRST_CHANGE, this::configure);
     fleet.at(scenario.warmUp(), fleet::countFromNow);
-    scenario.faults().forEach(this::plan);
+    scenario.faults().forEach(fault -> FaultPlan.plan(fleet, fault));
     fleet.runTo(scenario.length());
     double cpu = processorTime() - cpuBefore;
     double proxySeconds = scenario.size().proxies() * scenario.length();
@@ -111,28 +109,6 @@
     return document.append('}').toString();
   }
 
-  private void plan(Fault fault) {
-    boolean isZone = fault.what() == What.ZONE_LOST;
-    List<Integer> hosts = isZone ? fleet.layout().ofZone(fault.place())
-        : fleet.layout().ofRegion(fault.place());
-    fleet.at(fault.at(), () -> {
-      if (isZone) {
-        hosts.forEach(fleet::kill);
-      } else {
-        fleet.isolate(hosts, 1 + fault.place());
-      }
-      fleet.noticed();
-    });
-    fleet.at(fault.at() + fault.length(), () -> {
-      if (isZone) {
-        hosts.forEach(fleet::start);
-      } else {
-        fleet.isolate(hosts, 0);
-      }
-      fleet.noticed();
-    });
-  }
-
   // ---- What was counted -----------------------------------------------------------------------------------
 
   private ControlReport report(double cpuPart, double heapMb) {
@@ -159,6 +135,9 @@
     report.never("changes.foreign", checks.foreign());
     report.never("changes.false_done", progress.falseDone());
     report.never("changes.fenced_fresh", progress.fencedFresh());
+    if (scenario.membership().members() > 0) {
+      MemberDay.play(scenario, report);
+    }
     return report;
   }
 
@@ -167,12 +146,15 @@
     int controls = scenario.size().controls();
     List<ControlHost> proxies = fleet.hosts().subList(controls, fleet.hosts().size());
     List<ControlHost> machines = fleet.hosts().subList(0, controls);
+    double members = scenario.membership().bytes();
+    report.figure("control.bytes_s_membership_taken", members);
     report.figure("control.bytes_s_mean",
-        proxies.stream().mapToDouble(h -> h.traffic.meanOfSecond(now)).average().orElse(0), limits.bytes());
+        members + proxies.stream().mapToDouble(h -> h.traffic.meanOfSecond(now)).average().orElse(0),
+        limits.bytes());
     report.figure("control.bytes_s_highest_mean",
-        proxies.stream().mapToDouble(h -> h.traffic.meanOfSecond(now)).max().orElse(0));
+        members + proxies.stream().mapToDouble(h -> h.traffic.meanOfSecond(now)).max().orElse(0));
     report.figure("control.bytes_s_worst",
-        proxies.stream().mapToDouble(h -> h.traffic.worstSecond()).max().orElse(0));
+        members + proxies.stream().mapToDouble(h -> h.traffic.worstSecond()).max().orElse(0));
     report.figure("control.machine_bytes_s_mean",
         machines.stream().mapToDouble(h -> h.traffic.meanOfSecond(now)).average().orElse(0));
     report.figure("control.machine_bytes_s_worst",
--- a/src/main/java/beampoint/emulator/ControlFleet.java
+++ b/src/main/java/beampoint/emulator/ControlFleet.java
@@ -49,14 +49,14 @@
   private final List<ControlHost> hosts = new ArrayList<>();
   private final ChangeChecks checks = new ChangeChecks();
   private final ProgressChecks progressChecks = new ProgressChecks(hosts, checks);
-  private final ModelledViews views;
+  private final Views views;
   private int leader = -1;
   private Epoch epoch = Epoch.NONE;
   private long submitted;
 
   /** A fleet whose hosts all run, and whose first control machine leads. */
   public ControlFleet(FleetLayout layout, DistributionTerms terms, int fanOut, ControlNetwork.Delays delays,
-      long seed) {
+      boolean withMembership, long seed) {
     this.layout = layout;
     this.terms = terms;
     this.tree = new DistributionTree(fanOut);
@@ -66,7 +66,9 @@
       double rate = 1 + CLOCK_SCATTER * (2 * random.nextDouble() - 1);
       hosts.add(new ControlHost(i, layout.place(i), rate));
     }
-    this.views = new ModelledViews(clock, layout, hosts, network, random, this::findParents);
+    this.views = withMembership
+        ? new MembershipViews(clock, layout, hosts, network, random, this::findParents)
+        : new ModelledViews(clock, layout, hosts, network, random, this::findParents);
     hosts.forEach(host -> start(host.number));
     lead(0);
     clock.after(CHECK_EVERY, this::check);
@@ -99,9 +101,9 @@
     }
   }
 
-  /** Tells the members of what was done to hosts, late, as their failure detector does. */
-  public void noticed() {
-    views.refreshSoon();
+  /** Lets the members find out what was done to hosts. */
+  public void changed(List<Integer> numbers) {
+    views.changed(numbers);
   }
 
   public void pause(int number) {
@@ -189,6 +191,7 @@
   public void countFromNow() {
     hosts.forEach(host -> host.traffic.restart(clock.now()));
     checks.countFrom(clock.now());
+    views.countFromNow();
   }
 
   private void tick(ControlHost host, long life) {
@@ -288,6 +291,10 @@
     return hosts;
   }
 
+  Views views() {
+    return views;
+  }
+
   FleetLayout layout() {
     return layout;
   }
--- a/src/main/java/beampoint/emulator/ControlHost.java
+++ b/src/main/java/beampoint/emulator/ControlHost.java
@@ -2,6 +2,7 @@
 
 import beampoint.fleet.distribution.DistributionNode;
 import beampoint.fleet.distribution.Place;
+import beampoint.fleet.membership.Membership;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -18,6 +19,7 @@
   final Traffic traffic = new Traffic();
   final Set<String> dead = new HashSet<>(); // in its own view
   private final List<Runnable> waiting = new ArrayList<>();
+  Membership membership; // null where who sees whom follows a model
   DistributionNode node; // null while it is down
   ChangeChecks.Record record; // of its present life, or the last one
   long life;
@@ -41,6 +43,7 @@
   /** What it was told or had to do meanwhile goes with the old life. */
   void ended() {
     node = null;
+    membership = null;
     paused = false;
     waiting.clear();
   }
--- a/src/main/java/beampoint/emulator/ControlScenario.java
+++ b/src/main/java/beampoint/emulator/ControlScenario.java
@@ -7,7 +7,7 @@
 import java.util.List;
 
 /** A day of a fleet's control, as a file tells it: who stands where, what changes, and what breaks when. */
-public record ControlScenario(String name, long seed, double length, double warmUp, Size size, int fanOut,
+public record ControlScenario(String name, long seed, double length, double warmUp, Size size, Membership membership, int fanOut,
     Network network, Changes changes, Limits limits, List<Fault> faults) {
 
   private static final int VERSION = 1;
@@ -18,6 +18,14 @@
   /** How many there are of each. */
   public record Size(int proxies, int sites, int zones, int regions, int controls) {}
 
+  /**
+   * Membership is not played at the whole size: who sees whom there follows a model.
+   *
+   * @param members for how many its state machine is played, beside the fleet
+   * @param bytes that it is taken to cost a proxy of the fleet a second, sent and received
+   */
+  public record Membership(int members, double bytes) {}
+
   /** One way's times in ms by how far apart two hosts are, and the parts of messages lost and repeated. */
   public record Network(double site, double region, double far, double jitter, double loss, double repeats) {}
 
@@ -67,7 +75,8 @@
     }
     ControlScenario scenario = new ControlScenario(top.text("name", "unnamed"),
         (long) top.number("seed", 1, 0, 1e15), 1_000 * seconds,
-        1_000 * top.number("warm_up_seconds", 0, 0, seconds), size, top.whole("fan_out", 1, 0, 4),
+        1_000 * top.number("warm_up_seconds", 0, 0, seconds), size,
+        membership(top.fields("membership"), size), top.whole("fan_out", 1, 0, 4),
         network(top.fields("network")), changes(top.fields("changes")), limits(top.fields("limits")),
         List.copyOf(faults));
     top.end();
@@ -82,6 +91,13 @@
     return new Size(proxies, sites, zones, regions, top.whole("control_machines", Double.NaN, 1, 64));
   }
 
+  private static Membership membership(Yaml fields, Size size) throws InputException {
+    Membership membership = new Membership(fields.whole("members", 0, 0, size.proxies()),
+        fields.number("bytes_s", 1_114, 0, 1e6));
+    fields.end();
+    return membership;
+  }
+
   private static Network network(Yaml fields) throws InputException {
     Network network = new Network(fields.number("site_ms", 0.3, 0, 1_000),
         fields.number("region_ms", 5, 0, 1_000), fields.number("far_ms", 40, 0, 1_000),
@@ -124,6 +140,7 @@
 
   /** The same day with other chances. */
   public ControlScenario withSeed(long other) {
-    return new ControlScenario(name, other, length, warmUp, size, fanOut, network, changes, limits, faults);
+    return new ControlScenario(name, other, length, warmUp, size, membership, fanOut, network, changes,
+        limits, faults);
   }
 }
--- /dev/null
+++ b/src/main/java/beampoint/emulator/FaultPlan.java
@@ -0,0 +1,34 @@
+package beampoint.emulator;
+
+import beampoint.emulator.ControlScenario.Fault;
+import beampoint.emulator.ControlScenario.What;
+import java.util.List;
+
+/** What a scenario's faults do to a fleet, and when. */
+final class FaultPlan {
+
+  private FaultPlan() {}
+
+  /** Lets a fault happen, and end. */
+  static void plan(ControlFleet fleet, Fault fault) {
+    boolean isZone = fault.what() == What.ZONE_LOST;
+    List<Integer> hosts = isZone ? fleet.layout().ofZone(fault.place())
+        : fleet.layout().ofRegion(fault.place());
+    fleet.at(fault.at(), () -> {
+      if (isZone) {
+        hosts.forEach(fleet::kill);
+      } else {
+        fleet.isolate(hosts, 1 + fault.place());
+      }
+      fleet.changed(hosts);
+    });
+    fleet.at(fault.at() + fault.length(), () -> {
+      if (isZone) {
+        hosts.forEach(fleet::start);
+      } else {
+        fleet.isolate(hosts, 0);
+      }
+      fleet.changed(hosts);
+    });
+  }
+}
--- /dev/null
+++ b/src/main/java/beampoint/emulator/MemberDay.java
@@ -0,0 +1,36 @@
+package beampoint.emulator;
+
+import beampoint.emulator.ControlScenario.Network;
+import beampoint.emulator.ControlScenario.Size;
+import beampoint.fleet.distribution.DistributionTerms;
+
+/** The same day for the state machine of membership, with fewer members than the fleet has. */
+final class MemberDay {
+
+  private static final double SECOND = 1_000;
+
+  private MemberDay() {}
+
+  static void play(ControlScenario scenario, ControlReport report) {
+    Size size = scenario.size();
+    Network network = scenario.network();
+    int members = scenario.membership().members();
+    ControlFleet fleet = new ControlFleet(
+        new FleetLayout(members, Math.min(size.sites(), members), size.zones(), size.regions(),
+            size.controls()),
+        DistributionTerms.usual(), scenario.fanOut(),
+        new ControlNetwork.Delays(network.site(), network.region(), network.far(), network.jitter()), true,
+        scenario.seed());
+    fleet.network().trouble(network.loss(), network.repeats(), 0, 0);
+    fleet.at(scenario.warmUp(), fleet::countFromNow);
+    scenario.faults().forEach(fault -> FaultPlan.plan(fleet, fault));
+    fleet.runTo(scenario.length());
+    MembershipViews views = (MembershipViews) fleet.views();
+    double hostSeconds = (scenario.length() - scenario.warmUp()) / SECOND * fleet.layout().hosts();
+    report.figure("members.played", fleet.layout().hosts());
+    report.never("members.wrongly_dead", views.wronglyDead());
+    report.figure("members.detect_p99_ms", views.detectP99());
+    report.figure("members.bytes_s_mean", views.bytes() / hostSeconds);
+    report.figure("members.exchange_bytes_s_mean", views.exchangedBytes() / hostSeconds);
+  }
+}
--- a/src/main/java/beampoint/emulator/ModelledViews.java
+++ b/src/main/java/beampoint/emulator/ModelledViews.java
@@ -1,9 +1,6 @@
 package beampoint.emulator;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -12,7 +9,7 @@
  * or cut off is held for dead after the times that were measured for 400 members, one that is back is seen
  * soon. Only those count that a host may have to do with: its site and the control machines.
  */
-final class ModelledViews {
+final class ModelledViews implements Views {
 
   private static final double DETECTED_AFTER = 4_000; // ms, and up to so much more:
   private static final double DETECTED_LATER = 400;
@@ -25,7 +22,7 @@
   private final ControlNetwork network;
   private final UniformRandomProvider random;
   private final Consumer<ControlHost> changed;
-  private final Map<String, List<Integer>> ofSite = new HashMap<>();
+  private final SiteNeighbours neighbours;
 
   ModelledViews(Clock clock, FleetLayout layout, List<ControlHost> hosts, ControlNetwork network,
       UniformRandomProvider random, Consumer<ControlHost> changed) {
@@ -35,24 +32,21 @@
     this.network = network;
     this.random = random;
     this.changed = changed;
-    List<Integer> controls = new ArrayList<>();
-    for (int i = 0; i < layout.hosts(); i++) {
-      if (i < layout.controls()) {
-        controls.add(i);
-      } else {
-        ofSite.computeIfAbsent(layout.place(i).site(), site -> new ArrayList<>(controls)).add(i);
-      }
-    }
-    ofSite.put("", controls);
+    this.neighbours = new SiteNeighbours(layout);
+  }
+
+  @Override
+  public List<Integer> ofInterest(ControlHost host) {
+    return neighbours.of(host.place);
   }
 
-  /** The hosts of a host's site, itself among them, and the control machines. */
-  List<Integer> ofInterest(ControlHost host) {
-    return ofSite.get(host.place.site());
+  @Override
+  public void countFromNow() {
+    // nothing is counted
   }
 
-  /** Something was done to hosts: all others see it later. */
-  void refreshSoon() {
+  @Override
+  public void changed(List<Integer> numbers) {
     for (ControlHost host : hosts) {
       clock.after(BACK_AFTER + BACK_LATER * random.nextDouble(), () -> refresh(host, false));
       clock.after(DETECTED_AFTER + DETECTED_LATER * random.nextDouble(), () -> refresh(host, true));
@@ -60,7 +54,8 @@
   }
 
   /** A new process sees at once what it can reach. */
-  void started(ControlHost host) {
+  @Override
+  public void started(ControlHost host) {
     host.dead.clear();
     refresh(host, false);
   }
--- /dev/null
+++ b/src/main/java/beampoint/emulator/SiteNeighbours.java
@@ -0,0 +1,30 @@
+package beampoint.emulator;
+
+import beampoint.fleet.distribution.Place;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The hosts that each host may have to do with in the distribution tree. */
+final class SiteNeighbours {
+
+  private final Map<String, List<Integer>> ofSite = new HashMap<>();
+
+  SiteNeighbours(FleetLayout layout) {
+    List<Integer> controls = new ArrayList<>();
+    for (int i = 0; i < layout.hosts(); i++) {
+      if (i < layout.controls()) {
+        controls.add(i);
+      } else {
+        ofSite.computeIfAbsent(layout.place(i).site(), site -> new ArrayList<>(controls)).add(i);
+      }
+    }
+    ofSite.put("", controls);
+  }
+
+  /** The hosts of a site, and the control machines. */
+  List<Integer> of(Place place) {
+    return ofSite.get(place.site());
+  }
+}
--- a/src/test/java/beampoint/emulator/ControlFleetTest.java
+++ b/src/test/java/beampoint/emulator/ControlFleetTest.java
@@ -21,7 +21,7 @@
 
   private static ControlFleet fleet(long seed) {
     return new ControlFleet(new FleetLayout(40, 6, 3, 2, 3), shortTails(), 2,
-        new ControlNetwork.Delays(0.3, 5, 40, 10), seed);
+        new ControlNetwork.Delays(0.3, 5, 40, 10), false, seed);
   }
 
   /** A control machine keeps 19 s of changes, so that who was away for longer needs a snapshot. */
@@ -99,7 +99,7 @@
       default -> fleet.network().trouble(0.05 * random.nextDouble(), 0.05 * random.nextDouble(),
           0.1 * random.nextDouble(), 3_000);
     }
-    fleet.noticed();
+    fleet.changed(List.of());
   }
 
   private static void restart(ControlFleet fleet, int proxy, double downFor) {
@@ -107,7 +107,7 @@
       fleet.kill(proxy);
       fleet.at(fleet.now() + downFor, () -> {
         fleet.start(proxy);
-        fleet.noticed();
+        fleet.changed(List.of());
       });
     }
   }
@@ -121,7 +121,7 @@
     fleet.isolate(hosts, hosts.size() == 1 ? 100 + hosts.get(0) : 1);
     fleet.at(fleet.now() + time, () -> {
       fleet.isolate(hosts, 0);
-      fleet.noticed();
+      fleet.changed(List.of());
     });
   }
 
@@ -146,7 +146,7 @@
     }
     fleet.runTo(fleet.now() + 30_000); // until all troubles are over
     fleet.mendNetwork();
-    fleet.noticed();
+    fleet.changed(List.of());
     fleet.runTo(fleet.now() + 20_000);
     assertSound(fleet);
     assertAllReached(fleet);
--- /dev/null
+++ b/src/test/java/beampoint/emulator/ControlScenarioTest.java
@@ -0,0 +1,102 @@
+package beampoint.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.settings.InputException;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The scenario of a fleet's control: its file, and a small one of its kind played. */
+class ControlScenarioTest {
+
+  private static final String DAY = """
+      version: 1
+      model: control
+      seconds: 40
+      warm_up_seconds: 5
+      proxies: 120
+      sites: 12
+      zones: 6
+      regions: 3
+      control_machines: 5
+      network: {loss: 0.002, repeats: 0.001}
+      changes: {purges_per_s: 27, configurations_per_day: 31000, document_bytes: 1000}
+      limits: {purge_ms: 2400}
+      faults:
+        - {what: zone-lost, zone: 4, at_s: 8, for_s: 8}
+        - {what: region-cut, region: 2, at_s: 12, for_s: 10}
+      """;
+
+  private static String problem(String text) {
+    String problem = assertThrows(InputException.class, () -> ControlScenario.parse("day.yaml", text))
+        .getMessage();
+    assertEquals(1, problem.lines().count(), problem);
+    return problem;
+  }
+
+  @Test
+  void eachFaultOfAFileIsToldWithItsPlace() {
+    String[][] wrong = {
+        {"proxies: 120", "proxys: 120", "day.yaml, line 1, field 'proxies': missing"},
+        {"proxies: 120", "proxies: 0", "day.yaml, line 5, field 'proxies': 0 is not from 1 to 4000"},
+        {"sites: 12", "sites: 121", "day.yaml, line 6, field 'sites': 121 is not from 1 to 120"},
+        {"model: control", "model: other", "day.yaml, line 2, field 'model': only 'control' is known"},
+        {"version: 1", "version: 2", "line 1, field 'version': this program reads version 1 only"},
+        {"loss: 0.002", "loss: much", "day.yaml, line 10, field 'network.loss': no number: 'much'"},
+        {"loss: 0.002", "lost: 0.002", "day.yaml, line 10, field 'network.lost': unknown"},
+        {"purge_ms: 2400", "purge_ms: 0", "day.yaml, line 12, field 'limits.purge_ms': 0 is not from 1"},
+        {"what: zone-lost", "what: zone-gone", "'zone-gone' is none of zone-lost, region-cut"},
+        {"zone: 4", "zone: 6", "day.yaml, line 14, field 'faults[0].zone': 6 is not from 0 to 5"},
+        {"region: 2", "region: 0", "day.yaml, line 15, field 'faults[1].region': the leading control"},
+        {"for_s: 10", "for_s: 30", "day.yaml, line 15, field 'faults[1].for_s': 30 is not from 0.1 to 28"},
+    };
+    for (String[] each : wrong) {
+      String problem = problem(DAY.replace(each[0], each[1]));
+      assertTrue(problem.contains(each[2]), problem);
+    }
+  }
+
+  @Test
+  void theGivenScenarioIsSoundAndOfTheWholeSize() throws InputException {
+    Path file = Path.of("deploy/scenarios/fleet-size.yaml");
+    assertTrue(ControlScenario.isOne(file));
+    ControlScenario day = ControlScenario.read(file);
+    assertEquals(new ControlScenario.Size(2_300, 180, 31, 8, 13), day.size());
+    assertEquals(27, day.changes().purges());
+    assertTrue(!ControlScenario.isOne(Path.of("deploy/scenarios/release-day.yaml")));
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void aSmallFleetKeepsTheLimits(long seed) throws InputException {
+    ControlReport report = ControlEmulation.run(ControlScenario.parse("day.yaml", DAY).withSeed(seed));
+    assertEquals(List.of(), report.broken());
+    assertTrue(report.value("changes.purges") > 900, "purges: " + report.value("changes.purges"));
+    assertTrue(report.value("changes.purge_max_ms") > 0);
+  }
+
+  @Test
+  void aBrokenLimitIsTold() throws InputException {
+    String strict = DAY.replace("purge_ms: 2400", "purge_ms: 10");
+    ControlReport report = ControlEmulation.run(ControlScenario.parse("day.yaml", strict));
+    assertEquals(1, report.broken().stream().filter(b -> b.startsWith("changes.purge_max_ms is ")).count());
+  }
+
+  @Test
+  void theSameSeedGivesTheSameFigures() throws InputException {
+    ControlScenario day = ControlScenario.parse("day.yaml", DAY.replace("seconds: 40", "seconds: 28"));
+    assertEquals(reproducible(ControlEmulation.run(day)), reproducible(ControlEmulation.run(day)));
+  }
+
+  /** All figures but those of this process. */
+  private static List<String> reproducible(ControlReport report) {
+    return report.figures().entrySet().stream()
+        .filter(e -> !e.getKey().equals("control.cpu_part") && !e.getKey().equals("control.heap_mb"))
+        .map(e -> e.getKey() + "=" + e.getValue()).toList();
+  }
+}
