--- a/src/main/java/beampoint/emulator/ControlScenario.java
+++ b/src/main/java/beampoint/emulator/ControlScenario.java
@@ -7,8 +7,8 @@
 import java.util.List;
 
 /** A day of a fleet's control, as a file tells it: who stands where, what changes, and what breaks when. */
-public record ControlScenario(String name, long seed, double length, double warmUp, Size size, Membership membership, int fanOut,
-    Network network, Changes changes, Limits limits, List<Fault> faults) {
+public record ControlScenario(String name, long seed, double length, double warmUp, Size size,
+    Membership membership, int fanOut, Network network, Changes changes, Limits limits, List<Fault> faults) {
 
   private static final int VERSION = 1;
   private static final String MODEL = "control";
@@ -116,7 +116,8 @@
   }
 
   private static Limits limits(Yaml fields) throws InputException {
-    Limits limits = new Limits(fields.number("bytes_s", 3_000, 1, 1e9), fields.number("heap_mb", 32, 0.1, 1e5),
+    Limits limits = new Limits(fields.number("bytes_s", 3_000, 1, 1e9),
+        fields.number("heap_mb", 32, 0.1, 1e5),
         fields.number("cpu_part", 0.032, 1e-6, 64), fields.number("purge_ms", 2_400, 1, 1e6),
         fields.number("config_ms", 18_000, 1, 1e6));
     fields.end();
--- a/src/main/java/beampoint/emulator/FleetLayout.java
+++ b/src/main/java/beampoint/emulator/FleetLayout.java
@@ -32,8 +32,8 @@
       int site = i % sites;
       int zone = site % zonesInAll;
       int region = zone % regionsInAll;
-      add(Place.proxy(String.format("s%03d-p%04d", site, i), regionName(region), String.format("s%03d", site)),
-          zone, region);
+      String siteName = String.format("s%03d", site);
+      add(Place.proxy(String.format("%s-p%04d", siteName, i), regionName(region), siteName), zone, region);
     }
   }
 
--- a/src/main/java/beampoint/fleet/distribution/ChangeTail.java
+++ b/src/main/java/beampoint/fleet/distribution/ChangeTail.java
@@ -7,7 +7,7 @@
 import java.util.Arrays;
 import java.util.List;
 
-/** The last entries that were applied, in full, on a snapshot of those before; bounded in number and bytes. */
+/** The last entries that were applied, in full, on a snapshot of those before; of bounded size. */
 final class ChangeTail {
 
   private static final int ENTRY_OVERHEAD = 12; // bytes of an entry in a message, beside its text, about
--- a/src/main/java/beampoint/fleet/distribution/DistributionTerms.java
+++ b/src/main/java/beampoint/fleet/distribution/DistributionTerms.java
@@ -24,15 +24,16 @@
  */
 public record DistributionTerms(double batchDelay, double heartbeatEvery, double reportEvery,
     double parentSilentAfter, double orphanAfter, double retryParentAfter, double childSilentAfter,
-    double fetchAgainAfter, double lease, double drift, int burst, int window, int batchBytes, int tailEntries,
-    int tailBytes, int aheadEntries, int mostChildren, double snapshotGap) {
+    double fetchAgainAfter, double lease, double drift, int burst, int window, int batchBytes,
+    int tailEntries, int tailBytes, int aheadEntries, int mostChildren, double snapshotGap) {
 
   private static final int CONTROL_CHILDREN = 512;
 
   public DistributionTerms {
     boolean isSound = batchDelay > 0 && heartbeatEvery >= batchDelay && parentSilentAfter > heartbeatEvery
         && reportEvery > 0 && childSilentAfter > reportEvery && fetchAgainAfter > 0 && lease > 0 && drift >= 0
-        && drift < 1 && burst > 0 && window > 0 && batchBytes > 0 && tailEntries > 0 && tailBytes > 0 && aheadEntries > 0
+        && drift < 1 && burst > 0 && window > 0 && batchBytes > 0 && tailEntries > 0 && tailBytes > 0
+        && aheadEntries > 0
         && mostChildren >= 0 && snapshotGap >= 0;
     if (!isSound) {
       throw new IllegalArgumentException("no terms of distribution");
--- a/src/main/java/beampoint/fleet/distribution/EntryForm.java
+++ b/src/main/java/beampoint/fleet/distribution/EntryForm.java
@@ -142,7 +142,8 @@
     ChangeId id = id(in, before);
     int version = in.small(MOST_VERSION);
     if (kind == CONFIGURATION) {
-      return new ChangeEntry(index, before.epoch, id, new ConfigurationChange(version, TextForm.document(in)));
+      String document = TextForm.document(in);
+      return new ChangeEntry(index, before.epoch, id, new ConfigurationChange(version, document));
     }
     before.requestedAtMs += in.number();
     PurgeScope scope = PurgeScope.values()[kind];
--- a/src/test/java/beampoint/emulator/ControlFleetTest.java
+++ b/src/test/java/beampoint/emulator/ControlFleetTest.java
@@ -29,8 +29,8 @@
     DistributionTerms usual = DistributionTerms.usual();
     return new DistributionTerms(usual.batchDelay(), usual.heartbeatEvery(), usual.reportEvery(),
         usual.parentSilentAfter(), usual.orphanAfter(), usual.retryParentAfter(), usual.childSilentAfter(),
-        usual.fetchAgainAfter(), usual.lease(), usual.drift(), usual.burst(), usual.window(), usual.batchBytes(), 64,
-        usual.tailBytes(), usual.aheadEntries(), usual.mostChildren(),
+        usual.fetchAgainAfter(), usual.lease(), usual.drift(), usual.burst(), usual.window(),
+        usual.batchBytes(), 64, usual.tailBytes(), usual.aheadEntries(), usual.mostChildren(),
         usual.snapshotGap());
   }
 
--- a/src/test/java/beampoint/fleet/distribution/DistributionCodecTest.java
+++ b/src/test/java/beampoint/fleet/distribution/DistributionCodecTest.java
@@ -69,7 +69,8 @@
   void anotherClusterAnotherVersionOrWhatIsCutOffIsNoMessage() {
     for (DistributionMessage message : messages()) {
       byte[] bytes = CODEC.write(message);
-      assertThrows(MessageFormException.class, () -> new DistributionCodec("south").read(bytes, bytes.length));
+      DistributionCodec other = new DistributionCodec("south");
+      assertThrows(MessageFormException.class, () -> other.read(bytes, bytes.length));
       for (int length = 0; length < bytes.length; length++) {
         int cut = length;
         assertThrows(MessageFormException.class, () -> CODEC.read(bytes, cut), "cut to " + cut);
--- a/src/test/java/beampoint/fleet/distribution/DistributionNodeTest.java
+++ b/src/test/java/beampoint/fleet/distribution/DistributionNodeTest.java
@@ -51,8 +51,8 @@
   }
 
   private static DistributionNode proxy(double now) {
-    DistributionNode node = new DistributionNode(DistributionTerms.usual(), Place.proxy("p1", "r", "s"), 3, LOG,
-        TAKES_ALL, now);
+    DistributionNode node = new DistributionNode(DistributionTerms.usual(),
+        Place.proxy("p1", "r", "s"), 3, LOG, TAKES_ALL, now);
     node.handle(now, new ParentsChanged(List.of(new Parent("c1", true), new Parent("c2", true))));
     return node;
   }
@@ -174,8 +174,8 @@
   /** A proxy whose own parent is a proxy feeds nobody, so there is no circle of proxies. */
   @Test
   void whoIsFedByAProxyFeedsNobody() {
-    DistributionNode node = new DistributionNode(DistributionTerms.usual(), Place.proxy("p1", "r", "s"), 3, LOG,
-        TAKES_ALL, 0);
+    DistributionNode node = new DistributionNode(DistributionTerms.usual(),
+        Place.proxy("p1", "r", "s"), 3, LOG, TAKES_ALL, 0);
     node.handle(0, new ParentsChanged(List.of(new Parent("p2", false), new Parent("c1", true))));
     assertEquals(List.of(new Refusal(LOG, 7)),
         sent(node.handle(10, new Received("p2", new Report(LOG, 7, 1, 0, List.of()))), "p2"));
@@ -190,7 +190,8 @@
         List.of(new MemberProgress("", 0, 1, 0), new MemberProgress("p2", 1, 1, 1),
             new MemberProgress("p3", 1, 0, 0)))));
     Completion completion = leader.tracker().completion(1, 2_500);
-    assertEquals(new Completion(1, 4, 1, List.of("p2", "p3"), 2, List.of("p4"), 1, List.of("p2")), completion);
+    assertEquals(new Completion(1, 4, 1, List.of("p2", "p3"), 2, List.of("p4"), 1, List.of("p2")),
+        completion);
     assertFalse(completion.isDoneEverywhere());
     assertFalse(completion.isDoneOrFenced());
     assertEquals(0, leader.tracker().doneEverywhereUpTo());
@@ -201,8 +202,10 @@
   void aLateReportOfAnEarlierLifeCountsForNothing() {
     DistributionNode leader = leader(Set.of("p1"));
     leader.handle(10, new Committed(purges(1, 9)));
-    leader.handle(20, new Received("c2", new Report(LOG, 1, 1, 9, List.of(new MemberProgress("p1", 2, 0, 0)))));
-    leader.handle(30, new Received("c2", new Report(LOG, 1, 2, 9, List.of(new MemberProgress("p1", 1, 9, 0)))));
+    leader.handle(20, new Received("c2", new Report(LOG, 1, 1, 9,
+        List.of(new MemberProgress("p1", 2, 0, 0)))));
+    leader.handle(30, new Received("c2", new Report(LOG, 1, 2, 9,
+        List.of(new MemberProgress("p1", 1, 9, 0)))));
     assertEquals(0, leader.tracker().doneEverywhereUpTo());
   }
 }
--- a/src/test/java/beampoint/fleet/distribution/DistributionTreeTest.java
+++ b/src/test/java/beampoint/fleet/distribution/DistributionTreeTest.java
@@ -59,7 +59,7 @@
   void aProxyPrefersTheControlMachinesOfItsRegion() {
     List<Place> all = fleet(1, 1);
     List<Parent> parents = new DistributionTree(2).parents(all.get(4), all, "c1");
-    assertTrue(Set.of("c0", "c2").equals(Set.of(parents.get(0).name(), parents.get(1).name())), parents.toString());
+    assertEquals(Set.of("c0", "c2"), Set.of(parents.get(0).name(), parents.get(1).name()));
   }
 
   @Test
