--- a/src/main/java/beampoint/emulator/ControlEmulation.java
+++ b/src/main/java/beampoint/emulator/ControlEmulation.java
@@ -19,7 +19,7 @@
 public final class ControlEmulation {
 
   private static final long TIME_OF_DAY = 1_764_000_000_000L;
-  private static final double FIRST_CHANGE = 2_000; // ms
+  private static final double FIRST_CHANGE = 3_000; // ms
   private static final double MEGABYTE = 1 << 20;
   private static final double PREFIXES = 0.05; // of all purges
   private static final double TENANTS = 0.02;
@@ -86,7 +86,7 @@
       case PREFIX -> "org/example/module-" + random.nextInt(1_000) + "/";
       default -> "tenant-" + random.nextInt(500);
     };
-    fleet.commit(new PurgeChange(1, scope, value, TIME_OF_DAY + (long) fleet.now()));
+    fleet.submit(new PurgeChange(1, scope, value, TIME_OF_DAY + (long) fleet.now()));
     purges++;
     fleet.at(fleet.now() + gap(scenario.changes().purges()), this::purge);
   }
@@ -94,7 +94,7 @@
   private void configure() {
     double rate = scenario.changes().configurations();
     if (rate > 0) {
-      fleet.commit(new ConfigurationChange(1, document()));
+      fleet.submit(new ConfigurationChange(1, document()));
       configurations++;
       fleet.at(fleet.now() + gap(rate), this::configure);
     }
@@ -124,6 +124,7 @@
     ProgressChecks progress = fleet.progressChecks();
     report.figure("changes.purges", purges);
     report.figure("changes.configurations", configurations);
+    report.figure("changes.commit_max_ms", fleet.log().commitMax());
     report.figure("changes.purge_max_ms", checks.purgeMax(), limits.purge());
     report.figure("changes.config_max_ms", checks.configurationMax(), limits.configuration());
     report.figure("changes.healed_max_ms", checks.healedMax());
@@ -152,7 +153,8 @@
         members + proxies.stream().mapToDouble(h -> h.traffic.meanOfSecond(now)).average().orElse(0),
         limits.bytes());
     report.figure("control.bytes_s_highest_mean",
-        members + proxies.stream().mapToDouble(h -> h.traffic.meanOfSecond(now)).max().orElse(0));
+        members + proxies.stream().mapToDouble(h -> h.traffic.meanOfSecond(now)).max().orElse(0),
+        limits.bytes());
     report.figure("control.bytes_s_worst",
         members + proxies.stream().mapToDouble(h -> h.traffic.worstSecond()).max().orElse(0));
     report.figure("control.machine_bytes_s_mean",
--- a/src/main/java/beampoint/emulator/ControlFleet.java
+++ b/src/main/java/beampoint/emulator/ControlFleet.java
@@ -1,12 +1,9 @@
 package beampoint.emulator;
 
 import beampoint.fleet.changes.Change;
-import beampoint.fleet.changes.ChangeEntry;
-import beampoint.fleet.changes.ChangeId;
 import beampoint.fleet.distribution.DistributionAction.Send;
 import beampoint.fleet.distribution.DistributionCodec;
 import beampoint.fleet.distribution.DistributionEvent;
-import beampoint.fleet.distribution.DistributionEvent.Committed;
 import beampoint.fleet.distribution.DistributionEvent.Follows;
 import beampoint.fleet.distribution.DistributionEvent.Leads;
 import beampoint.fleet.distribution.DistributionEvent.ParentsChanged;
@@ -19,7 +16,6 @@
 import beampoint.fleet.distribution.MessageFormException;
 import beampoint.fleet.distribution.Place;
 import beampoint.fleet.distribution.ProgressTracker;
-import beampoint.fleet.facts.Epoch;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -27,13 +23,12 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
- * Control machines and hollow proxies in virtual time, each with the state machine that carries changes. The
- * log is a single ordered source at the control machine that leads, and not the replicated one; it survives
- * whatever happens to that machine. Hosts may be killed, stand still, be cut off and come back.
+ * Control machines and hollow proxies in virtual time, each with the state machine that carries changes; the
+ * control machines have the replicated log as well. Hosts may be killed, stand still, be cut off and come
+ * back.
  */
 public final class ControlFleet {
 
-  static final long LOG = 1_764_000_000L;
   private static final long FIRST_LIFE = 1_764_000_000_000L; // as a process that takes its time of start
   private static final double TICK = 50;
   private static final double CHECK_EVERY = 250;
@@ -50,11 +45,9 @@
   private final ChangeChecks checks = new ChangeChecks();
   private final ProgressChecks progressChecks = new ProgressChecks(hosts, checks);
   private final Views views;
-  private int leader = -1;
-  private Epoch epoch = Epoch.NONE;
-  private long submitted;
+  private final ControlLog log;
 
-  /** A fleet whose hosts all run, and whose first control machine leads. */
+  /** A fleet whose hosts all have just started. */
   public ControlFleet(FleetLayout layout, DistributionTerms terms, int fanOut, ControlNetwork.Delays delays,
       boolean withMembership, long seed) {
     this.layout = layout;
@@ -69,8 +62,8 @@
     this.views = withMembership
         ? new MembershipViews(clock, layout, hosts, network, random, this::findParents)
         : new ModelledViews(clock, layout, hosts, network, random, this::findParents);
+    this.log = new ControlLog(clock, layout, hosts, network, checks, random, this::give, this::findParents);
     hosts.forEach(host -> start(host.number));
-    lead(0);
     clock.after(CHECK_EVERY, this::check);
   }
 
@@ -84,7 +77,10 @@
     ChangeChecks.Record record = checks.new Record(clock, since);
     boolean isControl = number < layout.controls();
     host.begins(new DistributionNode(isControl ? terms.ofControl() : terms, host.place,
-        FIRST_LIFE + host.life, isControl ? LOG : 0, record, host.local(clock.now())), record);
+        FIRST_LIFE + host.life, 0, record, host.local(clock.now())), record);
+    if (isControl) {
+      log.started(host);
+    }
     views.started(host);
     findParents(host);
     long life = host.life;
@@ -96,9 +92,6 @@
     ControlHost host = hosts.get(number);
     host.ended();
     host.record.reachableSince(Double.POSITIVE_INFINITY);
-    if (number == leader) {
-      leader = -1;
-    }
   }
 
   /** Lets the members find out what was done to hosts. */
@@ -138,38 +131,14 @@
     }
   }
 
+  /** Faults leave a majority of the control machines on the mainland. */
   private boolean reachable(int number) {
-    return leader < 0 || network.island(number) == network.island(leader);
-  }
-
-  // ---- The log --------------------------------------------------------------------------------------------
-
-  /** Makes a control machine the leader; it has the whole log, as a replica of it would. */
-  public void lead(int number) {
-    if (leader >= 0) {
-      give(hosts.get(leader), new Follows());
-    }
-    leader = number;
-    ControlHost host = hosts.get(number);
-    epoch = new Epoch(epoch.number() + 1, host.place.name(), FIRST_LIFE + host.life);
-    List<ChangeEntry> log = checks.log();
-    give(host, new Committed(List.copyOf(log.subList((int) host.node.appliedUpTo(), log.size()))));
-    give(host, new Leads(layout.proxies()));
-    hosts.subList(0, layout.controls()).forEach(this::findParents);
-    hosts.forEach(this::reachableAgain);
+    return network.island(number) == 0;
   }
 
-  /** Commits a change at the leader; returns its index, or 0 where nobody leads. */
-  public long commit(Change change) {
-    if (leader < 0) {
-      return 0;
-    }
-    String origin = layout.place(random.nextInt(layout.controls())).name();
-    ChangeEntry entry = new ChangeEntry(checks.log().size() + 1, epoch, new ChangeId(origin, ++submitted),
-        change);
-    checks.committed(entry, clock.now());
-    give(hosts.get(leader), new Committed(List.of(entry)));
-    return entry.index();
+  /** Submits a change until it is committed. */
+  public void submit(Change change) {
+    log.submit(change);
   }
 
   // ---- Playing --------------------------------------------------------------------------------------------
@@ -211,13 +180,16 @@
           living.add(layout.place(other));
         }
       }
-      String leaderName = leader < 0 ? "" : layout.place(leader).name();
-      give(host, new ParentsChanged(tree.parents(host.place, living, leaderName)));
+      give(host, new ParentsChanged(tree.parents(host.place, living, host.leaderKnown)));
     }
   }
 
   private void give(ControlHost host, DistributionEvent event) {
     if (host.isUp()) {
+      boolean tellsOfLeader = event instanceof Leads || event instanceof Follows;
+      if (host.machine != null && !tellsOfLeader) {
+        log.refresh(host);
+      }
       host.node.handle(host.local(clock.now()), event).forEach(action -> {
         if (action instanceof Send send) {
           send(host, hosts.get(layout.number(send.to())), send.message());
@@ -256,8 +228,9 @@
   }
 
   private void check() {
+    int leader = log.leader();
     ProgressTracker tracker = leader < 0 ? null : hosts.get(leader).node.tracker();
-    if (tracker != null && !hosts.get(leader).isPaused()) {
+    if (tracker != null) {
       progressChecks.check(clock.now(), tracker, hosts.get(leader).local(clock.now()));
     }
     clock.after(CHECK_EVERY, this::check);
@@ -272,7 +245,7 @@
 
   /** The number of the control machine that leads; -1 for none. */
   public int leader() {
-    return leader;
+    return log.leader();
   }
 
   ControlNetwork network() {
@@ -291,6 +264,10 @@
     return hosts;
   }
 
+  ControlLog log() {
+    return log;
+  }
+
   Views views() {
     return views;
   }
--- a/src/main/java/beampoint/emulator/ControlHost.java
+++ b/src/main/java/beampoint/emulator/ControlHost.java
@@ -1,5 +1,6 @@
 package beampoint.emulator;
 
+import beampoint.fleet.changes.ControlNode;
 import beampoint.fleet.distribution.DistributionNode;
 import beampoint.fleet.distribution.Place;
 import beampoint.fleet.membership.Membership;
@@ -20,6 +21,9 @@
   final Set<String> dead = new HashSet<>(); // in its own view
   private final List<Runnable> waiting = new ArrayList<>();
   Membership membership; // null where who sees whom follows a model
+  ControlNode machine; // of the change log; null at a proxy
+  boolean leads; // as the tree was told
+  String leaderKnown = "";
   DistributionNode node; // null while it is down
   ChangeChecks.Record record; // of its present life, or the last one
   long life;
@@ -44,6 +48,8 @@
   void ended() {
     node = null;
     membership = null;
+    machine = null;
+    leads = false;
     paused = false;
     waiting.clear();
   }
--- /dev/null
+++ b/src/main/java/beampoint/emulator/ControlLog.java
@@ -0,0 +1,231 @@
+package beampoint.emulator;
+
+import beampoint.fleet.changes.Change;
+import beampoint.fleet.changes.ChangeCodec;
+import beampoint.fleet.changes.ChangeEntry;
+import beampoint.fleet.changes.ChangeFormException;
+import beampoint.fleet.changes.ChangeId;
+import beampoint.fleet.changes.ControlNode;
+import beampoint.fleet.changes.LogAction;
+import beampoint.fleet.changes.LogAction.Answer;
+import beampoint.fleet.changes.LogAction.Deliver;
+import beampoint.fleet.changes.LogAction.Install;
+import beampoint.fleet.changes.LogAction.Send;
+import beampoint.fleet.changes.LogLimits;
+import beampoint.fleet.changes.LogMessage;
+import beampoint.fleet.changes.LogTerms;
+import beampoint.fleet.changes.ReplicaState;
+import beampoint.fleet.changes.Snapshot;
+import beampoint.fleet.changes.SubmitOutcome.Committed;
+import beampoint.fleet.distribution.ConfigurationSnapshot;
+import beampoint.fleet.distribution.DistributionEvent;
+import beampoint.fleet.distribution.DistributionEvent.Installed;
+import beampoint.fleet.distribution.DistributionNode;
+import beampoint.fleet.facts.Epoch;
+import beampoint.fleet.lease.LeaseTerms;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * The replicated change log at the control machines of a fleet, all of which vote, and the submitters, which
+ * submit again under the same name until a change is committed. A control machine that starts again has lost
+ * its memory.
+ */
+final class ControlLog {
+
+  private static final double LEASE = 600; // ms
+  private static final double DRIFT = 0.02;
+  private static final double RETRY = 400; // ms, of replicas
+  private static final double SUBMIT_AGAIN = 300; // ms
+  private static final double TICK = 10; // ms
+
+  /** A change that is not committed yet. */
+  private record Pending(Change change, double since) {}
+
+  private final Clock clock;
+  private final FleetLayout layout;
+  private final List<ControlHost> hosts;
+  private final ControlNetwork network;
+  private final ChangeChecks checks;
+  private final UniformRandomProvider random;
+  private final BiConsumer<ControlHost, DistributionEvent> deliver;
+  private final Consumer<ControlHost> leaderChanged;
+  private final ChangeCodec codec = new ChangeCodec("emulated");
+  private final LogTerms terms;
+  private final LeaseTerms leaseTerms;
+  private final Map<ChangeId, Pending> pending = new HashMap<>();
+  private long submitted;
+  private double commitMax;
+
+  ControlLog(Clock clock, FleetLayout layout, List<ControlHost> hosts, ControlNetwork network,
+      ChangeChecks checks, UniformRandomProvider random, BiConsumer<ControlHost, DistributionEvent> deliver,
+      Consumer<ControlHost> leaderChanged) {
+    this.clock = clock;
+    this.layout = layout;
+    this.hosts = hosts;
+    this.network = network;
+    this.checks = checks;
+    this.random = random;
+    this.deliver = deliver;
+    this.leaderChanged = leaderChanged;
+    SortedSet<String> voters = new TreeSet<>();
+    for (int i = 0; i < layout.controls(); i++) {
+      voters.add(layout.place(i).name());
+    }
+    this.terms = new LogTerms(voters, RETRY, LogLimits.USUAL);
+    this.leaseTerms = new LeaseTerms(voters, LEASE, DRIFT);
+  }
+
+  void started(ControlHost host) {
+    host.machine = new ControlNode(terms, leaseTerms, host.place.name(), host.life,
+        ReplicaState.started(host.life), host.local(clock.now()), new Random(random.nextLong()));
+    host.leaderKnown = "";
+    host.leads = false;
+    long life = host.life;
+    clock.after(random.nextDouble() * TICK, () -> tick(host, life));
+  }
+
+  private void tick(ControlHost host, long life) {
+    if (host.isUp() && host.life == life) {
+      if (!host.isPaused()) {
+        carryOut(host, host.machine.tick(host.local(clock.now())));
+      }
+      clock.after(TICK, () -> tick(host, life));
+    }
+  }
+
+  // ---- Submitters -----------------------------------------------------------------------------------------
+
+  /** Submits a change until it is committed. */
+  void submit(Change change) {
+    String origin = layout.place(random.nextInt(layout.controls())).name();
+    ChangeId id = new ChangeId(origin, ++submitted);
+    pending.put(id, new Pending(change, clock.now()));
+    tryToCommit(id);
+  }
+
+  private void tryToCommit(ChangeId id) {
+    if (!pending.containsKey(id)) {
+      return;
+    }
+    int leader = leader();
+    if (leader >= 0) {
+      ControlHost host = hosts.get(leader);
+      carryOut(host, host.machine.submit(host.local(clock.now()), id, pending.get(id).change()));
+    }
+    clock.after(SUBMIT_AGAIN, () -> tryToCommit(id));
+  }
+
+  private void committed(ChangeId id) {
+    Pending change = pending.remove(id);
+    if (change != null) {
+      commitMax = Math.max(commitMax, clock.now() - change.since());
+    }
+  }
+
+  /** How many changes were submitted and are not known to be committed. */
+  int pending() {
+    return pending.size();
+  }
+
+  /** The longest from a change's first submission to the answer that it is committed. */
+  double commitMax() {
+    return commitMax;
+  }
+
+  // ---- Control machines -----------------------------------------------------------------------------------
+
+  /** The control machine that leads now; -1 for none. */
+  int leader() {
+    for (ControlHost host : hosts.subList(0, layout.controls())) {
+      if (host.isUp() && !host.isPaused() && host.machine.leads(host.local(clock.now()))) {
+        return host.number;
+      }
+    }
+    return -1;
+  }
+
+  /** Lets the tree know who leads, before anything else happens at a host. */
+  void refresh(ControlHost host) {
+    boolean leads = host.machine.leads(host.local(clock.now()));
+    if (leads != host.leads) {
+      host.leads = leads;
+      deliver.accept(host, leads
+          ? new DistributionEvent.Leads(DistributionNode.logOf(host.machine.state().log().identity()),
+              layout.proxies())
+          : new DistributionEvent.Follows());
+    }
+    String leader = leads ? host.place.name() : host.machine.state().leader().holder();
+    if (!leader.equals(host.leaderKnown)) {
+      host.leaderKnown = leader;
+      leaderChanged.accept(host);
+    }
+  }
+
+  private void carryOut(ControlHost host, List<LogAction> actions) {
+    for (LogAction action : actions) {
+      if (action instanceof Send send) {
+        send(host, hosts.get(layout.number(send.to())), send.message());
+      } else if (action instanceof Answer answer && answer.outcome() instanceof Committed) {
+        committed(answer.id());
+      } else if (action instanceof Deliver entries) {
+        deliver(host, entries);
+      } else if (action instanceof Install install) {
+        deliver.accept(host, new Installed(DistributionNode.logOf(install.identity()),
+            shortened(install.snapshot())));
+      }
+    }
+    refresh(host);
+  }
+
+  private void deliver(ControlHost host, Deliver delivered) {
+    for (ChangeEntry entry : delivered.entries()) {
+      if (entry.index() == checks.log().size() + 1) {
+        checks.committed(entry, clock.now());
+      }
+    }
+    deliver.accept(host, new DistributionEvent.Committed(DistributionNode.logOf(delivered.identity()),
+        delivered.entries()));
+  }
+
+  private static ConfigurationSnapshot shortened(Snapshot snapshot) {
+    ChangeEntry configuration = snapshot.configuration().orElse(null);
+    return new ConfigurationSnapshot(snapshot.index(),
+        configuration == null ? Epoch.NONE : configuration.epoch(), configuration);
+  }
+
+  private void send(ControlHost from, ControlHost to, LogMessage message) {
+    byte[] bytes = codec.write(message);
+    from.traffic.add(clock.now(), bytes.length);
+    for (int copies = network.copies(from.number, to.number); copies > 0; copies--) {
+      clock.after(network.delay(from.number, to.number), () -> arrive(from, to, bytes));
+    }
+  }
+
+  private void arrive(ControlHost from, ControlHost to, byte[] bytes) {
+    if (to.isUp() && network.island(from.number) == network.island(to.number)) {
+      to.traffic.add(clock.now(), bytes.length);
+      long life = to.life;
+      to.whenAwake(() -> {
+        if (to.life == life) {
+          carryOut(to, to.machine.received(to.local(clock.now()), from.place.name(), read(bytes)));
+        }
+      });
+    }
+  }
+
+  private LogMessage read(byte[] bytes) {
+    try {
+      return codec.read(bytes);
+    } catch (ChangeFormException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- a/src/main/java/beampoint/emulator/ControlScenario.java
+++ b/src/main/java/beampoint/emulator/ControlScenario.java
@@ -129,9 +129,6 @@
     String field = what == What.ZONE_LOST ? "zone" : "region";
     int most = what == What.ZONE_LOST ? size.zones() - 1 : size.regions() - 1;
     int place = fields.whole(field, Double.NaN, 0, most);
-    if (place == 0) {
-      throw fields.wrong(field, "the leading control machine stands there, and this model has no other");
-    }
     double at = fields.number("at_s", Double.NaN, 0, seconds);
     Fault fault = new Fault(what, place, 1_000 * at,
         1_000 * fields.number("for_s", Double.NaN, 0.1, seconds - at));
--- a/src/main/java/beampoint/fleet/distribution/DistributionEvent.java
+++ b/src/main/java/beampoint/fleet/distribution/DistributionEvent.java
@@ -16,11 +16,14 @@
   /** Whom it may subscribe to, the best first, as {@link DistributionTree} has it. */
   record ParentsChanged(List<Parent> parents) implements DistributionEvent {}
 
-  /** Its own copy of the log has these entries committed. */
-  record Committed(List<ChangeEntry> entries) implements DistributionEvent {}
+  /** Its own copy of a log has these entries committed. */
+  record Committed(long log, List<ChangeEntry> entries) implements DistributionEvent {}
 
-  /** It leads the control machines from now on; these proxies are expected to apply every change. */
-  record Leads(Set<String> expected) implements DistributionEvent {}
+  /** Its own copy of a log begins anew from a snapshot. */
+  record Installed(long log, ConfigurationSnapshot snapshot) implements DistributionEvent {}
+
+  /** It leads the control machines of a log from now on; these proxies are expected to apply every change. */
+  record Leads(long log, Set<String> expected) implements DistributionEvent {}
 
   /** It leads no longer. */
   record Follows() implements DistributionEvent {}
--- a/src/main/java/beampoint/fleet/distribution/DistributionNode.java
+++ b/src/main/java/beampoint/fleet/distribution/DistributionNode.java
@@ -4,6 +4,7 @@
 import beampoint.fleet.distribution.DistributionAction.Send;
 import beampoint.fleet.distribution.DistributionEvent.Committed;
 import beampoint.fleet.distribution.DistributionEvent.Follows;
+import beampoint.fleet.distribution.DistributionEvent.Installed;
 import beampoint.fleet.distribution.DistributionEvent.Leads;
 import beampoint.fleet.distribution.DistributionEvent.ParentsChanged;
 import beampoint.fleet.distribution.DistributionEvent.Received;
@@ -16,6 +17,7 @@
 import beampoint.fleet.distribution.DistributionMessage.Unsubscribe;
 import beampoint.fleet.distribution.ReportParts.Part;
 import beampoint.fleet.distribution.ReportParts.Passed;
+import beampoint.fleet.facts.Epoch;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -26,6 +28,7 @@
  */
 public final class DistributionNode {
 
+  private static final int LOG_BITS = 16; // that tell logs of one epoch's number apart
   private static final int SESSION_BITS = 20; // for the subscriptions of one life
 
   private final DistributionTerms terms;
@@ -66,6 +69,14 @@
     this.freshness = new Freshness(terms);
   }
 
+  /**
+   * The number by which the tree names a log: a log that was founded later has a higher one, but for two that
+   * were founded under epochs of one number.
+   */
+  public static long logOf(Epoch identity) {
+    return identity.number() << LOG_BITS | identity.hashCode() & (1 << LOG_BITS) - 1;
+  }
+
   /** Takes one event; the time never goes back. */
   public List<DistributionAction> handle(double time, DistributionEvent event) {
     now = time;
@@ -78,8 +89,13 @@
       upward.candidates(e.parents());
       chooseParent();
     } else if (event instanceof Committed e) {
+      adoptNewer(e.log());
       take(e.entries());
+    } else if (event instanceof Installed e) {
+      adoptNewer(e.log());
+      restore(e.snapshot());
     } else if (event instanceof Leads e) {
+      adoptNewer(e.log());
       tracker = new ProgressTracker(terms, e.expected(), now);
     } else if (event instanceof Follows) {
       tracker = null;
@@ -180,8 +196,8 @@
       children.unsubscribe(from, m.session());
     } else if (message instanceof Refusal m && upward.isFrom(from, m.session())) {
       upward.failed(now);
-    } else if (message.log() > log && isSource(from)) {
-      adopt(message.log());
+    } else if (isSource(from)) {
+      adoptNewer(message.log());
     }
     if (message.log() != log) {
       return;
@@ -190,7 +206,13 @@
       takeBatch(from, m);
     } else if (message instanceof Fetch m) {
       answer(from, m);
-    } else if (message instanceof SnapshotReply m && applied.restore(m.snapshot())) {
+    } else if (message instanceof SnapshotReply m) {
+      restore(m.snapshot());
+    }
+  }
+
+  private void restore(ConfigurationSnapshot snapshot) {
+    if (applied.restore(snapshot)) {
       head = Math.max(head, appliedUpTo());
       fetchAnswered();
     }
@@ -201,7 +223,10 @@
   }
 
   /** The control machines have begun another log: what this member holds is of none. */
-  private void adopt(long other) {
+  private void adoptNewer(long other) {
+    if (other <= log) {
+      return;
+    }
     log = other;
     head = 0;
     sentUpTo = 0;
@@ -217,8 +242,8 @@
       send(from, new Refusal(log, report.session()));
       return;
     }
-    if (report.log() != log) {
-      return; // how far it is in another log says nothing here
+    if (report.log() != log || log == 0) {
+      return; // how far it is in another log says nothing here, and without a log nothing is applied
     }
     List<MemberProgress> progress = report.progress().stream()
         .map(p -> p.isOfSender() ? p.of(from, report.session() >> SESSION_BITS) : p).toList();
