--- a/src/main/java/beampoint/emulator/ControlEmulation.java
+++ b/src/main/java/beampoint/emulator/ControlEmulation.java
@@ -149,6 +149,8 @@
     List<ControlHost> machines = fleet.hosts().subList(0, controls);
     double members = scenario.membership().bytes();
     report.figure("control.bytes_s_membership_taken", members);
+    report.figure("control.bytes_s_distribution_mean",
+        proxies.stream().mapToDouble(h -> h.traffic.meanOfSecond(now)).average().orElse(0));
     report.figure("control.bytes_s_mean",
         members + proxies.stream().mapToDouble(h -> h.traffic.meanOfSecond(now)).average().orElse(0),
         limits.bytes());
