Membership: whole views cost the same bytes a second in every fleet of over a hundred members

Seen: the fleet-size scenario breaks the 3,000 bytes a second that control may take (sent and received), as membership's whole views alone came to 10,280 a second at 2,300 members with one exchange each 30 s. With an interval that grows by doublings (180 s at 2,300) they come to about 1,700 by reckoning, beside 1,148 for its datagrams and 1,215 for changes: still above. Ruled out: a digest that is asked first, as it wants another version of the messages.

Change: the interval grows in proportion beyond 100 members, 690 s at 2,300. What gossip has missed is repaired later in a large fleet, twice in 690 s by exchange; probes and suspicions are as before.

--- a/src/main/java/beampoint/fleet/membership/Membership.java
+++ b/src/main/java/beampoint/fleet/membership/Membership.java
@@ -26,7 +26,7 @@
 
   private static final double REACH_OUT_EVERY = 1_000; // ms, to one that is held for dead
   private static final double EXCHANGE_EVERY = 30_000; // ms, with one that lives, in a fleet of usual size
-  private static final int USUAL_SIZE = 128; // members, up to which whole views are exchanged that often
+  private static final int USUAL_SIZE = 100; // members, up to which whole views are exchanged that often
 
   private final MemberTerms terms;
   private final UniformRandomProvider random;
@@ -137,12 +137,12 @@
   }
 
   /**
-   * Grows by one step with each doubling of the fleet. Guards against whole views that cost a member more
-   * than all its probes: each is as long as the fleet is large, and repairs only what gossip has missed.
+   * Grows with the fleet beyond the usual size, so that whole views cost a member the same bytes a second in
+   * every larger one. Guards against views that take more than all control may: each is as long as the fleet
+   * is large, and repairs only what gossip has missed.
    */
   private double exchangeInterval() {
-    int doublings = Integer.SIZE - Integer.numberOfLeadingZeros((living() - 1) / USUAL_SIZE);
-    return EXCHANGE_EVERY * (1 + doublings);
+    return EXCHANGE_EVERY * Math.max(1, (double) living() / USUAL_SIZE);
   }
 
   /**
