Benchmark: a fleet's processes tell how many suspicions there were

Need: real members send up to 1.6 times the bytes of members in virtual time; whether news of suspicions make the difference was not seen.

Change: FleetProcesses counts the lines of suspicions in the first proxy's log.

--- a/src/benchmark/java/beampoint/benchmark/FleetProcesses.java
+++ b/src/benchmark/java/beampoint/benchmark/FleetProcesses.java
@@ -198,9 +198,16 @@
         mean(spent, s -> s.held.proportionalKb() / 1024.0), mean(spent, s -> s.held.descriptors()),
         mean(spent, s -> s.held.threads()));
     System.out.printf(Locale.ROOT, "  sent %.0f bytes a second (most %.0f) in %.1f messages, received %.0f;"
-        + " the whole fleet is known to %d; machine load %s%n", mean(spent, Spent::sentBytes),
+        + " the whole fleet is known to %d; the first was told of %d suspicions since its start; machine load"
+        + " %s%n", mean(spent, Spent::sentBytes),
         most(spent, Spent::sentBytes), mean(spent, Spent::messages), mean(spent, Spent::receivedBytes),
-        fleet ? knowAll() : 0, ProcessAccount.machineLoad());
+        fleet ? knowAll() : 0, suspicions(), ProcessAccount.machineLoad());
+  }
+
+  private long suspicions() throws IOException {
+    try (Stream<String> lines = Files.lines(directory.resolve(name(0) + ".log"))) {
+      return lines.filter(line -> line.contains(" is SUSPECT")).count();
+    }
   }
 
   /** How many last said that they share the load among all. */
