--- a/src/benchmark/java/beampoint/benchmark/FleetProcesses.java
+++ b/src/benchmark/java/beampoint/benchmark/FleetProcesses.java
@@ -29,7 +29,7 @@
   private static final int KNOWN_PEERS = 5;
   private static final int REQUESTS_A_SECOND = 2; // of each proxy
   private static final int STARTS_AT_ONCE = 10;
-  private static final long LONGEST_START_MS = 60_000;
+  private static final long MAX_START_MS = 60_000;
   private static final String SHARED_AMONG = "the load is shared among ";
   private static final long SETTLE_MS = 15_000; // until all know each other and the compiler is quiet
 
@@ -81,7 +81,6 @@
   }
 
   private List<Spent> run(long windowMs) throws Exception {
-    Runtime.getRuntime().addShutdownHook(new Thread(this::endAll));
     try {
       startAll();
       Thread load = new Thread(this::load, "load");
@@ -121,11 +120,11 @@
       }
       proxies.add(ServeProcess.start(directory, name(i), config));
       if (proxies.size() % STARTS_AT_ONCE == 0) {
-        proxies.get(i).awaitReady(LONGEST_START_MS);
+        proxies.get(i).awaitReady(MAX_START_MS);
       }
     }
     for (ServeProcess proxy : proxies) {
-      proxy.awaitReady(LONGEST_START_MS);
+      proxy.awaitReady(MAX_START_MS);
     }
   }
 
@@ -192,9 +191,9 @@
   }
 
   private void print(List<Spent> spent) throws IOException {
-    System.out.printf(Locale.ROOT, "%d processes, %s: processor %.2f ms a second (most %.2f),"
-        + " resident %.1f MB (most %.1f), shared pages divided %.1f MB, %.0f descriptors, %.0f threads%n",
-        size, fleet ? "members" : "alone", mean(spent, Spent::cpuMs), most(spent, Spent::cpuMs),
+    System.out.printf(Locale.ROOT, "%d processes, %s: processor %.2f ms a second (most %.2f), resident"
+        + " %.1f MB (most %.1f), shared pages divided %.1f MB, %.0f descriptors, %.0f threads%n", size,
+        fleet ? "members" : "alone", mean(spent, Spent::cpuMs), most(spent, Spent::cpuMs),
         mean(spent, s -> s.held.residentKb() / 1024.0), most(spent, s -> s.held.residentKb() / 1024.0),
         mean(spent, s -> s.held.proportionalKb() / 1024.0), mean(spent, s -> s.held.descriptors()),
         mean(spent, s -> s.held.threads()));
--- a/src/main/java/beampoint/discovery/Watch.java
+++ b/src/main/java/beampoint/discovery/HostListWatcher.java
@@ -37,7 +37,7 @@
  * for again after a wait that grows and is scattered, lest all proxies come back at once. Belongs to the
  * decision thread.
  */
-public final class Watch {
+public final class HostListWatcher {
 
   private static final Log LOG = Log.of("discovery");
   /** The heartbeat time-out: an empty line comes every 2 s, and what it should tell counts after 6 s. */
@@ -45,7 +45,7 @@
   /** Until an answer begins, with its connection: who answers at all does so at once. */
   public static final long ANSWER_TIMEOUT_MS = 200;
   private static final long FIRST_BACKOFF_MS = 100;
-  static final long LONGEST_BACKOFF_MS = 150; // what is told counts soon after it could be heard
+  static final long MAX_BACKOFF_MS = 150; // what is told counts soon after it could be heard
   private static final long PAUSE_MS = 1;
   private static final int MAX_LATE_CALLS = 6; // without an answer that are read on
   /** Of one list: 4,096 entries of 512 bytes, as indented ones with long names have. */
@@ -66,7 +66,7 @@
   private Call before; // at the address that was left, until the new one has brought something
   private final Set<Call> late = new LinkedHashSet<>(); // without an answer, beside those made after them
   private long wait = FIRST_BACKOFF_MS;
-  private Runnable afterCall = () -> { }; // told of each outcome of a call
+  private Runnable afterCall = () -> {}; // told of each outcome of a call
 
   /** One watch, from its connection to its end. */
   private static final class Call {
@@ -85,7 +85,8 @@
   }
 
   /** The given call back is told of every list, {@code broken} of every end of a watch. */
-  public Watch(TCPNIOTransport transport, ScheduledExecutorService loop, Counters counters, Random random,
+  public HostListWatcher(TCPNIOTransport transport, ScheduledExecutorService loop, Counters counters,
+      Random random,
       InetSocketAddress address, long version, Consumer<HostList> listed, Runnable broken,
       long silenceMs, long answerMs) {
     this.loop = loop;
@@ -182,7 +183,7 @@
   /** Asks again after a while; every wait without a word between is longer. */
   public void followLater() {
     long scattered = wait / 2 + (long) (random.nextDouble() * wait);
-    wait = Math.min(LONGEST_BACKOFF_MS, wait * 2);
+    wait = Math.min(MAX_BACKOFF_MS, wait * 2);
     loop.schedule(() -> {
       if (call == null) {
         follow();
--- a/src/main/java/beampoint/fleet/membership/Membership.java
+++ b/src/main/java/beampoint/fleet/membership/Membership.java
@@ -25,7 +25,8 @@
 public final class Membership {
 
   private static final double REACH_OUT_EVERY = 1_000; // ms, to one that is held for dead
-  private static final double EXCHANGE_EVERY = 30_000; // ms, with one that lives
+  private static final double EXCHANGE_EVERY = 30_000; // ms, with one that lives, in a fleet of usual size
+  private static final int USUAL_SIZE = 128; // members, up to which whole views are exchanged that often
 
   private final MemberTerms terms;
   private final UniformRandomProvider random;
@@ -129,12 +130,21 @@
       table.dead().draw(1, random, null).forEach(peer -> gossip.send(peer, Kind.PING, 0, ""));
     }
     if (now >= exchangeAt) {
-      exchangeAt = now + EXCHANGE_EVERY;
+      exchangeAt = now + exchangeInterval();
       table.living().draw(1, random, null).forEach(peer -> gossip.exchange(peer, now));
     }
     gossip.tick();
   }
 
+  /**
+   * Grows by one step with each doubling of the fleet. Guards against whole views that cost a member more
+   * than all its probes: each is as long as the fleet is large, and repairs only what gossip has missed.
+   */
+  private double exchangeInterval() {
+    int doublings = Integer.SIZE - Integer.numberOfLeadingZeros((living() - 1) / USUAL_SIZE);
+    return EXCHANGE_EVERY * (1 + doublings);
+  }
+
   /**
    * Who hears nobody is suspected before long, and will not hear of it: it refutes ahead, under ever higher
    * incarnations, and tells the others not to wait for its answers.
@@ -168,18 +178,28 @@
     }
     sender.heardAt = now;
     sender.said = Math.max(sender.said, message.from().incarnation());
+    boolean wasHeldForGone = message.news().stream().anyMatch(this::saysThisIsGone);
     message.news().forEach(this::learn);
+    if (wasHeldForGone) {
+      gossip.exchange(sender, now); // what else it missed; and the sender may hold others for gone as well
+    }
     switch (message.kind()) {
       case PING -> gossip.send(sender, Kind.ACK, message.number(), message.about());
       case ACK -> prober.answered(message);
       case RELAY -> prober.relay(sender, message, now);
-      default -> { }
+      default -> {
+      }
     }
     if ((sender.isBehind() || !sender.isLiving()) && message.kind() != Kind.ACK) {
       gossip.send(sender, Kind.GOSSIP, 0, ""); // it is told what is said of it, and refutes
     }
   }
 
+  private boolean saysThisIsGone(News news) {
+    return news.member().equals(local.name()) && !Peer.isLiving(news.status())
+        && news.incarnation() >= local.news().incarnation();
+  }
+
   private void learn(News news) {
     if (news.member().equals(local.name())) {
       learnOfItself(news);
@@ -190,6 +210,9 @@
       learnOfNew(news);
     } else if (news.status() == Status.SUSPECT) {
       suspicions.suspect(peer, news.incarnation(), news.by(), now);
+    } else if (news.status() == Status.DEAD && peer.news.status() == Status.ALIVE) {
+      // Its suspicion was not heard of, so this may come from the other side of a cut.
+      prober.askAbout(peer, news);
     } else if (news.overrides(peer.news)) {
       learnOfChange(peer, news);
     }
@@ -215,15 +238,10 @@
   }
 
   private void learnOfChange(Peer peer, News news) {
-    boolean isAlive = news.status() == Status.ALIVE;
-    boolean returns = !peer.isLiving() && isAlive;
-    if (isAlive) {
+    if (news.status() == Status.ALIVE) {
       peer.freshAt = now;
     }
     suspicions.clear(peer, news);
-    if (returns) {
-      gossip.exchange(peer, now);
-    }
   }
 
   /** Ends in order. */
--- a/src/main/java/beampoint/upstream/ConnectionPools.java
+++ b/src/main/java/beampoint/upstream/ConnectionPools.java
@@ -46,7 +46,7 @@
     void lost(PooledConnection link, boolean orderly);
 
     /** The connection's flight, of which nothing was written, can't go there any more. */
-    void barred(InFlight flight);
+    void unreachable(InFlight flight);
   }
 
   private static final double SETTLE_MS = 8; // after an answer, in which a second one may come
@@ -125,7 +125,7 @@
   }
 
   /** Sets how long a connection may take to be made, and after how long peers close an idle one. */
-  void retime(double connect, double idle) {
+  void setTimeouts(double connect, double idle) {
     connectTimeout = connect;
     // Guards against a request that crosses the cache node's own closing of an idle connection.
     idleTime = idle - Math.min(idle / 2, Math.max(idle / 10, 2 * connect));
@@ -173,7 +173,7 @@
       InFlight flight = link.flight;
       link.flight = null; // the connection may still be made
       if (flight != null) {
-        user.barred(flight);
+        user.unreachable(flight);
       }
     }
   }
