--- a/src/test/java/beampoint/emulator/MemberScaleStudy.java
+++ b/src/test/java/beampoint/emulator/MemberScaleStudy.java
@@ -36,7 +36,7 @@
   private static final MemberTerms TERMS = MemberTerms.usual();
   private static final double LOSS = 0.01;
   private static final double MEASURED_FROM = 10_000; // ms
-  private static final double MEASURED_TO = 40_000; // so that each member's exchange is in it once
+  private static final double MEASURED_TO = 700_000; // so that the exchange of each of 2,300 members is in it
   private static final int CRASHES = 2;
   private static final double AFTER_CRASH = 7_000; // ms
   private static final int REPLAYED_MEMBERS = 8;
