--- /dev/null
+++ b/src/test/java/beampoint/discovery/HostListWatcherFixture.java
@@ -0,0 +1,77 @@
+package beampoint.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Stub;
+import beampoint.count.Counters;
+import beampoint.settings.Address;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+
+/** A watch of the list against a scripted discovery, what it brings, and its waits between calls. */
+abstract class HostListWatcherFixture {
+
+  static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  private static final long SHORTEST_TIME_OUT = 1500; // of a watch, in the tests that look at its waits
+
+  final TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance().build();
+  final List<Long> waits = Collections.synchronizedList(new ArrayList<>());
+  final ScheduledExecutorService loop =
+      new ScheduledThreadPoolExecutor(1, new ThreadPoolExecutor.DiscardPolicy()) {
+        @Override
+        public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
+          if (unit == TimeUnit.MILLISECONDS && delay > 0 && delay < SHORTEST_TIME_OUT) {
+            waits.add(delay);
+          }
+          return super.schedule(task, delay, unit);
+        }
+      };
+  final LinkedBlockingQueue<HostList> lists = new LinkedBlockingQueue<>();
+  final Counters counters = new Counters();
+  HostListWatcher watch;
+
+  @BeforeEach
+  void start() throws Exception {
+    transport.start();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    transport.shutdownNow();
+    loop.shutdownNow();
+  }
+
+  void follow(Stub discovery, long silenceMs) {
+    watch =
+        new HostListWatcher(transport, loop, counters, new Random(1), Address.parse(discovery.address()), 41,
+            lists::add, () -> watch.followLater(), silenceMs, silenceMs / 2);
+    loop.execute(watch::follow);
+  }
+
+  HostList next() throws InterruptedException {
+    HostList list = lists.poll(5, TimeUnit.SECONDS);
+    assertTrue(list != null, "no list came");
+    return list;
+  }
+
+  static String list(long version, boolean whole, String hosts) {
+    return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":[" + hosts + "]}\n";
+  }
+
+  static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+}
