--- a/src/test/java/beampoint/discovery/WatchLimitsTest.java
+++ b/src/test/java/beampoint/discovery/HostListLimitsTest.java
@@ -21,7 +21,7 @@
 
 /** How long a list may be. */
 @Timeout(60)
-class WatchLimitsTest {
+class HostListLimitsTest {
 
   private final TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance()
       .setIOStrategy(SameThreadIOStrategy.getInstance()).build();
--- a/src/test/java/beampoint/discovery/WatchMoveTest.java
+++ b/src/test/java/beampoint/discovery/HostListMoveTest.java
@@ -4,47 +4,21 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Stub;
-import beampoint.count.Counters;
 import beampoint.settings.Address;
 import java.io.IOException;
 import java.util.Random;
-import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /** Discovery moves: what the new address has counts as told 4 s after the SIGHUP. */
 @Timeout(30)
-class WatchMoveTest {
+class HostListMoveTest extends HostListWatcherFixture {
 
   private static final long COUNTS_AS_TOLD_MS = 4_000;
-  private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-  private final TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance().build();
-  private final ScheduledExecutorService loop = Executors.newSingleThreadScheduledExecutor();
-  private final LinkedBlockingQueue<HostList> lists = new LinkedBlockingQueue<>();
-  private HostListWatcher watch;
-
-  @BeforeEach
-  void start() throws IOException {
-    transport.start();
-  }
-
-  @AfterEach
-  void stop() throws IOException {
-    transport.shutdownNow();
-    loop.shutdownNow();
-  }
 
   private static void tell(Stub.Peer peer, int version) throws IOException, InterruptedException {
-    String list = "{\"seq\":" + version + ",\"whole\":true,\"hosts\":[]}\n";
-    peer.say(HEAD + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+    peer.say(HEAD + chunk(list(version, true, "")));
     peer.beSilent();
   }
 
@@ -63,7 +37,7 @@
         default -> tell(peer, 44);
       }
     })) {
-      watch = new HostListWatcher(transport, loop, new Counters(), new Random(1),
+      watch = new HostListWatcher(transport, loop, counters, new Random(1),
           Address.parse(old.address()), 41,
           lists::add, () -> watch.followLater(), HostListWatcher.HEARTBEAT_TIMEOUT_MS,
           HostListWatcher.ANSWER_TIMEOUT_MS);
