--- a/src/main/java/beampoint/fleet/transport/Views.java
+++ b/src/main/java/beampoint/fleet/transport/Views.java
@@ -34,8 +34,9 @@
 public final class Views {
 
   /**
-   * Exchanges that may be open at once, whoever began them. Each member begins one in 30 s with a member that
-   * it draws, so in a fleet of any size about one in 30 s comes to each, and lasts milliseconds. What is more
+   * Exchanges that may be open at once, whoever began them. Each member begins one in 30 s, less often in a
+   * fleet of over a hundred, with a member that it draws, so about as many come to each, and last
+   * milliseconds. What is more
    * would take descriptors and, at 1.3 MB a view, memory that requests need; who is turned away asks another
    * member at its next turn, and hears of changes by datagrams meanwhile.
    */
