A stop between a pass's work and the next selection is seen

What callers saw: nothing yet; by the code a request of a client that asked and left in a stop of the process that lies between the end of a pass's work and the next selection could be begun after its client's close, and count as fresh.

Cause: SelectorPasses measured the work of a pass by itself, so that time after it belonged to nothing, and took a selection of over 1 ms for one that had waited.

Change: a pass lasts from the end of one selection to the begin of the next, by one reading of the clock, which also decides that the selection after a stalled pass does not wait. So what it finds came in that pass, and all is read once more. workHeldUp, worked and the rule of 1 ms go.

Test: aStopBetweenWorkAndSelectionIsSeen forces the crossing with selections of 0 to 20 ms. The calls of worked() in the other tests became the time at which the next selection begins; each still asserts that it does not wait.

--- a/src/main/java/beampoint/serve/Loop.java
+++ b/src/main/java/beampoint/serve/Loop.java
@@ -59,13 +59,12 @@
     public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
       selector = runner.getSelector();
       thread = Thread.currentThread();
-      long wait = runner.getPostponedTasks().isEmpty() ? untilNext() : 0;
-      long longestMs = wait <= 0 ? 0
-          : Math.min(SelectorPasses.LONGEST_WAIT_MS, TimeUnit.NANOSECONDS.toMillis(wait) + 1);
       long askedAt = System.nanoTime();
+      long untilNext = runner.getPostponedTasks().isEmpty() ? untilNext(askedAt) : 0;
+      long longestMs = passes.longestWaitMs(askedAt, untilNext);
       int found = longestMs == 0 ? selector.selectNow() : selector.select(longestMs);
       passes.selected(askedAt, TimeUnit.MILLISECONDS.toNanos(longestMs), System.nanoTime());
-      if (found == 0 && passes.selectionWasHeldUp()) {
+      if (found == 0 && passes.selectionWasStalled()) {
         selector.selectNow(); // a wait that is over ends without what came while the process was stopped
       }
       tasks.addAll(afterNextRead);
@@ -100,17 +99,16 @@
   }
 
   /** How long nothing is due, in ns. */
-  private long untilNext() {
-    if (passes.isHurried() || !tasks.isEmpty() || !afterNextRead.isEmpty() || !newTimers.isEmpty()) {
+  private long untilNext(long now) {
+    if (!tasks.isEmpty() || !afterNextRead.isEmpty() || !newTimers.isEmpty()) {
       return 0;
     }
-    return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().dueAt - System.nanoTime();
+    return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().dueAt - now;
   }
 
   /**
-   * Runs what is due. Guards against starting work for clients whose end lies unread: a long backlog lets the
-   * selector have its turn between, and where the thread was held up all is read once more first, as an end
-   * may stand behind what was read.
+   * Runs what is due. A long backlog lets the selector have its turn between, and where the thread was
+   * stalled all is read once more first: no work is to be begun for clients whose end lies unread.
    */
   private void runAll() {
     long begun = System.nanoTime();
@@ -131,7 +129,6 @@
         tasks.add(timer::fire); // behind what was read before
       }
     }
-    passes.worked(begun, System.nanoTime());
   }
 
   /** True where nothing is left when the time is over. */
--- a/src/main/java/beampoint/serve/SelectorPasses.java
+++ b/src/main/java/beampoint/serve/SelectorPasses.java
@@ -1,9 +1,12 @@
 package beampoint.serve;
 
+import java.util.concurrent.TimeUnit;
+
 /**
- * What the decision thread knows of its passes: when what a selection found can have come, and whether
- * all has to be read once more before anything is begun, as the thread was held up. All times are by
- * {@link System#nanoTime()}. A pure state machine, of one thread.
+ * What the decision thread knows of its passes: how long a selection may wait, when what it found can have
+ * come, and whether all has to be read once more before anything is begun, as the thread was stalled. A pass
+ * lasts from the end of one selection to the begin of the next. All times are by {@link System#nanoTime()}. A
+ * pure state machine, of one thread.
  */
 final class SelectorPasses {
 
@@ -13,34 +16,46 @@
    */
   static final long LONGEST_WAIT_MS = 50;
 
-  private static final long HELD_UP_NANOS = 20_000_000; // by which a pass or a wait took longer
-  private static final long WAITED_NANOS = 1_000_000; // a selection that took longer had to wait
+  private static final long STALL_NANOS = 20_000_000; // by which a pass or a wait took longer
 
   private long number; // of selections so far
   private long foundAt; // the end of the last selection
   private long arrivedSince; // at the earliest, what it found
-  private boolean selectionHeldUp;
-  private boolean workHeldUp; // in the last pass
-  private boolean readsAgain; // all that is ready, since the thread was held up
+  private boolean stalled; // the last selection, or the pass before it
+  private boolean selectionStalled;
+  private boolean readsAgain; // all that is ready, since the thread was stalled
 
   SelectorPasses(long now) {
     foundAt = now;
     arrivedSince = now;
   }
 
+  private boolean passStalled(long endedAt) {
+    return endedAt - foundAt > STALL_NANOS;
+  }
+
   /**
-   * A selection has ended. What it found came at its end, or in a pass before it that was held up, or, where
-   * the selection took longer than it was to wait, at any time in it. Guards against requests that count as
-   * fresh though they came while the process was stopped: a stop in a wait shows as a wait that is overrun.
+   * How many ms the next selection may wait, where nothing is due for so many ns. After a pass that was
+   * stalled it does not wait, so that what it finds can be told from what comes in a wait.
+   *
+   * @param askedAt when the selection begins, as it is told to {@link #selected}
    */
-  void selected(long askedAt, long longestNanos, long endedAt) {
-    boolean passHeldUp = askedAt - foundAt > HELD_UP_NANOS;
-    boolean hadWaited = longestNanos > 0 && endedAt - askedAt >= WAITED_NANOS;
-    selectionHeldUp = endedAt - askedAt > longestNanos + HELD_UP_NANOS;
-    long since = endedAt;
-    if (selectionHeldUp || passHeldUp && !hadWaited) {
-      since = passHeldUp ? foundAt : askedAt;
+  long longestWaitMs(long askedAt, long untilNextNanos) {
+    if (untilNextNanos <= 0 || readsAgain || passStalled(askedAt)) {
+      return 0;
     }
+    return Math.min(LONGEST_WAIT_MS, TimeUnit.NANOSECONDS.toMillis(untilNextNanos) + 1);
+  }
+
+  /**
+   * A selection has ended. What it found came at its end, or in a pass before it that was stalled, or, where
+   * the selection took longer than it was to wait, at any time in it.
+   */
+  void selected(long askedAt, long longestNanos, long endedAt) {
+    boolean passStalled = passStalled(askedAt);
+    selectionStalled = endedAt - askedAt > longestNanos + STALL_NANOS;
+    stalled = passStalled || selectionStalled;
+    long since = passStalled ? foundAt : selectionStalled ? askedAt : endedAt;
     if (!readsAgain || since - arrivedSince < 0) {
       arrivedSince = since;
     }
@@ -49,29 +64,17 @@
   }
 
   /**
-   * True once after the thread was held up: all that is ready is to be read again before work goes on. Guards
-   * against work for clients whose end lies unread behind what was read.
+   * True once after the thread was stalled: all that is ready is to be read again before work goes on, as a
+   * client's end may lie unread behind what was read.
    */
   boolean mustReadAgain(long now) {
-    boolean heldUp = selectionHeldUp || workHeldUp || now - foundAt > HELD_UP_NANOS;
-    readsAgain = heldUp && !readsAgain;
-    workHeldUp = false;
+    readsAgain = (stalled || passStalled(now)) && !readsAgain;
     return readsAgain;
   }
 
   /** True where the last selection took longer than it was to wait. */
-  boolean selectionWasHeldUp() {
-    return selectionHeldUp;
-  }
-
-  /** The work of a pass has been done. */
-  void worked(long begunAt, long endedAt) {
-    workHeldUp = endedAt - begunAt > HELD_UP_NANOS;
-  }
-
-  /** True where the next selection is not to wait. */
-  boolean isHurried() {
-    return readsAgain || workHeldUp;
+  boolean selectionWasStalled() {
+    return selectionStalled;
   }
 
   /** The number of the last selection. */
--- a/src/test/java/beampoint/serve/SelectorPassesTest.java
+++ b/src/test/java/beampoint/serve/SelectorPassesTest.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-/** When what a selection found can have come, and when all is read once more; all times in ms. */
+/** Guards against work for clients whose end lies unread after a stall; all times in ms. */
 class SelectorPassesTest {
 
   private final SelectorPasses passes = new SelectorPasses(0);
@@ -24,6 +24,11 @@
     return passes.mustReadAgain(nanos(at));
   }
 
+  /** How long a selection may wait where nothing is due. */
+  private long longestWait(double askedAt) {
+    return passes.longestWaitMs(nanos(askedAt), Long.MAX_VALUE);
+  }
+
   private void assertSince(double ms) {
     assertEquals(nanos(ms), passes.arrivedSince());
   }
@@ -33,7 +38,7 @@
     select(1, 50, 40);
     assertSince(40);
     assertFalse(readsAgain(41));
-    assertFalse(passes.isHurried());
+    assertEquals(SelectorPasses.LONGEST_WAIT_MS, longestWait(42));
   }
 
   @Test
@@ -41,7 +46,7 @@
     select(1, 50, 151);
     assertSince(1);
     assertTrue(readsAgain(152));
-    assertTrue(passes.isHurried());
+    assertEquals(0, longestWait(152.9));
     select(153, 0, 153.1);
     assertSince(1); // what this one found may have come as early
     assertFalse(readsAgain(154));
@@ -49,6 +54,20 @@
     assertSince(160);
   }
 
+  /** A stop of 150 ms between the end of a pass's work and the next selection, also a slow one. */
+  @Test
+  void aStopBetweenWorkAndSelectionIsSeen() {
+    for (double slow : new double[] {0, 0.5, 1, 5, 20}) {
+      SelectorPasses fresh = new SelectorPasses(0);
+      fresh.selected(0, nanos(50), nanos(10));
+      assertFalse(fresh.mustReadAgain(nanos(10.1))); // its work ends at 11, the stop at 161
+      assertEquals(0, fresh.longestWaitMs(nanos(161), Long.MAX_VALUE));
+      fresh.selected(nanos(161), 0, nanos(161 + slow));
+      assertEquals(nanos(10), fresh.arrivedSince(), "a selection of " + slow);
+      assertTrue(fresh.mustReadAgain(nanos(161 + slow)), "a selection of " + slow);
+    }
+  }
+
   /** A stop of 150 ms, whenever it begins, is seen: the longest wait ends well before it does. */
   @Test
   void aStopOf150MsIsSeenWheneverItBegins() {
@@ -66,8 +85,7 @@
   void whatIsFoundAfterALongPassCanHaveComeSinceTheSelectionBefore() {
     select(1, 50, 10);
     assertFalse(readsAgain(10));
-    passes.worked(nanos(10), nanos(100));
-    assertTrue(passes.isHurried());
+    assertEquals(0, longestWait(100)); // its work took 90
     select(100, 0, 105); // it was slow itself, and did not wait
     assertSince(10);
     assertTrue(readsAgain(105));
