Reading goes on whatever waits, so that a client's end is seen

Cause: reading was paused beyond 256 KB of waiting commands on a connection, or 4 MB in all, and an end stands behind the bytes before it.

Ruled out: to look past the bytes, for which Java has no call; a larger limit, which only moves the moment.

Change: commands wait up to 4 MB in all, as before; a request beyond that is told to the decision module as one that has no place, which refuses it at once with a time to come back. Only the place of the answer is kept (CommandBacklog), a run of equal answers as one; beyond 8 MB the connection that adds to it is ended with an error.

Tests that fail before: CloseCrossingTest.theEndOfAClientThatSentMoreThanMayWaitIsSeen ("no RequestGone came"), whatMayNotWaitIsRefusedInItsOrder, answersThatWaitAreBoundedToo. The test that 3,000 commands at once are all answered in their order is unchanged and passes.

--- a/src/main/java/beampoint/Balancer.java
+++ b/src/main/java/beampoint/Balancer.java
@@ -117,10 +117,17 @@
 
   /**
    * A client's request; one final answer is owed before notAfter. A key below 0 means that it has none. Again
-   * tells that its client marked it as asked before; many clients mark none.
+   * tells that its client marked it as asked before; many clients mark none. Overflow tells that the proxy
+   * has no memory to let it wait: it can only be refused.
    */
   record RequestReceived(long id, double notAfter, int tenant, int requestClass, long key, boolean write,
-      boolean again) implements Event {
+      boolean again, boolean overflow) implements Event {
+
+    /** One that can wait. */
+    public RequestReceived(long id, double notAfter, int tenant, int requestClass, long key, boolean write,
+        boolean again) {
+      this(id, notAfter, tenant, requestClass, key, write, again, false);
+    }
 
     /** From a client that marks nothing. */
     public RequestReceived(long id, double notAfter, int tenant, int requestClass, long key, boolean write) {
--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -2,12 +2,9 @@
 
 import beampoint.buffer.Stream;
 import beampoint.count.Counter;
-import beampoint.count.Counters;
-import beampoint.exchange.Answer;
 import beampoint.exchange.Exchange;
-import beampoint.exchange.Intake;
 import beampoint.memcache.Command;
-import beampoint.memcache.Writer;
+import beampoint.memcache.Command.Kind;
 import beampoint.transport.LingeringClose;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -34,24 +31,12 @@
     private boolean ends; // the connection, once this answer is written
   }
 
-  /** A command that came before there was room for it, and when. */
-  private record Waiting(Command command, double readAt) {
-
-    int bytes() {
-      return command.size() + WAITING_COST;
-    }
-  }
-
   private static final int MAX_OPEN = 32; // commands begun and not answered
-  private static final int WAITING_COST = 512; // in bytes, of a command beside those of its own
-  private static final int MAX_WAITING_BYTES = 256 * 1024; // from which on reading is paused
 
   private final Connection<SocketAddress> connection;
   private final Sessions sessions;
   private final Deque<Slot> slots = new ArrayDeque<>();
-  private final Deque<Waiting> waiting = new ArrayDeque<>(); // commands that are not begun yet
-  private int waitingBytes; // of these
-  private boolean paused; // reading, as too much waits
+  private final CommandBacklog backlog = new CommandBacklog();
   private final CompletionHandler<WriteResult<Buffer, SocketAddress>> written =
       new EmptyCompletionHandler<>() {
         @Override
@@ -130,8 +115,8 @@
   }
 
   /**
-   * Takes a command that was read. Guards against a client that sends many at once and goes: beyond a number
-   * they wait here, while reading goes on and so sees its end, and are dropped with it.
+   * Takes a command that was read. Beyond a number that is open it waits for its turn, and is dropped with
+   * the connection's end; where too much waits already it is answered at once.
    */
   void command(Command command, double readAt) {
     if (closed || ended || left) {
@@ -140,79 +125,115 @@
     }
     spoke |= command.problem() == null;
     restsSince = readAt;
-    if (waiting.isEmpty() && slots.size() + unwritten < MAX_OPEN) {
+    if (backlog.isEmpty() && hasRoom()) {
       begin(command, readAt);
-      return;
+    } else if (sessions.backlogsAreFull() && command.kind() != Kind.QUIT && command.kind() != Kind.FATAL) {
+      sessions.countBacklog(backlog.addAnswered(answerAtOnce(command)));
+      endWhereTooMuchWaits();
+    } else {
+      sessions.countBacklog(backlog.add(command.apart(sessions.memory()), readAt));
+      endWhereTooMuchWaits();
     }
-    Waiting late = new Waiting(command.apart(sessions.memory()), readAt);
-    waiting.add(late);
-    count(late.bytes());
-    if (!paused && (waitingBytes > MAX_WAITING_BYTES || sessions.manyWait())) {
-      paused = true;
-      sessions.read(connection, false);
+  }
+
+  private boolean hasRoom() {
+    return slots.size() + unwritten < MAX_OPEN;
+  }
+
+  /** Answers that wait take memory too, unless they are alike. */
+  private void endWhereTooMuchWaits() {
+    if (sessions.backlogsAreOverfull()) {
+      sessions.drop(connection);
+      sessions.countBacklog(backlog.add(Command.fatal("SERVER_ERROR too many commands"), sessions.now()));
     }
   }
 
-  private void count(int bytes) {
-    waitingBytes += bytes;
-    sessions.countWaiting(bytes);
+  private String answerAtOnce(Command command) {
+    if (!command.isRequest()) {
+      return answer(command);
+    }
+    String problem = problem(command);
+    return problem != null ? problem : AnswerWords.ownWord(sessions.intake().refuse(command));
   }
 
   /** Begins what waits, as far as there is room. */
   private void beginWaiting() {
-    while (!closed && !waiting.isEmpty() && slots.size() + unwritten < MAX_OPEN) {
-      Waiting next = waiting.poll();
-      count(-next.bytes());
-      if (ended) {
-        next.command.release();
-      } else {
-        begin(next.command, next.readAt);
+    while (!closed && !backlog.isEmpty() && hasRoom()) {
+      CommandBacklog.Entry next = backlog.poll();
+      sessions.countBacklog(-backlog.freedBy(next));
+      if (next instanceof CommandBacklog.Waiting waiting && ended) {
+        waiting.command().release();
+      } else if (next instanceof CommandBacklog.Waiting waiting) {
+        begin(waiting.command(), waiting.readAt());
+      } else if (next instanceof CommandBacklog.Answered answered && !ended) {
+        add(answered.line());
       }
     }
-    if (paused && (waiting.isEmpty() || waitingBytes <= MAX_WAITING_BYTES / 2 && !sessions.manyWait())) {
-      paused = false;
-      sessions.read(connection, true);
-    }
   }
 
   private void begin(Command command, double readAt) {
-    Slot slot = new Slot();
-    slots.add(slot);
-    Writer writer = sessions.writer();
-    Intake intake = sessions.intake();
-    Counters counters = sessions.counters();
     switch (command.kind()) {
-      case READ, WRITE -> request(slot, command, readAt);
-      case READY -> slot.answer = writer.line(intake.isReady() ? "MN" : "SERVER_ERROR not ready");
-      case STATS -> slot.answer = writer.line(stats(counters));
-      case VERSION -> slot.answer = writer.line("VERSION beampoint");
+      case READ, WRITE -> {
+        Slot slot = new Slot();
+        slots.add(slot);
+        request(slot, command, readAt);
+        flush();
+      }
       case QUIT -> {
-        slots.removeLast();
         sessions.answered(connection);
         closing = true;
+        flush();
       }
       default -> {
-        counters.add(Counter.BAD_COMMANDS);
-        slot.answer = writer.line(command.problem());
-        ended = command.kind() == Command.Kind.FATAL;
-        slot.ends = ended;
+        ended = command.kind() == Kind.FATAL;
+        add(answer(command));
       }
     }
+  }
+
+  /** Adds an answer to those that are written in the order of the commands. */
+  private void add(String line) {
+    Slot slot = new Slot();
+    slot.answer = sessions.writer().line(line);
+    slot.ends = ended;
+    slots.add(slot);
     flush();
   }
 
-  private void request(Slot slot, Command command, double readAt) {
+  /** The answer to what is no request. */
+  private String answer(Command command) {
+    return switch (command.kind()) {
+      case READY -> sessions.intake().isReady() ? "MN" : "SERVER_ERROR not ready";
+      case STATS -> AnswerWords.stats(sessions.counters());
+      case VERSION -> "VERSION beampoint";
+      default -> {
+        sessions.counters().add(Counter.BAD_COMMANDS);
+        yield command.problem();
+      }
+    };
+  }
+
+  /** What is wrong with a request that is not taken, worded for its client, or null. */
+  private String problem(Command command) {
     String problem = sessions.intake().problem(command);
+    if (problem == null) {
+      return null;
+    }
+    command.release();
+    sessions.counters().add(Counter.BAD_COMMANDS);
+    return "CLIENT_ERROR " + problem;
+  }
+
+  private void request(Slot slot, Command command, double readAt) {
+    String problem = problem(command);
     if (problem != null) {
-      command.release();
-      sessions.counters().add(Counter.BAD_COMMANDS);
-      slot.answer = sessions.writer().line("CLIENT_ERROR " + problem);
+      slot.answer = sessions.writer().line(problem);
       return;
     }
     slot.command = command;
     slot.exchange = sessions.intake().take(command, readAt, () -> left, answer -> {
       slot.stream = answer.stream();
-      slot.answer = slot.stream == null ? encode(command, answer) : null;
+      slot.answer = slot.stream == null ? AnswerWords.message(sessions.writer(), command, answer) : null;
       if (closed && slot.stream != null) {
         slot.stream.cancel();
       }
@@ -220,26 +241,6 @@
     });
   }
 
-  private static String stats(Counters counters) {
-    StringBuilder text = new StringBuilder();
-    for (Counter counter : Counter.values()) {
-      text.append("STAT ").append(Counters.name(counter)).append(' ').append(counters.get(counter))
-          .append("\r\n");
-    }
-    return text.append("END").toString();
-  }
-
-  private Buffer encode(Command command, Answer answer) {
-    Writer writer = sessions.writer();
-    return switch (answer.kind()) {
-      case VALUE -> writer.value(command.id(), answer.body());
-      case RECEIPT -> writer.receipt(command.id(), answer.body());
-      case REFUSED -> writer.line(answer.waitMs() > 0 ? "SERVER_ERROR busy " + answer.waitMs()
-          : "SERVER_ERROR busy");
-      case FAILED -> writer.line("SERVER_ERROR failed");
-    };
-  }
-
   /** Writes the answers that are next in the order of the commands. */
   private void flush() {
     while (!slots.isEmpty() && slots.peek().answer != null) {
@@ -258,7 +259,7 @@
     // client sends it again elsewhere, carried out twice. What comes after the close is not begun.
     if (closing && !closed && slots.isEmpty() && (ended || sessions.pending(connection) == unwritten)) {
       closed = true;
-      dropWaiting();
+      dropBacklog();
       sessions.drop(connection);
       if (makesRoom && unfinished == 0 && sessions.now() - movedAt > LingeringClose.LINGER_MS) {
         connection.terminateSilently(); // no answer is on its way that a reset could take with it
@@ -281,10 +282,8 @@
     return closed && lingers && sessions.now() - lingersSince >= time;
   }
 
-  private void dropWaiting() {
-    waiting.forEach(late -> late.command.release());
-    waiting.clear();
-    count(-waitingBytes);
+  private void dropBacklog() {
+    sessions.countBacklog(-backlog.clear());
   }
 
   private void write(Buffer message, CompletionHandler<WriteResult<Buffer, SocketAddress>> handler) {
@@ -382,7 +381,7 @@
   void closed() {
     closed = true;
     lingers = true; // nothing is left to be closed
-    dropWaiting();
+    dropBacklog();
     for (Slot slot : slots) {
       if (slot.exchange != null) {
         sessions.intake().gone(slot.exchange);
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -39,7 +39,8 @@
 public final class Sessions {
 
   private static final Log LOG = Log.of("client");
-  private static final int MAX_WAITING_BYTES = 4 * 1024 * 1024; // of commands not begun, on all connections
+  private static final int FULL_BACKLOG_BYTES = 4 * 1024 * 1024; // of what is not begun, on all connections
+  private static final int OVERFULL_BACKLOG_BYTES = 8 * 1024 * 1024; // with the answers that wait behind it
   private static final long SWEEP_MS = 250;
   private static final double SILENCE_MS = 2500; // before the first command, or in the middle of one
   private static final double STALL_MS = 10_000; // of a client that does not read its answers
@@ -63,7 +64,7 @@
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("pending-commands", AtomicInteger::new);
   private final CommandFilter codec;
   private double halfCommandsUntil;
-  private int waitingBytes; // of commands that are read and not begun
+  private int backlogBytes; // of what is read and not begun
 
   public Sessions(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
       Arrivals arrivals, Intake intake, Counters counters, Budget budget) {
@@ -245,31 +246,24 @@
     pending.get(connection).decrementAndGet();
   }
 
-  /** Reads a connection on, or pauses that: its end is not seen meanwhile. */
-  void read(Connection<?> connection, boolean on) {
-    try {
-      if (on) {
-        connection.enableIOEvent(IOEvent.READ);
-      } else {
-        connection.disableIOEvent(IOEvent.READ);
-      }
-    } catch (IOException e) {
-      connection.terminateSilently();
-    }
-  }
-
   /** What comes on a connection from here on is not begun. */
   void drop(Connection<?> connection) {
     codec.drop(connection);
   }
 
-  void countWaiting(int bytes) {
-    waitingBytes += bytes;
+  /** More or fewer bytes wait on a connection. */
+  void countBacklog(int bytes) {
+    backlogBytes += bytes;
+  }
+
+  /** True where what waits takes up as much memory as it may: a further command is answered at once. */
+  boolean backlogsAreFull() {
+    return backlogBytes > FULL_BACKLOG_BYTES;
   }
 
-  /** True where the commands that wait take up too much memory. */
-  boolean manyWait() {
-    return waitingBytes > MAX_WAITING_BYTES;
+  /** True where even the places of answers take too much: the connection that adds one is ended. */
+  boolean backlogsAreOverfull() {
+    return backlogBytes > OVERFULL_BACKLOG_BYTES;
   }
 
   MemoryManager<?> memory() {
--- a/src/main/java/beampoint/exchange/Intake.java
+++ b/src/main/java/beampoint/exchange/Intake.java
@@ -16,6 +16,9 @@
   /** Takes a request that had come whole at the given time; left tells that its client has gone. */
   Exchange take(Command command, double readAt, BooleanSupplier left, Consumer<Answer> client);
 
+  /** Answers a request at once for which there is no place, and which so can only be refused. */
+  Answer refuse(Command command);
+
   /** The client of a request has left. */
   void gone(Exchange exchange);
 }
--- a/src/main/java/beampoint/memcache/Command.java
+++ b/src/main/java/beampoint/memcache/Command.java
@@ -18,6 +18,11 @@
     READ, WRITE, READY, STATS, VERSION, QUIT, BAD, FATAL
   }
 
+  /** What is answered with a problem, and ends the connection. */
+  public static Command fatal(String problem) {
+    return of(Kind.FATAL, problem);
+  }
+
   static Command of(Kind kind, String problem) {
     return new Command(kind, null, null, null, null, null, null, 0, false, problem, null);
   }
--- a/src/main/java/beampoint/policy/BalancerPolicy.java
+++ b/src/main/java/beampoint/policy/BalancerPolicy.java
@@ -163,7 +163,7 @@
   /** A read goes to its cache, a write to the origin; so does a read while any cache may drain. */
   private void dispatch(Request r) {
     boolean skipsCaches = r.write && facts.settings.originKind() >= 0 || facts.listUnconfirmed;
-    Node node = skipsCaches ? openOrigin(r) : pick(r);
+    Node node = r.overflow ? null : skipsCaches ? openOrigin(r) : pick(r);
     if (node == null || node.origin || !ask(r, node)) {
       sendOrGiveUp(r, node);
     }
--- a/src/main/java/beampoint/policy/state/Request.java
+++ b/src/main/java/beampoint/policy/state/Request.java
@@ -19,6 +19,8 @@
   public final boolean write;
   /** Between 0 and 1: drawn once, so that asking twice gives one answer. */
   public final double luck;
+  /** There is no memory to let it wait. */
+  public final boolean overflow;
   /** It is worth little: beyond its tenant's share, or asked again after its aim. */
   public boolean yields;
   public int bucket;
@@ -50,6 +52,7 @@
     this.usefulUntil = type.lateWorth() > 0 ? deadline : Math.min(aimAt, deadline);
     this.key = event.key();
     this.write = event.write();
+    this.overflow = event.overflow();
     this.luck = luck;
   }
 }
--- a/src/main/java/beampoint/serve/Decisions.java
+++ b/src/main/java/beampoint/serve/Decisions.java
@@ -29,6 +29,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -125,12 +126,8 @@
   @Override
   public Exchange take(Command command, double readAt, BooleanSupplier left, Consumer<Answer> client) {
     int requestClass = directory.requestClass(command);
-    double notAfter = readAt + command.waitMs();
-    Exchange exchange = new Exchange(++lastId, command, notAfter, settings.limits().maxAttempts(), left,
-        client, counters);
-    counters.add(Counter.REQUESTS_TAKEN);
-    exchanges.put(exchange.id(), exchange);
-    idsInUse.add(id(command));
+    Exchange exchange = open(command, readAt + command.waitMs(), left, client);
+    double notAfter = exchange.notAfter();
     // Queued, as its place in the order of answers must stand before the module may answer.
     loop.execute(() -> {
       failLateAfter(notAfter + LATE_MS - clock.getAsDouble(), exchange, notAfter);
@@ -140,14 +137,39 @@
     return exchange;
   }
 
+  @Override
+  public Answer refuse(Command command) {
+    AtomicReference<Answer> answer = new AtomicReference<>();
+    Exchange exchange = open(command, clock.getAsDouble() + command.waitMs(), () -> false, answer::set);
+    tell(exchange, directory.requestClass(command), true);
+    if (!exchange.isOver()) {
+      close(exchange, Answer.FAILED);
+      give(new RequestGone(exchange.id()));
+    }
+    return answer.get();
+  }
+
+  private Exchange open(Command command, double notAfter, BooleanSupplier left, Consumer<Answer> client) {
+    Exchange exchange = new Exchange(++lastId, command, notAfter, settings.limits().maxAttempts(), left,
+        client, counters);
+    counters.add(Counter.REQUESTS_TAKEN);
+    exchanges.put(exchange.id(), exchange);
+    idsInUse.add(id(command));
+    return exchange;
+  }
+
   private void begin(Exchange exchange, int requestClass) {
-    if (!exchange.isWanted()) {
-      return; // the client has left: the module must not hear of its leaving first, and of it after that
+    if (exchange.isWanted()) { // else the module would hear of its leaving first, and of it after that
+      tell(exchange, requestClass, false);
     }
+  }
+
+  private void tell(Exchange exchange, int requestClass, boolean overflow) {
     Command command = exchange.command();
     exchange.told(clock.getAsDouble());
     give(new RequestReceived(exchange.id(), Math.min(exchange.notAfter(), endsBy), directory.tenant(command),
-        requestClass, Directory.key(command.key()), command.kind() == Command.Kind.WRITE, command.again()));
+        requestClass, Directory.key(command.key()), command.kind() == Command.Kind.WRITE, command.again(),
+        overflow));
   }
 
   /** Discovery was heard, or can't be for now: requests wait for its first list no longer. */
--- a/src/test/java/beampoint/policy/AdmissionTest.java
+++ b/src/test/java/beampoint/policy/AdmissionTest.java
@@ -9,6 +9,7 @@
 import beampoint.Balancer.EndpointState;
 import beampoint.Balancer.ListKind;
 import beampoint.Balancer.Refuse;
+import beampoint.Balancer.RequestReceived;
 import beampoint.Balancer.Result;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -78,4 +79,14 @@
     f.list(ListKind.FULL, List.of(Fixture.cache(1, EndpointState.DRAINING, 0)));
     assertTrue(Fixture.has(f.read(5), Refuse.class));
   }
+
+  @Test
+  void whatHasNoPlaceToWaitIsRefusedAtOnce() {
+    Fixture f = Fixture.busy(4);
+    for (boolean write : new boolean[] {false, true}) {
+      RequestReceived overflow =
+          new RequestReceived(f.nextId() + 1_000, f.now + 1_000, 0, 0, 5, write, false, true);
+      assertEquals(List.of(new Refuse(overflow.id(), 400)), f.balancer.handle(f.now, overflow));
+    }
+  }
 }
--- a/src/test/java/beampoint/serve/CloseCrossingTest.java
+++ b/src/test/java/beampoint/serve/CloseCrossingTest.java
@@ -26,6 +26,7 @@
 class CloseCrossingTest {
 
   private static final int LONG = 60_000;
+  private static final int MORE_THAN_MAY_WAIT = 20_000; // requests
 
   /** Guards against a close over bytes that nobody read: the system resets, and answers go with it. */
   @Test
@@ -74,6 +75,97 @@
     }
   }
 
+  /** Guards against attempts for a client that sent more than may wait, and has left. */
+  @Test
+  void theEndOfAClientThatSentMoreThanMayWaitIsSeen() throws Exception {
+    try (Stub cache = new Stub(Stub.Peer::beSilent);
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody())) {
+      proxy.sendTo("cache");
+      try (Client client = new Client(proxy)) {
+        client.say(reads(MORE_THAN_MAY_WAIT));
+        proxy.module.next(RequestReceived.class);
+      }
+      for (int i = 0; i < 32; i++) {
+        proxy.module.next(RequestGone.class);
+      }
+      assertEquals(32, proxy.proxy.counters().get(Counter.ATTEMPTS_SENT));
+      assertEquals(32, proxy.proxy.counters().get(Counter.REQUESTS_GONE));
+      assertEquals(0, proxy.proxy.held());
+    }
+  }
+
+  private static String reads(int count) {
+    StringBuilder flood = new StringBuilder();
+    for (int i = 0; i < count; i++) {
+      flood.append(READ.replace("O9b", "O" + i));
+    }
+    return flood.toString();
+  }
+
+  /** Guards against a proxy that holds all that a client sends: what may not wait is refused, in its order. */
+  @Test
+  void whatMayNotWaitIsRefusedInItsOrder() throws Exception {
+    CountDownLatch sent = new CountDownLatch(1);
+    try (Stub cache = new Stub(peer -> {
+      sent.await();
+      for (String line = peer.line(); line != null; line = peer.line()) {
+        peer.say("VA 0 " + line.split(" ")[3] + "\r\n\r\n");
+      }
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      client.say(reads(MORE_THAN_MAY_WAIT));
+      client.say("quit\r\n");
+      while (proxy.proxy.counters().get(Counter.ANSWERED_REFUSED) == 0) {
+        Thread.onSpinWait();
+      }
+      sent.countDown();
+      int refused = 0;
+      for (int i = 0; i < MORE_THAN_MAY_WAIT; i++) {
+        String line = client.line();
+        if (line.equals("SERVER_ERROR busy")) {
+          refused++;
+          assertTrue(i > 5_000, "4 MB hold some 7,500; refused: " + i);
+        } else {
+          assertEquals("VA 0 O" + i, line);
+          assertEquals("", client.line());
+        }
+      }
+      assertNull(client.line());
+      assertEquals(refused, proxy.proxy.counters().get(Counter.ANSWERED_REFUSED));
+      assertEquals(MORE_THAN_MAY_WAIT, proxy.proxy.counters().get(Counter.REQUESTS_TAKEN));
+    }
+  }
+
+  /** Guards against answers that take up the memory while they wait: who asks on without end is ended. */
+  @Test
+  void answersThatWaitAreBoundedToo() throws Exception {
+    CountDownLatch sent = new CountDownLatch(1);
+    try (Stub cache = new Stub(peer -> {
+      sent.await();
+      for (String line = peer.line(); line != null; line = peer.line()) {
+        peer.say("VA 0 " + line.split(" ")[3] + "\r\n\r\n");
+      }
+    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      client.say(reads(MORE_THAN_MAY_WAIT) + "mn\r\nversion\r\n".repeat(20_000));
+      while (proxy.proxy.counters().get(Counter.ANSWERED_REFUSED) == 0) {
+        Thread.onSpinWait();
+      }
+      sent.countDown();
+      String last = null;
+      int answers = 0;
+      for (String line = client.line(); line != null; line = client.line()) {
+        answers += line.isEmpty() ? 0 : 1;
+        last = line;
+      }
+      assertEquals("SERVER_ERROR too many commands", last);
+      assertTrue(answers > MORE_THAN_MAY_WAIT && answers < MORE_THAN_MAY_WAIT + 10_000,
+          "answers: " + answers);
+    }
+  }
+
   /** Guards against commands that wait behind others and are never begun, or come out of order. */
   @Test
   void manyRequestsAtOnceAreAllAnsweredInTheirOrder() throws Exception {
--- a/src/test/java/beampoint/serve/ProxyFixture.java
+++ b/src/test/java/beampoint/serve/ProxyFixture.java
@@ -179,11 +179,12 @@
     return Config.read("test", JsonParser.parseString(json).getAsJsonObject());
   }
 
-  /** Sends every request to one endpoint, and refuses what did not end there. */
+  /** Sends every request that may wait to one endpoint, and refuses what did not end there. */
   void sendTo(String endpoint) {
     module.script = event -> {
       if (event instanceof Balancer.RequestReceived e) {
-        return List.of(new Balancer.Send(e.id(), endpoint, 0));
+        return List
+            .of(e.overflow() ? new Balancer.Refuse(e.id(), 0) : new Balancer.Send(e.id(), endpoint, 0));
       }
       if (event instanceof Balancer.AttemptEnded e && !e.done()) {
         return List.of(new Balancer.Refuse(e.id(), 0));
