Requests that wait behind others are refused before a process ends

Cause: what is open is expired 0.1 s before the end. Each answer then makes room for one that waits behind it, which is begun and refused in its turn, and 0.1 s is too short for thousands of them.

Ruled out: a longer time after the expiry alone, as a SIGKILL may come 0.3 s after it.

Change: 0.2 s before the expiry all that waits is refused at once, 200 requests a task, and nothing waits from then on; the end waits for the answers to be written up to 0.1 s before a SIGKILL may come.

Test that fails before: ProxyLifecycleTest.whatWaitsBehindOthersIsAnsweredBeforeTheEnd (4,531 of 6,000 answered).

--- a/src/main/java/beampoint/client/CommandBacklog.java
+++ b/src/main/java/beampoint/client/CommandBacklog.java
@@ -3,6 +3,7 @@
 import beampoint.memcache.Command;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Function;
 
 /**
  * What came on one connection before there was room to begin it, in its order. Reading goes on meanwhile, as
@@ -61,6 +62,15 @@
     return waiting.bytes();
   }
 
+  /** True where a request waits that is not answered yet. */
+  boolean hasRequests() {
+    return entries.stream().anyMatch(CommandBacklog::isRequest);
+  }
+
+  private static boolean isRequest(Entry entry) {
+    return entry instanceof Waiting waiting && waiting.command().isRequest();
+  }
+
   /** Adds the place of an answer; returns the bytes that it takes, 0 behind another with the same line. */
   int addAnswered(String line) {
     if (entries.peekLast() instanceof Answered last && last.line.equals(line)) {
@@ -86,6 +96,28 @@
     return polled == entries.peek() ? 0 : polled.bytes();
   }
 
+  /**
+   * Answers the first of the requests that wait; returns by how many bytes less is taken.
+   *
+   * @param most how many are answered
+   * @param answers the line with which a request is answered at once
+   */
+  int answer(int most, Function<Command, String> answers) {
+    Deque<Entry> all = new ArrayDeque<>(entries);
+    entries.clear();
+    int freed = 0;
+    int left = most;
+    for (Entry entry : all) {
+      if (left > 0 && isRequest(entry)) {
+        left--;
+        freed += entry.bytes() - addAnswered(answers.apply(((Waiting) entry).command()));
+      } else {
+        entries.add(entry);
+      }
+    }
+    return freed;
+  }
+
   /** Lets all go; returns the bytes that it took. */
   int clear() {
     int freed = 0;
--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -2,7 +2,6 @@
 
 import beampoint.buffer.Stream;
 import beampoint.count.Counter;
-import beampoint.exchange.Exchange;
 import beampoint.memcache.Command;
 import beampoint.memcache.Command.Kind;
 import beampoint.transport.LingeringClose;
@@ -21,21 +20,12 @@
  */
 final class Session {
 
-  /** The place of one command's answer. */
-  private static final class Slot {
-    private Exchange exchange;
-    private Command command;
-    private Buffer answer;
-    private Stream stream; // in place of an answer, or of its rest
-    private boolean streams;
-    private boolean ends; // the connection, once this answer is written
-  }
-
   private static final int MAX_OPEN = 32; // commands begun and not answered
+  private static final int REFUSED_AT_ONCE = 200; // requests
 
   private final Connection<SocketAddress> connection;
   private final Sessions sessions;
-  private final Deque<Slot> slots = new ArrayDeque<>();
+  private final Deque<AnswerSlot> slots = new ArrayDeque<>();
   private final CommandBacklog backlog = new CommandBacklog();
   private final CompletionHandler<WriteResult<Buffer, SocketAddress>> written =
       new EmptyCompletionHandler<>() {
@@ -127,7 +117,7 @@
     restsSince = readAt;
     if (backlog.isEmpty() && hasRoom()) {
       begin(command, readAt);
-    } else if (sessions.backlogsAreFull() && command.kind() != Kind.QUIT && command.kind() != Kind.FATAL) {
+    } else if (sessions.mayNotWait() && command.kind() != Kind.QUIT && command.kind() != Kind.FATAL) {
       sessions.countBacklog(backlog.addAnswered(answerAtOnce(command)));
       endWhereTooMuchWaits();
     } else {
@@ -140,6 +130,15 @@
     return slots.size() + unwritten < MAX_OPEN;
   }
 
+  /** Answers at once what waits behind others, some at a time for the other connections' sake. */
+  void refuseWaiting() {
+    sessions.countBacklog(-backlog.answer(REFUSED_AT_ONCE, this::answerAtOnce));
+    beginWaiting();
+    if (backlog.hasRequests()) {
+      sessions.loop().execute(this::refuseWaiting);
+    }
+  }
+
   /** Answers that wait take memory too, unless they are alike. */
   private void endWhereTooMuchWaits() {
     if (sessions.backlogsAreOverfull()) {
@@ -174,7 +173,7 @@
   private void begin(Command command, double readAt) {
     switch (command.kind()) {
       case READ, WRITE -> {
-        Slot slot = new Slot();
+        AnswerSlot slot = new AnswerSlot();
         slots.add(slot);
         request(slot, command, readAt);
         flush();
@@ -193,7 +192,7 @@
 
   /** Adds an answer to those that are written in the order of the commands. */
   private void add(String line) {
-    Slot slot = new Slot();
+    AnswerSlot slot = new AnswerSlot();
     slot.answer = sessions.writer().line(line);
     slot.ends = ended;
     slots.add(slot);
@@ -224,7 +223,7 @@
     return "CLIENT_ERROR " + problem;
   }
 
-  private void request(Slot slot, Command command, double readAt) {
+  private void request(AnswerSlot slot, Command command, double readAt) {
     String problem = problem(command);
     if (problem != null) {
       slot.answer = sessions.writer().line(problem);
@@ -244,12 +243,12 @@
   /** Writes the answers that are next in the order of the commands. */
   private void flush() {
     while (!slots.isEmpty() && slots.peek().answer != null) {
-      Slot slot = slots.poll();
+      AnswerSlot slot = slots.poll();
       closing |= slot.ends;
       unwritten++;
       write(slot.answer, written);
     }
-    Slot next = slots.peek();
+    AnswerSlot next = slots.peek();
     if (next != null && next.stream != null && !next.streams) {
       next.streams = true;
       write(sessions.writer().valueHead(next.command.id(), next.stream.length()), null);
@@ -305,10 +304,10 @@
 
   /** The bytes of a long value, which go on as they come. */
   private final class Rest implements Stream.Sink {
-    private final Slot slot;
+    private final AnswerSlot slot;
     private final Stream stream; // the slot lets it go at its end, before its last bytes are written
 
-    Rest(Slot slot) {
+    Rest(AnswerSlot slot) {
       this.slot = slot;
       this.stream = slot.stream;
     }
@@ -382,7 +381,7 @@
     closed = true;
     lingers = true; // nothing is left to be closed
     dropBacklog();
-    for (Slot slot : slots) {
+    for (AnswerSlot slot : slots) {
       if (slot.exchange != null) {
         sessions.intake().gone(slot.exchange);
       }
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -64,6 +64,7 @@
   private final CommandFilter codec;
   private double halfCommandsUntil;
   private int backlogBytes; // of what is read and not begun
+  private boolean refusesWaiting;
 
   public Sessions(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
       Arrivals arrivals, Intake intake, Counters counters, Budget budget) {
@@ -255,9 +256,23 @@
     backlogBytes += bytes;
   }
 
-  /** True where what waits takes up as much memory as it may: a further command is answered at once. */
-  boolean backlogsAreFull() {
-    return backlogBytes > FULL_BACKLOG_BYTES;
+  /**
+   * True where a further request is answered at once: the process ends soon, or what waits takes up as much
+   * memory as it may.
+   */
+  boolean mayNotWait() {
+    return refusesWaiting || backlogBytes > FULL_BACKLOG_BYTES;
+  }
+
+  /** From here on no request waits behind others: those that do, and those to come, are answered at once. */
+  public void refuseWaiting() {
+    refusesWaiting = true;
+    open.values().forEach(Session::refuseWaiting);
+  }
+
+  /** True while an answer is not written of what was read. */
+  public boolean hasUnanswered() {
+    return open.keySet().stream().anyMatch(connection -> pending(connection) > 0);
   }
 
   /** True where even the places of answers take too much: the connection that adds one is ended. */
--- a/src/main/java/beampoint/serve/GracefulShutdown.java
+++ b/src/main/java/beampoint/serve/GracefulShutdown.java
@@ -16,6 +16,7 @@
   private static final double MAX_DEADLINE_MS = 3000; // that the platform waits for after a SIGTERM
   private static final double KILL_MS = 700; // after that deadline a SIGKILL may come
   private static final double END_MS = 300; // before it all is answered
+  private static final double REFUSE_MS = 200; // before that nothing waits behind other requests any more
   private static final double LAST_WRITES_MS = 100; // until the last answers are written
   private static final double STEP_MS = 10;
 
@@ -50,6 +51,7 @@
       endsBy = clock.getAsDouble() + killed - END_MS;
       decisions.endBy(endsBy);
       loop.after(FRONT_LEAVES_MS, this::endSessions);
+      loop.after(killed - END_MS - REFUSE_MS, sessions::refuseWaiting);
       loop.after(killed - END_MS, this::endAll);
     });
     drained.await((long) (killed + KILL_MS), TimeUnit.MILLISECONDS);
@@ -72,13 +74,14 @@
   /** Guards against a SIGKILL with requests still open: their time is cut short, and the module answers. */
   private void endAll() {
     decisions.expireAll();
-    loop.after(LAST_WRITES_MS, this::endStreams);
+    loop.after(LAST_WRITES_MS, this::endWrites);
   }
 
-  /** What streams goes on as long as it can. */
-  private void endStreams() {
-    if (sessions.isStreaming() && clock.getAsDouble() < endsBy + END_MS - LAST_WRITES_MS) {
-      loop.after(STEP_MS, this::endStreams);
+  /** What streams, or waits to be written, goes on as long as it can. */
+  private void endWrites() {
+    boolean writes = sessions.isStreaming() || sessions.hasUnanswered();
+    if (writes && clock.getAsDouble() < endsBy + END_MS - LAST_WRITES_MS) {
+      loop.after(STEP_MS, this::endWrites);
     } else {
       drained.countDown();
     }
--- a/src/test/java/beampoint/serve/ProxyLifecycleTest.java
+++ b/src/test/java/beampoint/serve/ProxyLifecycleTest.java
@@ -18,9 +18,11 @@
 import beampoint.count.Counter;
 import beampoint.count.Counters;
 import beampoint.serve.ProxyFixture.Client;
-import java.io.IOException;
 import java.util.ArrayList;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -212,4 +214,39 @@
       assertEquals(Result.TIMEOUT, proxy.ended().result());
     }
   }
+
+  /** Guards against requests that were read, waited behind others, and are left unanswered by the end. */
+  @Test
+  void whatWaitsBehindOthersIsAnsweredBeforeTheEnd() throws Exception {
+    int count = 6_000;
+    try (Stub cache = ScriptedCache.silent();
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.sendTo("cache");
+      StringBuilder flood = new StringBuilder();
+      for (int i = 0; i < count; i++) {
+        flood.append(READ.replace("O9b", "O" + i).replace("4000", "60000"));
+      }
+      client.say(flood.toString());
+      proxy.module.next(RequestReceived.class);
+      CompletableFuture<Integer> answers = CompletableFuture.supplyAsync(() -> {
+        int busy = 0;
+        try {
+          while ("SERVER_ERROR busy".equals(client.line())) {
+            busy++;
+          }
+        } catch (IOException e) {
+          throw new UncheckedIOException(e);
+        }
+        return busy;
+      });
+      long before = System.nanoTime();
+      proxy.proxy.drain();
+      double took = (System.nanoTime() - before) / 1e6;
+      assertTrue(took < 1700, "a SIGKILL comes a deadline of 1 s and 0.7 s later; took " + took);
+      assertEquals(count, proxy.proxy.counters().get(Counter.ANSWERED_REFUSED));
+      assertEquals(32, proxy.proxy.counters().get(Counter.ATTEMPTS_SENT), "nothing more is begun");
+      assertEquals(count, answers.get());
+    }
+  }
 }
