A client's socket is read until it is empty, so that its end is seen at once

What callers saw: attempts 104 to 190 ms after the close of a client that had sent thousands of requests (0.1 s is allowed), and attempts told 150 to 220 ms more than was left.

Cause: a pass reads 32 KB of a connection, some 800 commands, which a process that has just started handles in 10 to 25 ms. The client's end and its further requests lay in the socket until the passes had come to them, and their time counted from that read.

Ruled out by trials: to hold back what was read until a pass finds no more; a larger read.

Change: ReadAheadFilter reads on where a read was full, hands on one read a pass as before, and drops the rest when the end is met; each read keeps its time of arrival.

CloseCrossingTest.theEndOfAClientThatSentMoreThanMayWaitIsSeen took it for granted that 32 attempts are sent before the end can be seen; beside load 3 to 29 were, the end being seen sooner. Its client now leaves once 32 are sent, with all its checks as they were.

--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -157,7 +157,7 @@
 
   /** Begins what waits, as far as there is room. */
   private void beginWaiting() {
-    while (!closed && !backlog.isEmpty() && hasRoom()) {
+    while (!closed && !left && !backlog.isEmpty() && hasRoom()) {
       CommandBacklog.Entry next = backlog.poll();
       sessions.countBacklog(-backlog.freedBy(next));
       if (next instanceof CommandBacklog.Waiting waiting && ended) {
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -9,7 +9,7 @@
 import beampoint.memcache.CommandFilter;
 import beampoint.memcache.Writer;
 import beampoint.transport.Arrivals;
-import beampoint.transport.PeerFilter;
+import beampoint.transport.ReadAheadFilter;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -61,6 +61,7 @@
   private final Map<Connection<?>, Session> open = new LinkedHashMap<>(); // the longest unused first
   private final Attribute<AtomicInteger> pending =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("pending-commands", AtomicInteger::new);
+  private final ReadAheadFilter readAhead;
   private final CommandFilter codec;
   private double halfCommandsUntil;
   private int backlogBytes; // of what is read and not begun
@@ -76,7 +77,8 @@
     this.intake = intake;
     this.counters = counters;
     this.writer = new Writer(transport.getMemoryManager());
-    this.codec = new CommandFilter(transport.getMemoryManager(), budget, clock);
+    this.readAhead = new ReadAheadFilter(arrivals, listener::arrivedAt);
+    this.codec = new CommandFilter(transport.getMemoryManager(), budget, clock, readAhead::resume);
     loop.scheduleWithFixedDelay(this::closeStale, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -90,7 +92,7 @@
 
   /** Listens on this address only; returns it with the port that the system picks where it is 0. */
   public InetSocketAddress listen(SocketAddress address) throws IOException {
-    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new PeerFilter())
+    FilterChainBuilder chain = FilterChainBuilder.stateless().add(readAhead)
         .add(codec).add(new Events());
     return listener.listen(address, chain.build());
   }
@@ -111,7 +113,7 @@
     public NextAction handleRead(FilterChainContext ctx) throws IOException {
       Connection<?> connection = ctx.getConnection();
       Command command = ctx.getMessage();
-      double readAt = listener.arrivedAt(connection);
+      double readAt = readAhead.arrivedAt(connection);
       pending.get(connection).incrementAndGet();
       handOn(readAt, () -> {
         Session session = open.remove(connection);
--- a/src/main/java/beampoint/memcache/CommandFilter.java
+++ b/src/main/java/beampoint/memcache/CommandFilter.java
@@ -4,6 +4,7 @@
 import beampoint.buffer.Collector;
 import beampoint.memcache.Command.Kind;
 import java.io.IOException;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -30,11 +31,15 @@
   private final MemoryManager<?> memory;
   private final Budget budget;
   private final DoubleSupplier clock;
+  private final Consumer<Connection<?>> whenReadOn;
 
-  public CommandFilter(MemoryManager<?> memory, Budget budget, DoubleSupplier clock) {
+  /** The last is told of each connection on which reading goes on. */
+  public CommandFilter(MemoryManager<?> memory, Budget budget, DoubleSupplier clock,
+      Consumer<Connection<?>> whenReadOn) {
     this.memory = memory;
     this.budget = budget;
     this.clock = clock;
+    this.whenReadOn = whenReadOn;
   }
 
   /** What was read of one connection. */
@@ -62,9 +67,10 @@
     return reading;
   }
 
-  private static void read(Connection<?> connection) {
+  private void read(Connection<?> connection) {
     try {
       connection.enableIOEvent(IOEvent.READ);
+      whenReadOn.accept(connection);
     } catch (IOException e) {
       connection.terminateSilently();
     }
--- a/src/main/java/beampoint/transport/PeerFilter.java
+++ b/src/main/java/beampoint/transport/PeerFilter.java
@@ -21,6 +21,26 @@
   @Override
   public NextAction handleRead(FilterChainContext ctx) {
     NIOConnection connection = (NIOConnection) ctx.getConnection();
+    try {
+      Buffer message = read(connection);
+      if (message == null) {
+        return ctx.getStopAction();
+      }
+      ctx.setMessage(message);
+      return ctx.getInvokeAction();
+    } catch (IOException e) {
+      // The filters hear of its end, if they have not yet.
+      connection.terminateWithReason(e);
+      return ctx.getStopAction();
+    }
+  }
+
+  /**
+   * Reads once, at most what the connection's read buffer holds; null where nothing has come.
+   *
+   * @throws EOFException where the peer has ended the connection
+   */
+  static Buffer read(NIOConnection connection) throws IOException {
     DirectByteBufferRecord record = DirectByteBufferRecord.get();
     try {
       ByteBuffer bytes = record.allocate(connection.getReadBufferSize());
@@ -29,19 +49,14 @@
         throw new EOFException("closed by the peer");
       }
       if (count == 0) {
-        return ctx.getStopAction();
+        return null;
       }
       bytes.flip();
       Buffer message = connection.getMemoryManager().allocate(count);
       message.put(bytes);
       message.flip();
       message.allowBufferDispose(true);
-      ctx.setMessage(message);
-      return ctx.getInvokeAction();
-    } catch (IOException e) {
-      // The filters hear of its end, if they have not yet.
-      connection.terminateWithReason(e);
-      return ctx.getStopAction();
+      return message;
     } finally {
       record.release();
     }
--- a/src/test/java/beampoint/serve/CloseCrossingTest.java
+++ b/src/test/java/beampoint/serve/CloseCrossingTest.java
@@ -83,7 +83,9 @@
       proxy.sendTo("cache");
       try (Client client = new Client(proxy)) {
         client.say(reads(MORE_THAN_MAY_WAIT));
-        proxy.module.next(RequestReceived.class);
+        while (proxy.proxy.counters().get(Counter.ATTEMPTS_SENT) < 32) {
+          Thread.onSpinWait();
+        }
       }
       for (int i = 0; i < 32; i++) {
         proxy.module.next(RequestGone.class);
--- /dev/null
+++ b/src/test/java/beampoint/serve/ReadAheadTest.java
@@ -0,0 +1,87 @@
+package beampoint.serve;
+
+import static beampoint.serve.ProxyFixture.READ;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beampoint.Balancer.Refuse;
+import beampoint.Balancer.RequestReceived;
+import beampoint.Stub;
+import beampoint.count.Counter;
+import beampoint.serve.ProxyFixture.Client;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A client sends more than one read takes. */
+@Timeout(30)
+class ReadAheadTest {
+
+  private static final String FIRST = READ.replace("O9b", "Ofirst");
+
+  private static String reads(int count) {
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; i < count; i++) {
+      text.append(READ.replace("O9b", "O" + i));
+    }
+    return text.toString();
+  }
+
+  /** Guards against attempts for a client that has left, whose end stands behind much that it sent. */
+  @Test
+  void anEndBehindManyReadsIsSeenBeforeAnythingIsBegun() throws Exception {
+    CountDownLatch seen = new CountDownLatch(1);
+    CountDownLatch left = new CountDownLatch(1);
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client other = new Client(proxy)) {
+      proxy.module.script = event -> {
+        if (event instanceof RequestReceived e) {
+          seen.countDown();
+          ProxyFixture.await(left);
+          return List.of(new Refuse(e.id(), 0));
+        }
+        return List.of();
+      };
+      other.say(FIRST);
+      seen.await();
+      try (Client client = new Client(proxy)) {
+        client.say(reads(9_000));
+      }
+      left.countDown();
+      assertEquals("SERVER_ERROR busy", other.line());
+      assertEquals("SERVER_ERROR busy", other.ask(READ));
+      assertEquals(2, proxy.proxy.counters().get(Counter.REQUESTS_TAKEN));
+    }
+  }
+
+  /** Guards against requests whose time counts only from when those before them have been handled. */
+  @Test
+  void theTimeOfARequestCountsFromItsArrivalHoweverMuchCameBeforeIt() throws Exception {
+    int count = 6_000;
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client client = new Client(proxy)) {
+      proxy.module.script = event -> {
+        if (event instanceof RequestReceived e) {
+          if (e.id() < 400 && e.id() % 32 == 0) {
+            ProxyFixture.sleep(60);
+          }
+          return List.of(new Refuse(e.id(), 0));
+        }
+        return List.of();
+      };
+      String text = reads(count);
+      long before = System.nanoTime();
+      client.say(text);
+      double saidMs = (System.nanoTime() - before) / 1e6;
+      double first = proxy.module.next(RequestReceived.class).notAfter();
+      double last = first;
+      for (int i = 1; i < count; i++) {
+        assertEquals("SERVER_ERROR busy", client.line());
+        last = Math.max(last, proxy.module.next(RequestReceived.class).notAfter());
+      }
+      double apartMs = last - first;
+      assertTrue(apartMs < saidMs + 100, "sent within " + saidMs + " ms, and count " + apartMs + " ms apart");
+    }
+  }
+}
