Soak: clients that send thousands of requests at once, and outages of discovery over a restart

The list that a new process remembers is the one from before the drain. Runs that stop processes draw neither.

--- a/src/test/java/beampoint/soak/DiscoveryPeer.java
+++ b/src/test/java/beampoint/soak/DiscoveryPeer.java
@@ -20,6 +20,7 @@
   private final RunContext context;
   private final Stub stub;
   private final Map<String, String> entries = new LinkedHashMap<>(); // by host
+  private final List<String> remembered = new ArrayList<>(); // the entries as they were at first
   private final Set<Stub.Peer> watches = ConcurrentHashMap.newKeySet();
   private final Map<String, Double> drainKnownAt = new TreeMap<>();
   private volatile boolean silent;
@@ -40,6 +41,7 @@
 
   synchronized void add(String host, String dial, String kind) {
     entries.put(host, entry(host, dial, kind, "Ready"));
+    remembered.add(entries.get(host));
   }
 
   private static String entry(String host, String dial, String kind, String health) {
@@ -47,9 +49,9 @@
         + "\",\"block\":0,\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":0}";
   }
 
-  /** The list as a configuration remembers it. */
+  /** The list as a configuration remembers it, which knows of no change. */
   synchronized String known() {
-    return "{\"seq\":1,\"whole\":true,\"hosts\":[" + String.join(",", entries.values()) + "]}";
+    return "{\"seq\":1,\"whole\":true,\"hosts\":[" + String.join(",", remembered) + "]}";
   }
 
   /** Takes no call and says nothing on open watches, or serves again. */
--- a/src/test/java/beampoint/soak/SoakClient.java
+++ b/src/test/java/beampoint/soak/SoakClient.java
@@ -21,6 +21,9 @@
 
   private static final double REFUSED_PAUSE_MS = 20;
   private static final int LONGEST_PIPELINE = 20;
+  private static final int MAX_FLOOD = 9000; // requests beyond the first thousand
+  private static final double LEAVES_FLOOD_MS = 200; // at the latest
+  private static final double AFTER_FLOOD_MS = 1000;
   private static final double WRITES = 0.2; // of all requests
   private static final int GIVES_UP_MS = 1500; // beyond an answer's time: then it will never come
 
@@ -97,13 +100,25 @@
         if (random.nextInt(2) == 0) {
           ask(1, 0, 1);
         } else {
-          leave();
+          leave(1, random.nextDouble() * deadlineMs / 2);
         }
       }
+      case FLOODS_AND_LEAVES -> {
+        leave(flood(), random.nextDouble() * LEAVES_FLOOD_MS);
+        RunClock.sleep(AFTER_FLOOD_MS);
+      }
+      case FLOODS -> {
+        ask(flood(), 0, 1);
+        RunClock.sleep(AFTER_FLOOD_MS);
+      }
       default -> halfACommand();
     }
   }
 
+  private int flood() {
+    return 1000 + random.nextInt(MAX_FLOOD);
+  }
+
   private Request next() {
     double draw = random.nextDouble();
     Kind kind = draw >= WRITES ? Kind.READ : draw < WRITES / 2 ? Kind.KEYED : Kind.UNSAFE;
@@ -137,6 +152,10 @@
       }
       asked.forEach(request -> request.readFrom(now));
       for (; answered < asked.size(); answered++) {
+        if (answered > LONGEST_PIPELINE) {
+          // The time for which an answer waits for those before it does not count.
+          asked.get(answered).readFrom(clock.now() + Bounds.LOST_AFTER_MS);
+        }
         if (!readAnswer(asked.get(answered))) {
           break;
         }
@@ -217,13 +236,17 @@
     }
   }
 
-  private void leave() throws IOException {
-    Request request = next();
-    request.left(Double.MAX_VALUE); // nothing is owed to it from here on
-    send(List.of(request), 1);
-    RunClock.sleep(random.nextDouble() * deadlineMs / 2);
+  private void leave(int count, double afterMs) throws IOException {
+    List<Request> asked = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      asked.add(next());
+      asked.get(i).left(Double.MAX_VALUE); // nothing is owed to it from here on
+    }
+    send(asked, 1);
+    RunClock.sleep(afterMs);
     close();
-    request.left(clock.now() - (context.injects(Check.NOT_AFTER_LEAVING) ? 10 * deadlineMs : 0));
+    double now = clock.now() - (context.injects(Check.NOT_AFTER_LEAVING) ? 10 * deadlineMs : 0);
+    asked.forEach(request -> request.left(now));
   }
 
   private void halfACommand() throws IOException {
--- a/src/test/java/beampoint/soak/SoakPlan.java
+++ b/src/test/java/beampoint/soak/SoakPlan.java
@@ -7,7 +7,7 @@
 
 /** All that is drawn for one run, from its seed alone. */
 record SoakPlan(long seed, int processes, double deadlineMs, List<Behavior> caches,
-    OriginPeer.Behavior origin, DiscoveryBehavior discovery, boolean drains,
+    OriginPeer.Behavior origin, DiscoveryBehavior discovery, boolean drains, boolean outageAtRestart,
     List<ClientWay> clients, boolean crowd, Series series, double signalAt) {
 
   /** What discovery does in a run. */
@@ -15,9 +15,15 @@
 
   /** How a client uses its connections. */
   enum ClientWay {
-    PLAIN, PIPELINED, IN_PIECES, HALF_A_COMMAND, LEAVES, READS_SLOWLY
+    PLAIN, PIPELINED, IN_PIECES, HALF_A_COMMAND, LEAVES, READS_SLOWLY,
+    /** Sends thousands of commands at once, and leaves or reads all answers. */
+    FLOODS_AND_LEAVES, FLOODS
   }
 
+  private static final ClientWay[] USUAL_WAYS = {ClientWay.PLAIN, ClientWay.PIPELINED, ClientWay.IN_PIECES,
+      ClientWay.HALF_A_COMMAND, ClientWay.LEAVES, ClientWay.READS_SLOWLY};
+  private static final ClientWay[] FLOODS = {ClientWay.FLOODS_AND_LEAVES, ClientWay.FLOODS};
+
   /** The signals of a run, and beside what they come. */
   enum Series {
     TERM, TERM_TWICE, TERM_IN_SERIES, HANGUP_BEFORE_TERM, HANGUP_BESIDE_TERM, HANGUP_AFTER_TERM,
@@ -28,6 +34,7 @@
 
   private static final int MAX_CACHES = 5;
   private static final int MAX_CLIENTS = 36;
+  private static final long MORE = 0x9e3779b97f4a7c15L; // tells a seed's second stream from its first
 
   static SoakPlan of(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
@@ -46,14 +53,24 @@
         : DiscoveryBehavior.values()[1 + random.nextInt(2)];
     List<ClientWay> clients = new ArrayList<>();
     for (int i = 4 + random.nextInt(MAX_CLIENTS); i > 0; i--) {
-      ClientWay[] ways = ClientWay.values();
-      clients.add(random.nextInt(3) == 0 ? ways[random.nextInt(ways.length)] : ClientWay.PLAIN);
+      clients.add(
+          random.nextInt(3) == 0 ? USUAL_WAYS[random.nextInt(USUAL_WAYS.length)] : ClientWay.PLAIN);
+    }
+    int processes = upgrades ? 1 : 1 + random.nextInt(3);
+    OriginPeer.Behavior origin = new OriginPeer.Behavior(0.02 * random.nextInt(3), 0.05 * random.nextInt(3),
+        0.05 * random.nextInt(2), 3 + random.nextInt(30));
+    boolean drains = discovery == DiscoveryBehavior.SERVES && random.nextInt(2) == 0;
+    boolean crowd = random.nextInt(3) == 0;
+    double signalAt = 1200 + random.nextInt(800);
+    boolean heldUp = series == Series.TERM_HELD_UP_SHORTLY || series == Series.TERM_HELD_UP_LONG;
+    // Drawn apart, so that what a seed has drawn before stays.
+    SplittableRandom more = new SplittableRandom(seed ^ MORE);
+    boolean outage = drains && !heldUp && more.nextInt(2) == 0;
+    for (int i = heldUp ? 0 : more.nextInt(3); i > 0; i--) {
+      clients.add(FLOODS[more.nextInt(FLOODS.length)]);
     }
-    return new SoakPlan(seed, upgrades ? 1 : 1 + random.nextInt(3), deadline, caches,
-        new OriginPeer.Behavior(0.02 * random.nextInt(3), 0.05 * random.nextInt(3), 0.05 * random.nextInt(2),
-            3 + random.nextInt(30)),
-        discovery, discovery == DiscoveryBehavior.SERVES && random.nextInt(2) == 0, clients,
-        random.nextInt(3) == 0, series, 1200 + random.nextInt(800));
+    return new SoakPlan(seed, processes, deadline, caches, origin, discovery, drains, outage, clients, crowd,
+        series, signalAt);
   }
 
   /** True where a second process serves beside the first at one address. */
@@ -65,6 +82,7 @@
   public String toString() {
     return "seed " + seed + " " + series + ", " + processes + " x " + caches.size() + " caches, "
         + Math.round(deadlineMs) + " ms, " + clients.size() + " clients" + (crowd ? " in a crowd" : "")
-        + (drains ? ", a drain" : "") + ", discovery " + discovery;
+        + (drains ? ", a drain" : "") + ", discovery " + discovery
+        + (outageAtRestart ? " until it falls silent over the restart" : "");
   }
 }
--- a/src/test/java/beampoint/soak/SoakRun.java
+++ b/src/test/java/beampoint/soak/SoakRun.java
@@ -15,6 +15,7 @@
 final class SoakRun implements AutoCloseable {
 
   private static final double SILENCE_MS = 1500; // of discovery, for a while
+  private static final double OUTAGE_MS = 1500; // of discovery, after a restart
   private static final double BEFORE_THE_CROWD_MS = 300;
   private static final double AFTER_RESTART_MS = 700;
   private static final int CROWD = 200; // connections that only stay
@@ -55,9 +56,15 @@
     if (instances.startAll()) {
       startClients();
       traffic();
+      discovery.silent(plan.discovery() == DiscoveryBehavior.IS_SILENT || plan.outageAtRestart());
       signals.play();
       if (instances.startAll()) {
         RunClock.sleep(AFTER_RESTART_MS);
+        if (plan.outageAtRestart()) {
+          RunClock.sleep(OUTAGE_MS);
+          discovery.silent(false);
+          RunClock.sleep(AFTER_RESTART_MS);
+        }
         signals.term(1);
       }
       endClients();
