--- a/src/test/java/beampoint/emulator/ReservedPortTest.java
+++ b/src/test/java/beampoint/emulator/ReservedPortTest.java
@@ -18,13 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/**
- * Two runs of the soak beside each other had the same port: each looked a free one up and let it go
- * until its proxy started. As proxies share their listeners, both started, and clients of each run
- * reached proxies of the other. In the run of seed 1, with deadlines of 500 ms, cache nodes were told
- * 299 ms, which is what is left of seed 2's 300 ms, and 520 ms after the request of that id was sent;
- * answers came "not made for it".
- */
+/** Guards against two runs beside each other that are given the same port. */
 @Timeout(30)
 class ReservedPortTest {
 
--- a/src/test/java/beampoint/serve/ArrivalTimeTest.java
+++ b/src/test/java/beampoint/serve/ArrivalTimeTest.java
@@ -21,17 +21,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/**
- * A request's time counts from its last byte, which may have lain in its socket while the proxy had other
- * work or no place for its client. The time told to a cache node is at most what is left, with 150 ms of
- * slack.
- *
- * <p>What happened: the time counted from the read of the command. A loop that was held up, or clients who
- * waited to be accepted, got requests that were hundreds of ms old taken for fresh, and cache nodes were
- * told of time that was over. What showed it: "told 1995 ms after 600 ms" of 2,000 in this test, and in the
- * soak, seed 2, "c0 was told 299 ms, left were -1009 ms" and an answer 1,017 ms after the time of its
- * request.
- */
+/** Guards against time told to cache nodes that was over while a request lay in its socket. */
 @Timeout(30)
 class ArrivalTimeTest {
 
--- a/src/test/java/beampoint/serve/HeldUpStartTest.java
+++ b/src/test/java/beampoint/serve/HeldUpStartTest.java
@@ -11,15 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/**
- * A start whose decision thread does not get on for 11 s, as on a machine that is far too busy.
- *
- * <p>What happened: the listeners were bound on the thread that starts the proxy. Grizzly then asks the
- * selector, whose thread is the decision thread, to take the listener, and waits 10 s for it. Beside a load
- * of 250 that thread did not get so far, and a start that would have come about was given up with exit code
- * 2. What showed it was this test's trace before the mend: TimeoutException from {@code
- * TCPNIOServerConnection.listen}, line 74, called by {@code Proxy.listen}, after 10.2 s.
- */
+/** Guards against a start that is given up as the decision thread does not get on for 10 s. */
 @Timeout(60)
 class HeldUpStartTest {
 
--- a/src/test/java/beampoint/serve/LateLoopTest.java
+++ b/src/test/java/beampoint/serve/LateLoopTest.java
@@ -18,19 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/**
- * The decision thread is held up while the time of a request ends. A cache never answers; the request's time
- * is over while commands of another client, which came together, are decided slowly.
- *
- * <p>What happened: the timer that ends the attempt and the one with which the proxy fails what the
- * module forgot are 15 ms apart. Where a pass of the loop took longer and tasks were left, both were put
- * behind these tasks, and what follows of the first, the word to the module that the attempt has ended,
- * behind the second. So the proxy failed a request that the module had not been told of, and blamed the
- * module. In service it was seen just after SIGHUP, when a new configuration is taken on the decision
- * thread. What showed the cause is the line that this test logged before the mend: "no answer in time for
- * request 1: 306 ms over its time, 1 attempts out, the module was told 888 ms ago". A module that has
- * forgotten a request was told 14 ms before that line, and has no attempt out ({@link AnswerTimeTest}).
- */
+/** Guards against requests failed before the module has heard that their attempt ended, by a late loop. */
 @Timeout(30)
 class LateLoopTest {
 
