--- a/src/main/java/beampoint/client/AnswerWords.java
+++ b/src/main/java/beampoint/client/AnswerText.java
@@ -7,22 +7,22 @@
 import beampoint.memcache.Writer;
 import org.glassfish.grizzly.Buffer;
 
-/** How answers are worded for clients. */
-final class AnswerWords {
+/** The text of answers to clients. */
+final class AnswerText {
 
-  private AnswerWords() {}
+  private AnswerText() {}
 
   /** A whole answer to a request. */
   static Buffer message(Writer writer, Command command, Answer answer) {
     return switch (answer.kind()) {
       case VALUE -> writer.value(command.id(), answer.body());
       case RECEIPT -> writer.receipt(command.id(), answer.body());
-      case REFUSED, FAILED -> writer.line(ownWord(answer));
+      case REFUSED, FAILED -> writer.line(errorLine(answer));
     };
   }
 
-  /** The words of an answer that is the proxy's own. */
-  static String ownWord(Answer answer) {
+  /** The line of an answer without a value or a receipt. */
+  static String errorLine(Answer answer) {
     if (answer.kind() == Answer.Kind.FAILED) {
       return "SERVER_ERROR failed";
     }
--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -117,13 +117,12 @@
     restsSince = readAt;
     if (backlog.isEmpty() && hasRoom()) {
       begin(command, readAt);
-    } else if (sessions.mayNotWait() && command.kind() != Kind.QUIT && command.kind() != Kind.FATAL) {
-      sessions.countBacklog(backlog.addAnswered(answerAtOnce(command)));
-      endWhereTooMuchWaits();
-    } else {
-      sessions.countBacklog(backlog.add(command.apart(sessions.memory()), readAt));
-      endWhereTooMuchWaits();
+      return;
     }
+    boolean ends = command.kind() == Kind.QUIT || command.kind() == Kind.FATAL;
+    sessions.countBacklog(sessions.mayNotWait() && !ends ? backlog.addAnswered(answerAtOnce(command))
+        : backlog.add(command.apart(sessions.memory()), readAt));
+    endWhereTooMuchWaits();
   }
 
   private boolean hasRoom() {
@@ -152,7 +151,7 @@
       return answer(command);
     }
     String problem = problem(command);
-    return problem != null ? problem : AnswerWords.ownWord(sessions.intake().refuse(command));
+    return problem != null ? problem : AnswerText.errorLine(sessions.intake().refuse(command));
   }
 
   /** Begins what waits, as far as there is room. */
@@ -203,7 +202,7 @@
   private String answer(Command command) {
     return switch (command.kind()) {
       case READY -> sessions.intake().isReady() ? "MN" : "SERVER_ERROR not ready";
-      case STATS -> AnswerWords.stats(sessions.counters());
+      case STATS -> AnswerText.stats(sessions.counters());
       case VERSION -> "VERSION beampoint";
       default -> {
         sessions.counters().add(Counter.BAD_COMMANDS);
@@ -232,7 +231,7 @@
     slot.command = command;
     slot.exchange = sessions.intake().take(command, readAt, () -> left, answer -> {
       slot.stream = answer.stream();
-      slot.answer = slot.stream == null ? AnswerWords.message(sessions.writer(), command, answer) : null;
+      slot.answer = slot.stream == null ? AnswerText.message(sessions.writer(), command, answer) : null;
       if (closed && slot.stream != null) {
         slot.stream.cancel();
       }
@@ -348,11 +347,6 @@
     connection.terminateSilently();
   }
 
-  /** True while a long value is on its way to the client. */
-  boolean isStreaming() {
-    return slots.stream().anyMatch(slot -> slot.stream != null);
-  }
-
   private void answerWritten() {
     unwritten--;
     sessions.answered(connection);
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -272,7 +272,7 @@
     open.values().forEach(Session::refuseWaiting);
   }
 
-  /** True while an answer is not written of what was read. */
+  /** True while an answer to what was read is not written whole. */
   public boolean hasUnanswered() {
     return open.keySet().stream().anyMatch(connection -> pending(connection) > 0);
   }
@@ -316,11 +316,6 @@
     return clock.getAsDouble();
   }
 
-  /** True while long values are on their way to clients. */
-  public boolean isStreaming() {
-    return open.values().stream().anyMatch(Session::isStreaming);
-  }
-
   /** True once nobody is listened to, and all connections have ended. */
   public boolean isDrained() {
     return listener.isClosed() && open.isEmpty();
--- a/src/main/java/beampoint/memcache/CommandFilter.java
+++ b/src/main/java/beampoint/memcache/CommandFilter.java
@@ -33,7 +33,11 @@
   private final DoubleSupplier clock;
   private final Consumer<Connection<?>> whenReadOn;
 
-  /** The last is told of each connection on which reading goes on. */
+  /**
+   * A filter for all connections of clients.
+   *
+   * @param whenReadOn is called for each connection whose reading is enabled again
+   */
   public CommandFilter(MemoryManager<?> memory, Budget budget, DoubleSupplier clock,
       Consumer<Connection<?>> whenReadOn) {
     this.memory = memory;
--- a/src/main/java/beampoint/serve/GracefulShutdown.java
+++ b/src/main/java/beampoint/serve/GracefulShutdown.java
@@ -77,10 +77,9 @@
     loop.after(LAST_WRITES_MS, this::endWrites);
   }
 
-  /** What streams, or waits to be written, goes on as long as it can. */
+  /** What streams, or waits to be written, goes on until a SIGKILL may come. */
   private void endWrites() {
-    boolean writes = sessions.isStreaming() || sessions.hasUnanswered();
-    if (writes && clock.getAsDouble() < endsBy + END_MS - LAST_WRITES_MS) {
+    if (sessions.hasUnanswered() && clock.getAsDouble() < endsBy + END_MS - LAST_WRITES_MS) {
       loop.after(STEP_MS, this::endWrites);
     } else {
       drained.countDown();
--- a/src/main/java/beampoint/transport/ReadAheadFilter.java
+++ b/src/main/java/beampoint/transport/ReadAheadFilter.java
@@ -17,9 +17,9 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
 /**
- * The end of a filter chain at the socket, which reads all that a peer has sent and hands on a
- * read buffer of it in each pass of the selector. Guards against a peer that sends much and leaves: its end
- * stands behind all that it has sent, and would be seen only once all of that has been handled.
+ * The socket's end of a filter chain. Unlike {@link PeerFilter}, it reads all that a peer has sent, and hands
+ * on one read buffer of it in each pass of the selector. So the end of a peer that has sent much is seen in
+ * the next pass, and not only once all that it has sent is handled.
  */
 public final class ReadAheadFilter extends TransportFilter {
 
@@ -42,7 +42,11 @@
   private final ToDoubleFunction<Connection<?>> arrivedAt;
   private int bytes; // read ahead on all connections
 
-  /** The function tells when what is read of a connection now can have come at the earliest, in ms. */
+  /**
+   * A filter for all connections of a chain.
+   *
+   * @param arrivedAt when what is read of a connection now can have come at the earliest, in ms
+   */
   public ReadAheadFilter(Arrivals arrivals, ToDoubleFunction<Connection<?>> arrivedAt) {
     this.arrivals = arrivals;
     this.arrivedAt = arrivedAt;
--- a/src/test/java/beampoint/serve/CloseCrossingTest.java
+++ b/src/test/java/beampoint/serve/CloseCrossingTest.java
@@ -2,6 +2,7 @@
 
 import static beampoint.serve.ProxyFixture.READ;
 import static beampoint.serve.ProxyFixture.WRITE;
+import static beampoint.serve.ProxyFixture.reads;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -15,6 +16,7 @@
 import beampoint.Stub;
 import beampoint.count.Counter;
 import beampoint.serve.ProxyFixture.Client;
+import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -42,9 +44,7 @@
       client.say(READ + "ms 7f3a x O9c Pc=put,t=acme,d=4000,k=5c\r\n" + "y".repeat(200_000));
       assertTrue(proxy.ended().done());
       // The client has read nothing so far: the answer lies in the system's buffers, behind the close.
-      while (proxy.proxy.counters().get(Counter.BAD_COMMANDS) == 0) {
-        Thread.onSpinWait();
-      }
+      proxy.awaitCount(Counter.BAD_COMMANDS, 1);
       Thread.sleep(200); // reads are held back until the close is past, and the lingering is not
       assertEquals("VA " + LONG + " O9b", client.line());
       assertEquals(value + "\r\n", client.bytes(LONG + 2));
@@ -83,9 +83,7 @@
       proxy.sendTo("cache");
       try (Client client = new Client(proxy)) {
         client.say(reads(MORE_THAN_MAY_WAIT));
-        while (proxy.proxy.counters().get(Counter.ATTEMPTS_SENT) < 32) {
-          Thread.onSpinWait();
-        }
+        proxy.awaitCount(Counter.ATTEMPTS_SENT, 32);
       }
       for (int i = 0; i < 32; i++) {
         proxy.module.next(RequestGone.class);
@@ -96,31 +94,27 @@
     }
   }
 
-  private static String reads(int count) {
-    StringBuilder flood = new StringBuilder();
-    for (int i = 0; i < count; i++) {
-      flood.append(READ.replace("O9b", "O" + i));
-    }
-    return flood.toString();
+  /** A cache that answers each read with an empty value, once the latch is open. */
+  private static Stub cacheBehind(CountDownLatch latch) throws IOException {
+    return new Stub(peer -> {
+      latch.await();
+      for (String line = peer.line(); line != null; line = peer.line()) {
+        peer.say("VA 0 " + line.split(" ")[3] + "\r\n\r\n");
+      }
+    });
   }
 
   /** Guards against a proxy that holds all that a client sends: what may not wait is refused in its place. */
   @Test
   void whatMayNotWaitIsRefusedInItsOrder() throws Exception {
     CountDownLatch sent = new CountDownLatch(1);
-    try (Stub cache = new Stub(peer -> {
-      sent.await();
-      for (String line = peer.line(); line != null; line = peer.line()) {
-        peer.say("VA 0 " + line.split(" ")[3] + "\r\n\r\n");
-      }
-    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+    try (Stub cache = cacheBehind(sent);
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
         Client client = new Client(proxy)) {
       proxy.sendTo("cache");
       client.say(reads(MORE_THAN_MAY_WAIT));
       client.say("quit\r\n");
-      while (proxy.proxy.counters().get(Counter.ANSWERED_REFUSED) == 0) {
-        Thread.onSpinWait();
-      }
+      proxy.awaitCount(Counter.ANSWERED_REFUSED, 1);
       sent.countDown();
       int refused = 0;
       for (int i = 0; i < MORE_THAN_MAY_WAIT; i++) {
@@ -143,18 +137,12 @@
   @Test
   void answersThatWaitAreBoundedToo() throws Exception {
     CountDownLatch sent = new CountDownLatch(1);
-    try (Stub cache = new Stub(peer -> {
-      sent.await();
-      for (String line = peer.line(); line != null; line = peer.line()) {
-        peer.say("VA 0 " + line.split(" ")[3] + "\r\n\r\n");
-      }
-    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+    try (Stub cache = cacheBehind(sent);
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
         Client client = new Client(proxy)) {
       proxy.sendTo("cache");
       client.say(reads(MORE_THAN_MAY_WAIT) + "mn\r\nversion\r\n".repeat(20_000));
-      while (proxy.proxy.counters().get(Counter.ANSWERED_REFUSED) == 0) {
-        Thread.onSpinWait();
-      }
+      proxy.awaitCount(Counter.ANSWERED_REFUSED, 1);
       sent.countDown();
       String last = null;
       int answers = 0;
@@ -171,11 +159,8 @@
   /** Guards against commands that wait behind others and are never begun, or come out of order. */
   @Test
   void manyRequestsAtOnceAreAllAnsweredInTheirOrder() throws Exception {
-    try (Stub cache = new Stub(peer -> {
-      for (String line = peer.line(); line != null; line = peer.line()) {
-        peer.say("VA 0 " + line.split(" ")[3] + "\r\n\r\n");
-      }
-    }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+    try (Stub cache = cacheBehind(new CountDownLatch(0));
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
         Client client = new Client(proxy)) {
       proxy.sendTo("cache");
       StringBuilder flood = new StringBuilder();
--- a/src/test/java/beampoint/serve/DrainBeforeStartTest.java
+++ b/src/test/java/beampoint/serve/DrainBeforeStartTest.java
@@ -17,7 +17,6 @@
 @Timeout(30)
 class DrainBeforeStartTest {
 
-  private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   private static final int READS = 40;
   private static final long BETWEEN_READS_MS = 25; // a second in all, several calls of discovery long
   private static final String VALUE = "value";
@@ -44,7 +43,7 @@
     discovery = new Stub(peer -> {
       peer.head();
       discoveryIsBack.await();
-      peer.say(HEAD + Integer.toHexString(news.length()) + "\r\n" + news + "\r\n");
+      peer.say(ProxyFixture.LIST_HEAD + Integer.toHexString(news.length()) + "\r\n" + news + "\r\n");
       peer.beSilent();
     });
     List<String> known = List.of(ProxyFixture.host("cache", cache.address(), "m2"),
--- a/src/test/java/beampoint/serve/FirstListTest.java
+++ b/src/test/java/beampoint/serve/FirstListTest.java
@@ -24,7 +24,6 @@
 @Timeout(60)
 class FirstListTest {
 
-  private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   private static final String DRAIN = "{\"seq\":2,\"whole\":false,\"hosts\":["
       + "{\"host\":\"cache\",\"dial\":\"127.0.0.1:1\",\"class\":\"m2\",\"health\":\"Terminating\"}]}\n";
 
@@ -79,7 +78,7 @@
       try (Stub discovery = new Stub(peer -> {
         peer.head();
         taken.await();
-        peer.say(HEAD + Integer.toHexString(DRAIN.length()) + "\r\n" + DRAIN + "\r\n");
+        peer.say(ProxyFixture.LIST_HEAD + Integer.toHexString(DRAIN.length()) + "\r\n" + DRAIN + "\r\n");
         peer.beSilent();
       }); Start start = new Start(discovery, 5_000)) {
         start.awaitTaken();
@@ -113,7 +112,7 @@
   void aRequestWaitsNoLongerThanHalfOfItsTime() throws Exception {
     try (Stub discovery = new Stub(peer -> {
       peer.head();
-      peer.say(HEAD);
+      peer.say(ProxyFixture.LIST_HEAD);
       peer.beSilent();
     }); Start start = new Start(discovery, 1_000)) {
       assertEquals("SERVER_ERROR busy", start.client.line());
--- a/src/test/java/beampoint/serve/ProxyFixture.java
+++ b/src/test/java/beampoint/serve/ProxyFixture.java
@@ -20,9 +20,21 @@
 /** A proxy with a scripted module, among scripted peers on loopback, and a client that talks to it. */
 final class ProxyFixture implements AutoCloseable {
 
+  /** With which discovery begins to answer a watch. */
+  static final String LIST_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
   /** A client's read of a value. */
   static final String READ = "mg 7f3a v O9b Pc=read,t=acme,d=4000\r\n";
 
+  /** So many reads, of which each has an id of its own: {@code O} and its number from 0 on. */
+  static String reads(int count) {
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; i < count; i++) {
+      text.append(READ.replace("O9b", "O" + i));
+    }
+    return text.toString();
+  }
+
   /** A client's write of a value. */
   static final String WRITE = "ms 7f3a 5 O9b Pc=put,t=acme,d=4000,k=5c\r\nhello\r\n";
 
@@ -150,7 +162,7 @@
   static Stub discoveryWithoutNews() throws IOException {
     return new Stub(peer -> {
       peer.head();
-      peer.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+      peer.say(LIST_HEAD + "1\r\n\n\r\n");
       peer.beSilent();
     });
   }
@@ -201,7 +213,12 @@
 
   /** Waits until the proxy has accepted so many connections of clients, since its start. */
   void awaitClients(long count) {
-    while (proxy.counters().get(Counter.CLIENT_CONNECTIONS) < count) {
+    awaitCount(Counter.CLIENT_CONNECTIONS, count);
+  }
+
+  /** Waits until a counter has come to so much. */
+  void awaitCount(Counter counter, long count) {
+    while (proxy.counters().get(counter) < count) {
       Thread.onSpinWait();
     }
   }
--- a/src/test/java/beampoint/serve/ProxyLifecycleTest.java
+++ b/src/test/java/beampoint/serve/ProxyLifecycleTest.java
@@ -18,9 +18,9 @@
 import beampoint.count.Counter;
 import beampoint.count.Counters;
 import beampoint.serve.ProxyFixture.Client;
-import java.util.ArrayList;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -223,11 +223,7 @@
         ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
         Client client = new Client(proxy)) {
       proxy.sendTo("cache");
-      StringBuilder flood = new StringBuilder();
-      for (int i = 0; i < count; i++) {
-        flood.append(READ.replace("O9b", "O" + i).replace("4000", "60000"));
-      }
-      client.say(flood.toString());
+      client.say(ProxyFixture.reads(count).replace("d=4000", "d=60000"));
       proxy.module.next(RequestReceived.class);
       CompletableFuture<Integer> answers = CompletableFuture.supplyAsync(() -> {
         int busy = 0;
--- a/src/test/java/beampoint/serve/ReadAheadTest.java
+++ b/src/test/java/beampoint/serve/ReadAheadTest.java
@@ -1,6 +1,7 @@
 package beampoint.serve;
 
 import static beampoint.serve.ProxyFixture.READ;
+import static beampoint.serve.ProxyFixture.reads;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -20,14 +21,6 @@
 
   private static final String FIRST = READ.replace("O9b", "Ofirst");
 
-  private static String reads(int count) {
-    StringBuilder text = new StringBuilder();
-    for (int i = 0; i < count; i++) {
-      text.append(READ.replace("O9b", "O" + i));
-    }
-    return text.toString();
-  }
-
   /** Guards against attempts for a client that has left, whose end stands behind much that it sent. */
   @Test
   void anEndBehindManyReadsIsSeenBeforeAnythingIsBegun() throws Exception {
--- a/src/test/java/beampoint/serve/ToldTimesTest.java
+++ b/src/test/java/beampoint/serve/ToldTimesTest.java
@@ -23,7 +23,6 @@
 @Timeout(30)
 class ToldTimesTest {
 
-  private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   private static final Pattern WAIT = Pattern.compile("d=(\\d+)");
 
   private static String chunk(String text) {
@@ -36,7 +35,7 @@
     String drain = "{\"host\":\"cache\",\"site\":\"a\",\"class\":\"m2\",\"health\":\"Terminating\"}";
     try (Stub cache = new Stub(Stub.Peer::beSilent); Stub discovery = new Stub(peer -> {
       peer.head();
-      peer.say(HEAD + chunk("{\"seq\":2,\"whole\":false,\"hosts\":[" + drain + "]}\n"));
+      peer.say(ProxyFixture.LIST_HEAD + chunk("{\"seq\":2,\"whole\":false,\"hosts\":[" + drain + "]}\n"));
       peer.beSilent();
     }); ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody(), 1024, ProxyFixture.SETTINGS,
         discovery.address())) {
--- a/src/test/java/beampoint/soak/SoakClient.java
+++ b/src/test/java/beampoint/soak/SoakClient.java
@@ -21,7 +21,8 @@
 
   private static final double REFUSED_PAUSE_MS = 20;
   private static final int LONGEST_PIPELINE = 20;
-  private static final int MAX_FLOOD = 9000; // requests beyond the first thousand
+  private static final int MIN_FLOOD = 1000; // requests
+  private static final int MAX_FLOOD = 10_000;
   private static final double LEAVES_FLOOD_MS = 200; // at the latest
   private static final double AFTER_FLOOD_MS = 1000;
   private static final double WRITES = 0.2; // of all requests
@@ -116,7 +117,7 @@
   }
 
   private int flood() {
-    return 1000 + random.nextInt(MAX_FLOOD);
+    return MIN_FLOOD + random.nextInt(MAX_FLOOD - MIN_FLOOD);
   }
 
   private Request next() {
--- a/src/test/java/beampoint/soak/SoakPlan.java
+++ b/src/test/java/beampoint/soak/SoakPlan.java
@@ -16,13 +16,15 @@
   /** How a client uses its connections. */
   enum ClientWay {
     PLAIN, PIPELINED, IN_PIECES, HALF_A_COMMAND, LEAVES, READS_SLOWLY,
-    /** Sends thousands of commands at once, and leaves or reads all answers. */
-    FLOODS_AND_LEAVES, FLOODS
+    /** Sends thousands of commands at once and leaves. */
+    FLOODS_AND_LEAVES,
+    /** Sends thousands of commands at once and reads all answers. */
+    FLOODS
   }
 
   private static final ClientWay[] USUAL_WAYS = {ClientWay.PLAIN, ClientWay.PIPELINED, ClientWay.IN_PIECES,
       ClientWay.HALF_A_COMMAND, ClientWay.LEAVES, ClientWay.READS_SLOWLY};
-  private static final ClientWay[] FLOODS = {ClientWay.FLOODS_AND_LEAVES, ClientWay.FLOODS};
+  private static final ClientWay[] FLOOD_WAYS = {ClientWay.FLOODS_AND_LEAVES, ClientWay.FLOODS};
 
   /** The signals of a run, and beside what they come. */
   enum Series {
@@ -34,7 +36,7 @@
 
   private static final int MAX_CACHES = 5;
   private static final int MAX_CLIENTS = 36;
-  private static final long MORE = 0x9e3779b97f4a7c15L; // tells a seed's second stream from its first
+  private static final long SECOND_STREAM = 0x9e3779b97f4a7c15L; // tells a second stream from the first
 
   static SoakPlan of(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
@@ -64,10 +66,10 @@
     double signalAt = 1200 + random.nextInt(800);
     boolean heldUp = series == Series.TERM_HELD_UP_SHORTLY || series == Series.TERM_HELD_UP_LONG;
     // Drawn apart, so that what a seed has drawn before stays.
-    SplittableRandom more = new SplittableRandom(seed ^ MORE);
-    boolean outage = drains && !heldUp && more.nextInt(2) == 0;
-    for (int i = heldUp ? 0 : more.nextInt(3); i > 0; i--) {
-      clients.add(FLOODS[more.nextInt(FLOODS.length)]);
+    SplittableRandom second = new SplittableRandom(seed ^ SECOND_STREAM);
+    boolean outage = drains && !heldUp && second.nextInt(2) == 0;
+    for (int i = heldUp ? 0 : second.nextInt(3); i > 0; i--) {
+      clients.add(FLOOD_WAYS[second.nextInt(FLOOD_WAYS.length)]);
     }
     return new SoakPlan(seed, processes, deadline, caches, origin, discovery, drains, outage, clients, crowd,
         series, signalAt);
