--- a/review/src/Case.java
+++ b/review/src/Case.java
@@ -16,6 +16,7 @@
         boolean held = switch (arguments[1]) {
           case "SlowReaders" -> SlowReaders.run(repository, trouble, log);
           case "SlowOrigin" -> SlowOrigin.run(repository, trouble, log);
+          case "SecondAnswer" -> SecondAnswer.run(repository, trouble, log);
           default -> throw new Kit.CannotRun("no such case: " + arguments[1]);
         };
         code = held ? 0 : 1;
