--- a/review/src/SlowOrigin.java
+++ b/review/src/SlowOrigin.java
@@ -3,6 +3,7 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
@@ -13,13 +14,14 @@
 
 /**
  * Keyed writes of long values. The origin carries each out and answers 500 (it may have run), so the proxy
- * sends it again; with the disruption the origin takes 2.4 s to read that second attempt. The origin drops a
- * repeat of a key for 2 s, as the settings say.
+ * sends it again; with the disruption the origin takes 2.4 s to read that second attempt: nothing for 2.1 s,
+ * then all of it in pieces. The origin drops a repeat of a key for 2 s, as the settings say.
  */
 final class SlowOrigin {
 
   private static final int WINDOW_MS = 2000; // the time for which a repeat is dropped, as in the settings
-  private static final double READ_MS = 2400; // "peers take seconds to read"
+  private static final double WAIT_BEFORE_READ_MS = 2100; // "peers take seconds to read"
+  private static final double READ_MS = 300;
   private static final int PIECES = 60;
   private static final int VALUE_BYTES = 4 * 1024 * 1024; // "up to 4 MiB"
   private static final int WAIT_MS = 3000; // the deadline of feedback-post
@@ -109,7 +111,7 @@
       if (first || !trouble) {
         Kit.exactly(in, head.length());
       } else {
-        readSlowly(in, head);
+        readSlowly(socket, in, head);
       }
       boolean dropped = !carryOut(head.parameters().get("k"));
       log.add("origin has the last byte of attempt %d of %s: %s", first ? 1 : 2, head.id(),
@@ -119,20 +121,35 @@
     }
   }
 
-  private void readSlowly(InputStream in, Kit.Head head) throws IOException {
+  /** Reads nothing for some time, and then the whole body in pieces. */
+  private void readSlowly(Socket socket, InputStream in, Kit.Head head) throws IOException {
     double beganAt = Kit.now();
-    boolean told = false;
+    Kit.sleepUntil(beganAt + WAIT_BEFORE_READ_MS);
+    long inSystem = inSystemBuffers(socket);
+    log.add("the window of %s has ended; of its %d bytes the system's buffers hold %d, so the proxy holds %d",
+        head.id(), head.length(), inSystem, Math.max(0, head.length() - inSystem));
     for (int i = 0; i < PIECES; i++) {
-      Kit.sleepUntil(beganAt + (i + 1) * READ_MS / PIECES);
-      if (!told && Kit.now() - beganAt > WINDOW_MS) {
-        told = true;
-        log.add("origin has %d of %d bytes of attempt 2 of %s when its window has ended",
-            (long) i * head.length() / PIECES, head.length(), head.id());
-      }
+      Kit.sleepUntil(beganAt + WAIT_BEFORE_READ_MS + (i + 1) * READ_MS / PIECES);
       Kit.exactly(in, (int) ((i + 1L) * head.length() / PIECES - (long) i * head.length() / PIECES));
     }
   }
 
+  /** The bytes that the system holds of what the proxy has written on a connection, on both of its sides. */
+  private static long inSystemBuffers(Socket socket) throws IOException {
+    String proxySide = String.format(":%04X", socket.getPort());
+    String originSide = String.format(":%04X", socket.getLocalPort());
+    long bytes = 0;
+    for (String line : Files.readAllLines(Path.of("/proc/net/tcp"))) {
+      String[] words = line.strip().split("\\s+");
+      if (words[1].endsWith(proxySide) && words[2].endsWith(originSide)) {
+        bytes += Long.parseLong(words[4].substring(0, 8), 16);
+      } else if (words[1].endsWith(originSide) && words[2].endsWith(proxySide)) {
+        bytes += Long.parseLong(words[4].substring(9), 16);
+      }
+    }
+    return bytes;
+  }
+
   /** Carries a write out unless it is a repeat within the window; true if it did. */
   private synchronized boolean carryOut(String key) {
     Double before = ranAt.get(key);
