--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,7 +5,7 @@
   echo "build first: the build of deploy/balancer.toml, then review/build.sh" >&2
   exit 2
 fi
-timeout -k 5 110 java -cp ../out Case . SlowReaders
+timeout -k 5 110 java -cp ../out Case . LongWrites
 code=$?
 [ "$code" -le 1 ] || code=2
 tail -n 1 record.txt
--- a/review/src/Case.java
+++ b/review/src/Case.java
@@ -14,7 +14,7 @@
       log.add("case %s, trouble: %b", arguments[1], trouble);
       try {
         boolean held = switch (arguments[1]) {
-          case "SlowReaders" -> SlowReaders.run(repository, trouble, log);
+          case "LongWrites" -> LongWrites.run(repository, trouble, log);
           case "SlowOrigin" -> SlowOrigin.run(repository, trouble, log);
           case "SecondAnswer" -> SecondAnswer.run(repository, trouble, log);
           default -> throw new Kit.CannotRun("no such case: " + arguments[1]);
--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -393,6 +393,11 @@
       return all.subList(Math.max(0, all.size() - lines), all.size());
     }
 
+    /** How many lines of its log have this text. */
+    long logCount(String text) throws IOException {
+      return logTail(Integer.MAX_VALUE).stream().filter(line -> line.contains(text)).count();
+    }
+
     @Override
     public void close() throws IOException {
       process.destroyForcibly();
@@ -449,16 +454,6 @@
       return new Answer(first, value);
     }
 
-    /** Reads what comes in pieces of so many bytes, with a wait before each, until the connection ends. */
-    void readSlowly(int pieceBytes, double waitMs) throws IOException {
-      byte[] piece = new byte[pieceBytes];
-      int count = 0;
-      while (count >= 0) {
-        sleep(waitMs);
-        count = in.readNBytes(piece, 0, pieceBytes) == 0 ? -1 : 0;
-      }
-    }
-
     @Override
     public void close() throws IOException {
       socket.close();
