--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -303,6 +303,7 @@
     /** Starts a proxy and waits until it takes requests. */
     Proxy(Path repository, String list, String discovery, String settings, int memoryMb)
         throws IOException, CannotRun {
+      String command = runCommand(repository);
       port = freePort();
       folder = Files.createTempDirectory("review-");
       Path temporary = Files.createDirectory(folder.resolve("tmp"));
@@ -312,7 +313,7 @@
           + discovery + "\",\"seed\":\"" + Long.toHexString(System.nanoTime()) + "\",\"limits\":{\"cores\":1.0,"
           + "\"memory_mb\":" + memoryMb + ",\"sockets\":1024},\"known\":" + list + ",\"settings\":" + settings
           + "}");
-      ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runCommand(repository))
+      ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command)
           .directory(repository.toFile()).redirectErrorStream(true).redirectOutput(log.toFile());
       builder.environment().putAll(Map.of("PROXY_NAME", "n1", "PROXY_LISTEN", "127.0.0.1:" + port,
           "PROXY_DISCOVERY", discovery, "PROXY_CONFIG", config.toString(), "TMPDIR", temporary.toString()));
