--- a/review/src/SecondAnswer.java
+++ b/review/src/SecondAnswer.java
@@ -91,6 +91,8 @@
         Kit.Client.Answer answer = client.answer(4000);
         String got = answer.value() != null ? new String(answer.value(), StandardCharsets.ISO_8859_1)
             : answer.line().startsWith("HD ") ? answer.line().replaceAll(".* c", "") : null;
+        log.add("client sent %s %s of key %s, answered '%s'%s", write ? "write" : "read", id, key, answer.line(),
+            answer.value() == null ? "" : ", value '" + got + "'");
         if (got == null) {
           notServed.incrementAndGet();
         } else if (got.equals(made(id))) {
@@ -116,6 +118,7 @@
       Kit.sleep(WORK_MS);
       byte[] answer = Kit.httpAnswer(200, Kit.bytes(made(head.id())));
       out.write(answer);
+      log.add("origin ran %s %s of key %s and answered", head.method(), head.id(), head.key());
       if (answers.incrementAndGet() % ONE_IN == 0 && trouble) {
         double late = MIN_LATE_MS + random.nextDouble() * (MAX_LATE_MS - MIN_LATE_MS);
         String id = head.id();
--- a/review/src/SlowReaders.java
+++ b/review/src/SlowReaders.java
@@ -117,6 +117,7 @@
       }
       if (outcome == null) {
         answered.incrementAndGet();
+        log.add("usual client sent u%d, answered after %.1f ms", i, Kit.now() - sentAt);
         continue;
       }
       lost.incrementAndGet();
@@ -159,6 +160,7 @@
           return;
         }
         slowAnswered.incrementAndGet();
+        log.add("client %d: command s%dx%d is answered", number, number, i);
       }
     }
   }
