A repeat never reaches its server after the dedup window, however slowly that reads

Cause: the end of the window was compared with the clock once, before the first byte. After that only the client's deadline bounded the attempt, and a request arrives with its last byte. Ruled out: the decision, whose time was right; a late connection. Ending the attempt by a close alone is not enough: up to 2.8 MB wait in the system's buffers, and a close sends them.

Change: an attempt with a latest arrival ends then unless it is answered; its connection is reset if a part may not have left this machine; the time told to the server counts to that moment as well. The same for what is unsent when the client disconnects, and at any timeout.

--- a/src/main/java/beampoint/Balancer.java
+++ b/src/main/java/beampoint/Balancer.java
@@ -279,11 +279,11 @@
 
   /**
    * Starts an attempt. A timeout of 0 means none: the attempt lasts until the client gives up. If the
-   * connection is established only after {@code startBy}, the request must not be sent.
+   * request can't have reached the endpoint by {@code arriveBy}, it must not reach it any more.
    */
-  record Send(long id, String endpoint, double timeout, double startBy) implements Action {
+  record Send(long id, String endpoint, double timeout, double arriveBy) implements Action {
 
-    /** An attempt without a latest start. */
+    /** An attempt without a latest arrival. */
     public Send(long id, String endpoint, double timeout) {
       this(id, endpoint, timeout, Double.POSITIVE_INFINITY);
     }
--- a/src/main/java/beampoint/policy/BalancerPolicy.java
+++ b/src/main/java/beampoint/policy/BalancerPolicy.java
@@ -159,7 +159,7 @@
     if (!room) {
       ring.onOriginOverload();
     }
-    return room && state.now < RetrySafety.startBy(request, state.origin) ? state.origin : null;
+    return room && state.now < RetrySafety.arriveBy(request, state.origin) ? state.origin : null;
   }
 
   private void onRequest(RequestReceived e) {
@@ -201,7 +201,7 @@
     // most writes, is awaited until the client gives up.
     double timeout = request.requestClass.idempotency() == Idempotency.SAFE
         ? Math.max(1, request.usefulUntil - state.now) : 0;
-    actions.add(new Send(request.id, node.endpoint.id(), timeout, RetrySafety.startBy(request, node)));
+    actions.add(new Send(request.id, node.endpoint.id(), timeout, RetrySafety.arriveBy(request, node)));
   }
 
   private void onAttemptEnded(AttemptEnded e) {
--- a/src/main/java/beampoint/policy/idempotency/RetrySafety.java
+++ b/src/main/java/beampoint/policy/idempotency/RetrySafety.java
@@ -11,11 +11,11 @@
   private RetrySafety() {}
 
   /**
-   * Latest time in ms at which an attempt may begin at a node: Double.MAX_VALUE if there is no limit, 0 if it
+   * Latest time in ms at which an attempt may reach a node: Double.MAX_VALUE if there is no limit, 0 if it
    * may not begin at all. A request that is not SAFE and may have run already is repeated only at a node that
    * drops repeats, and only as long as it does.
    */
-  public static double startBy(Request request, Node node) {
+  public static double arriveBy(Request request, Node node) {
     boolean unrestricted =
         request.mayHaveRunAt == null || request.requestClass.idempotency() == Idempotency.SAFE;
     boolean repeatsDropped = !unrestricted && request.requestClass.idempotency() == Idempotency.KEYED
--- a/src/main/java/beampoint/policy/ring/Ring.java
+++ b/src/main/java/beampoint/policy/ring/Ring.java
@@ -117,7 +117,7 @@
   }
 
   private boolean isReady(Node node, Request request) {
-    return state.now >= node.ejectedUntil && state.now < RetrySafety.startBy(request, node);
+    return state.now >= node.ejectedUntil && state.now < RetrySafety.arriveBy(request, node);
   }
 
   /**
--- a/src/main/java/beampoint/serve/Decisions.java
+++ b/src/main/java/beampoint/serve/Decisions.java
@@ -328,7 +328,7 @@
       loop.execute(() -> attemptEnded(exchange, attempt, a.endpoint(), 0, Result.NOT_SENT, null, null));
     } else {
       upstreams.send(exchange, attempt, a.endpoint(),
-          a.timeout() > 0 ? Math.min(endBy, now + a.timeout()) : endBy, a.startBy());
+          a.timeout() > 0 ? Math.min(endBy, now + a.timeout()) : endBy, a.arriveBy());
     }
   }
 
--- a/src/main/java/beampoint/upstream/PooledConnection.java
+++ b/src/main/java/beampoint/upstream/PooledConnection.java
@@ -4,9 +4,13 @@
 import beampoint.buffer.Collector;
 import beampoint.buffer.Stream;
 import beampoint.http.HttpHead;
+import java.io.IOException;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.Future;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
  * One connection to an endpoint, with at most one request in flight, so that a request can be abandoned by
@@ -35,6 +39,16 @@
     this.inFlight = inFlight;
   }
 
+  /** Makes the close a reset: what the system holds for the peer is not sent any more. */
+  void dropUnsentOnClose() {
+    try {
+      ((SocketChannel) ((NIOConnection) connection).getChannel()).setOption(StandardSocketOptions.SO_LINGER,
+          0);
+    } catch (IOException e) {
+      // the connection has ended, and nothing more is sent
+    }
+  }
+
   void close() {
     closed = true;
     if (bodyClaim != null) {
--- a/src/main/java/beampoint/upstream/UpstreamRequest.java
+++ b/src/main/java/beampoint/upstream/UpstreamRequest.java
@@ -6,29 +6,47 @@
 /** One attempt or, if it has no exchange, one probe that is in flight. Confined to the decision thread. */
 final class UpstreamRequest {
 
+  /** What TCP sends without waiting for an acknowledgement, in bytes (RFC 6928). */
+  private static final int TCP_INITIAL_WINDOW_BYTES = 14_600;
+
   final Exchange exchange;
   final int attempt;
   final String endpoint;
-  final double startedAt; // in ms on the proxy's clock, as are the next two
+  final double startedAt; // in ms on the proxy's clock
+  /** When the attempt ends unless it is answered, in ms on the proxy's clock. */
   final double timeoutAt;
-  final double startBy; // the request must not be written later
   PooledConnection pooled;
   Future<?> timer;
   boolean finished;
+  /** The length of the request as written, in bytes; 0 until then. */
+  int writtenBytes;
   /** The load report in its reply, or null. */
   String loadReport;
 
+  /**
+   * An attempt or a probe that is not written yet.
+   *
+   * @param arriveBy the latest time at which the request may reach its server. The proxy can't see when that
+   * happens: the system and the server buffer what is written. So an attempt that is not answered ends then.
+   */
   UpstreamRequest(Exchange exchange, int attempt, String endpoint, double startedAt, double timeoutAt,
-      double startBy) {
+      double arriveBy) {
     this.exchange = exchange;
     this.attempt = attempt;
     this.endpoint = endpoint;
     this.startedAt = startedAt;
-    this.timeoutAt = timeoutAt;
-    this.startBy = Math.min(startBy, timeoutAt);
+    this.timeoutAt = Math.min(timeoutAt, arriveBy);
   }
 
   boolean isProbe() {
     return exchange == null;
   }
+
+  /**
+   * True if a part of the request may not have left this machine: it is not written whole, or it was longer
+   * than what TCP sends at once, and the system may hold the rest for as long as the server does not read.
+   */
+  boolean mayBeUnsent() {
+    return pooled == null || !pooled.requestWritten || writtenBytes > TCP_INITIAL_WINDOW_BYTES;
+  }
 }
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -169,11 +169,11 @@
    * Starts an attempt. Its outcome is reported to the {@link AttemptListener}.
    *
    * @param timeoutAt when the attempt times out, in ms on the proxy's clock
-   * @param startBy the latest time at which the request may be written, in ms on the proxy's clock
+   * @param arriveBy the latest time at which the request may reach the endpoint, in ms on the proxy's clock
    */
-  public void send(Exchange exchange, int attempt, String endpoint, double timeoutAt, double startBy) {
+  public void send(Exchange exchange, int attempt, String endpoint, double timeoutAt, double arriveBy) {
     UpstreamRequest inFlight =
-        new UpstreamRequest(exchange, attempt, endpoint, clock.getAsDouble(), timeoutAt, startBy);
+        new UpstreamRequest(exchange, attempt, endpoint, clock.getAsDouble(), timeoutAt, arriveBy);
     inFlightAttempts.computeIfAbsent(exchange.id(), id -> new HashMap<>()).put(attempt, inFlight);
     counters.add(Counter.ATTEMPTS_SENT);
     start(inFlight);
@@ -196,12 +196,12 @@
   }
 
   /**
-   * Cancels the attempts of a request that were not written completely; called when its client has
+   * Cancels the attempts of a request of which a part may not have been sent; called when its client has
    * disconnected.
    */
   public void abandon(long id) {
     for (UpstreamRequest inFlight : List.copyOf(inFlightAttempts.getOrDefault(id, Map.of()).values())) {
-      if (!inFlight.pooled.requestWritten) {
+      if (inFlight.mayBeUnsent()) {
         abort(inFlight, Result.CANCELLED);
       }
     }
@@ -240,9 +240,9 @@
 
   /**
    * Writes a request; the only place that does. It is not sent if, while it waited for its connection, its
-   * client has disconnected, it has timed out, or the dedup window in which servers drop a repeated request
-   * has ended. The server gets the time that is left now, which never exceeds what the client or this proxy
-   * still waits.
+   * client has disconnected or it has timed out. The server gets the time that is left now, which never
+   * exceeds what the client or this proxy still waits, nor what is left of the dedup window in which servers
+   * drop a repeated request: a server that handles the request too late drops it by itself.
    */
   private void write(PooledConnection pooled) {
     UpstreamRequest inFlight = pooled.inFlight;
@@ -250,7 +250,7 @@
     double now = clock.getAsDouble();
     long timeLeft = (long) Math.floor(inFlight.timeoutAt - now);
     if (!inFlight.isProbe()
-        && (!inFlight.exchange.isClientWaiting() || now >= inFlight.startBy || timeLeft < 1)) {
+        && (!inFlight.exchange.isClientWaiting() || timeLeft < 1)) {
       pools.release(pooled, false);
       complete(inFlight, Result.NOT_SENT, null);
       return;
@@ -268,6 +268,7 @@
               command.value())
           : writer.command(command, timeLeft);
     }
+    inFlight.writtenBytes = request.remaining();
     pooled.connection.write(request, new EmptyCompletionHandler<>() {
       @Override
       public void completed(WriteResult<Buffer, SocketAddress> result) {
@@ -294,7 +295,8 @@
 
   /**
    * Ends an attempt or probe without a reply. An attempt that was not written completely was never executed,
-   * and is reported as not sent: the endpoint did not cause a timeout.
+   * and is reported as not sent: the endpoint did not cause a timeout. A part that may not have left this
+   * machine is dropped.
    */
   private void abort(UpstreamRequest inFlight, Result result) {
     if (inFlight.finished) {
@@ -305,6 +307,9 @@
     if (pooled != null && pooled.connection == null) {
       pooled.inFlight = null; // the connection may still be established, for a later request
     } else if (pooled != null) {
+      if (inFlight.mayBeUnsent()) {
+        pooled.dropUnsentOnClose();
+      }
       pools.close(pooled);
     }
     complete(inFlight, written ? result : inFlight.isProbe() ? Result.TIMEOUT : Result.NOT_SENT, null);
--- a/src/test/java/beampoint/policy/StartByAndSubscriptionRetryTest.java
+++ b/src/test/java/beampoint/policy/RepeatWindowAndSubscriptionRetryTest.java
@@ -16,10 +16,10 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * The latest start of a repeated attempt, and the delay before a failed subscription to the host list is
+ * The latest arrival of a repeated attempt, and the delay before a failed subscription to the host list is
  * retried.
  */
-class StartByAndSubscriptionRetryTest {
+class RepeatWindowAndSubscriptionRetryTest {
 
   private static Send sent(List<Action> actions) {
     return (Send) actions.stream().filter(Send.class::isInstance).findFirst().orElseThrow();
@@ -36,13 +36,13 @@
     double first = f.now;
     long id = f.nextId();
     Send send = sent(f.read(7));
-    assertTrue(send.startBy() > 1e15, "the first may begin at any time");
+    assertTrue(send.arriveBy() > 1e15, "the first may begin at any time");
     f.now += 100;
     Send again = sent(f.endAttempt(id, 0, send.endpoint(), 100, Result.RESET));
-    assertEquals(first + 2_000, again.startBy());
+    assertEquals(first + 2_000, again.arriveBy());
     f.now += 100;
     Send last = sent(f.endAttempt(id, 1, again.endpoint(), 100, Result.RESET));
-    assertEquals(first + 2_000, last.startBy(), "counted from the first attempt");
+    assertEquals(first + 2_000, last.arriveBy(), "counted from the first attempt");
   }
 
   @Test
@@ -52,7 +52,7 @@
           new BalancerFixture(BalancerFixture.requestClass(idempotency, DedupGroup.ALL)).withFleet(4);
       Send send = sent(f.read(7));
       Result result = idempotency == Idempotency.SAFE ? Result.RESET : Result.CONNECT_FAILED;
-      assertTrue(sent(f.endAttempt(0, 0, send.endpoint(), 10, result)).startBy() > 1e15, idempotency.name());
+      assertTrue(sent(f.endAttempt(0, 0, send.endpoint(), 10, result)).arriveBy() > 1e15, idempotency.name());
     }
   }
 
