An origin's answer that completes without free memory leaves its connection readable

Cause: the last part of a body paused reading too, and the claim that would enable it again ends with it. Change: the last part never pauses.

Evidence: MemoryBudgetTest failed before (the second of three reads 'SERVER_ERROR busy' after its 4 s), and passes now; the connection is the same for all three.

--- a/src/main/java/beampoint/upstream/Replies.java
+++ b/src/main/java/beampoint/upstream/Replies.java
@@ -216,7 +216,7 @@
       pooled.bodyClaim = budget.claim(() -> setReading(pooled, true));
       pooled.bodyCollector = new Collector(memory, MAX_BODY, pooled.bodyClaim);
     }
-    if (!pooled.bodyCollector.add(content.bytes())) {
+    if (!pooled.bodyCollector.add(content.bytes()) && !content.last()) {
       setReading(pooled, false);
     }
     if (content.bytes().hasRemaining()) {
--- a/src/test/java/beampoint/serve/ProxyFixture.java
+++ b/src/test/java/beampoint/serve/ProxyFixture.java
@@ -23,6 +23,8 @@
   /** The head of the response with which discovery answers a watch. */
   static final String LIST_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+  private static final int MEMORY_MB = 192;
+
   /** A client's read of a value. */
   static final String READ = "mg 7f3a v O9b Pc=read,t=acme,d=4000\r\n";
 
@@ -143,11 +145,21 @@
   /** The same with other settings and, if its address is not null, with the test's own discovery. */
   ProxyFixture(String cache, String origin, int sockets, String settings, String discoveryAddress)
       throws Exception {
+    this(cache, origin, sockets, settings, discoveryAddress, MEMORY_MB);
+  }
+
+  /** A proxy that may use so many MB of memory, with a cache node and an origin at these addresses. */
+  static ProxyFixture withMemory(int memoryMb, String cache, String origin) throws Exception {
+    return new ProxyFixture(cache, origin, 1024, SETTINGS, null, memoryMb);
+  }
+
+  private ProxyFixture(String cache, String origin, int sockets, String settings, String discoveryAddress,
+      int memoryMb) throws Exception {
     List<String> hosts = new ArrayList<>();
     hosts.add(host("cache", cache, "m2"));
     hosts.add(host("origin", origin, "origin"));
     String address = discoveryAddress == null ? discovery.address() : discoveryAddress;
-    proxy = new Proxy(config(hosts, sockets, address, settings), ignored -> module);
+    proxy = new Proxy(config(hosts, sockets, address, settings, null, memoryMb), ignored -> module);
     proxy.start();
     port = proxy.port();
     module.next(Balancer.ListReceived.class);
@@ -185,10 +197,16 @@
 
   static Config config(List<String> hosts, int sockets, String discovery, String settings, String ops)
       throws Exception {
+    return config(hosts, sockets, discovery, settings, ops, MEMORY_MB);
+  }
+
+  private static Config config(List<String> hosts, int sockets, String discovery, String settings,
+      String ops, int memoryMb) throws Exception {
     String json = "{" + (ops == null ? "" : "\"ops\":\"" + ops + "\",") + "\"name\":\"n0\","
         + "\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery
         + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets
-        + "},\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[" + String.join(",", hosts)
+        + ",\"memory_mb\":" + memoryMb + "},\"known\":{\"seq\":1,\"whole\":true,\"hosts\":["
+        + String.join(",", hosts)
         + "]},\"settings\":" + settings + "}";
     return Config.read("test", JsonParser.parseString(json).getAsJsonObject());
   }
