Answers count in the byte budget until written, so slow readers can't fill the heap

Cause: answers that wait for their client were in no account; 32 a connection, without a bound over all. Ruled out: a limit of the platform (111 MB resident of 192), a leak.

Change: one account for values of clients, replies being received, streams and unread answers. A connection that holds nothing may always start a read; further ones need its answers to be below a part of what is free (dynamic thresholds); beyond the limit reads are refused at once by the module.

--- a/src/main/java/beampoint/buffer/Stream.java
+++ b/src/main/java/beampoint/buffer/Stream.java
@@ -21,7 +21,7 @@
 
   /** Where the bytes go. */
   public interface Sink {
-    /** The next bytes of the value. */
+    /** The next bytes of the value; the sink counts them in the budget until they are written. */
     void bytes(Buffer bytes);
 
     /** All bytes have arrived, and the data that followed them was valid. */
@@ -36,6 +36,7 @@
   private final Source source;
   private final Deque<Buffer> waiting = new ArrayDeque<>(); // until there is a sink
   private Sink sink;
+  private long waitingBytes;
   private long unwritten;
   private boolean paused;
   private boolean isComplete;
@@ -63,6 +64,8 @@
     unwritten += bytes.remaining();
     if (sink == null) {
       waiting.add(bytes);
+      waitingBytes += bytes.remaining();
+      budget.holdAnswer(bytes.remaining());
     } else {
       sink.bytes(bytes);
     }
@@ -82,9 +85,10 @@
     notifyEnd();
   }
 
-  /** Sets the sink and passes it the bytes that have arrived so far. */
+  /** Sets the sink and passes it the bytes that have arrived so far, which the sink holds from here on. */
   public void attach(Sink newSink) {
     sink = newSink;
+    releaseWaiting();
     while (!waiting.isEmpty()) {
       sink.bytes(waiting.poll());
     }
@@ -121,8 +125,14 @@
   public void cancel() {
     if (!isOver) {
       end();
+      releaseWaiting();
       waiting.clear();
       source.cancel();
     }
   }
+
+  private void releaseWaiting() {
+    budget.releaseAnswer(waitingBytes);
+    waitingBytes = 0;
+  }
 }
--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -2,6 +2,7 @@
 
 import beampoint.buffer.Stream;
 import beampoint.count.Counter;
+import beampoint.exchange.Answer;
 import beampoint.memcache.Command;
 import beampoint.memcache.Command.Kind;
 import beampoint.transport.LingeringClose;
@@ -9,10 +10,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.WriteResult;
 
 /**
  * One client connection: its commands are started as they arrive and answered in their order (pipelining).
@@ -27,21 +25,12 @@
   private final Sessions sessions;
   private final Deque<AnswerSlot> slots = new ArrayDeque<>();
   private final CommandBacklog backlog = new CommandBacklog();
-  private final CompletionHandler<WriteResult<Buffer, SocketAddress>> onAnswerWritten =
-      new EmptyCompletionHandler<>() {
-        @Override
-        public void completed(WriteResult<Buffer, SocketAddress> result) {
-          sessions.loop().execute(Session.this::answerWritten);
-        }
-      };
+  private final AnswerMemory memory;
+  private final AnswerWriter writer;
   private final double openedAt;
-  private double inactiveSince; // in ms; while commands are open, the time of the last check
+  private final ActivityTracker activity;
   private boolean hasReadCommand;
-  private boolean hadPartialCommand; // at the last check
   private int answersBeingWritten;
-  private int writesInProgress;
-  private double lastWriteProgressAt; // when the last write ended, or the first of those in progress began
-  private int partialValueBytes; // read of an incomplete value, at the last check
   private boolean inputEnded; // after a fatal error: what follows can't be parsed
   private boolean closing; // to be closed once all commands are answered
   private boolean answersEnded; // nothing more is written; the connection may still linger
@@ -54,8 +43,10 @@
   Session(Connection<?> connection, Sessions sessions, double openedAt) {
     this.connection = (Connection<SocketAddress>) connection;
     this.sessions = sessions;
+    this.memory = new AnswerMemory(sessions.answerLimits());
+    this.writer = new AnswerWriter(this.connection, sessions::now, this::lingerOnceWritten);
     this.openedAt = openedAt;
-    this.inactiveSince = openedAt;
+    this.activity = new ActivityTracker(openedAt);
   }
 
   /** True if all that was read is answered, including commands in tasks that are still queued. */
@@ -82,7 +73,7 @@
 
   /** When the client last sent a complete command, the first part of one, or bytes of a value, in ms. */
   double inactiveSince() {
-    return inactiveSince;
+    return activity.inactiveSince();
   }
 
   /**
@@ -95,18 +86,9 @@
    */
   void closeIfStale(double now, boolean hasPartialCommand, int valueBytes, double commandTimeoutMs,
       double idleTimeoutMs) {
-    boolean valueProgressed = valueBytes != partialValueBytes;
-    partialValueBytes = valueBytes;
-    if (closing || !isIdle() || valueProgressed) {
-      inactiveSince = now;
-      hadPartialCommand = hasPartialCommand;
-      return;
-    }
-    if (hasPartialCommand && !hadPartialCommand && hasReadCommand) {
-      inactiveSince = now;
-    }
-    hadPartialCommand = hasPartialCommand;
-    if (now - inactiveSince >= (hasReadCommand && !hadPartialCommand ? idleTimeoutMs : commandTimeoutMs)) {
+    activity.check(now, closing || !isIdle(), hasPartialCommand, valueBytes, hasReadCommand);
+    boolean awaitsCommand = !hasReadCommand || hasPartialCommand;
+    if (now - activity.inactiveSince() >= (awaitsCommand ? commandTimeoutMs : idleTimeoutMs)) {
       sessions.counters().add(Counter.CLIENT_CONNECTIONS_CLOSED_STALE);
       closeWhenIdle();
     }
@@ -122,7 +104,7 @@
       return;
     }
     hasReadCommand |= command.problem() == null;
-    inactiveSince = arrivedAt;
+    activity.commandArrived(arrivedAt);
     if (backlog.isEmpty() && hasRoom()) {
       start(command, arrivedAt);
       return;
@@ -135,7 +117,7 @@
   }
 
   private boolean hasRoom() {
-    return slots.size() + answersBeingWritten < MAX_PIPELINED;
+    return slots.size() + answersBeingWritten < MAX_PIPELINED && memory.mayStart();
   }
 
   /** Answers the queued requests at once; a limited number per task, to let other connections run between. */
@@ -201,12 +183,17 @@
   /** Adds an answer that is written in the order of the commands. */
   private void addAnswer(String line) {
     AnswerSlot slot = new AnswerSlot();
-    slot.answer = sessions.writer().line(line);
+    setAnswer(slot, sessions.writer().line(line));
     slot.closesConnection = inputEnded;
     slots.add(slot);
     flush();
   }
 
+  private void setAnswer(AnswerSlot slot, Buffer answer) {
+    slot.answer = answer;
+    memory.hold(answer.remaining());
+  }
+
   /** The answer to a command that is not a request. */
   private String localAnswer(Command command) {
     return switch (command.kind()) {
@@ -233,19 +220,36 @@
 
   private void startRequest(AnswerSlot slot, Command command, double arrivedAt) {
     String problem = rejectionLine(command);
+    boolean isRead = command.kind() == Kind.READ;
+    if (problem == null && isRead && sessions.answerLimits().mustRefuseReads()) {
+      problem = AnswerText.errorLine(sessions.requestHandler().refuse(command));
+    }
     if (problem != null) {
-      slot.answer = sessions.writer().line(problem);
+      setAnswer(slot, sessions.writer().line(problem));
       return;
     }
     slot.command = command;
-    slot.exchange = sessions.requestHandler().accept(command, arrivedAt, () -> clientGone, answer -> {
-      slot.stream = answer.stream();
-      slot.answer = slot.stream == null ? AnswerText.message(sessions.writer(), command, answer) : null;
-      if (answersEnded && slot.stream != null) {
-        slot.stream.cancel();
-      }
-      flush();
-    });
+    if (isRead) {
+      memory.readStarted();
+    }
+    slot.exchange = sessions.requestHandler().accept(command, arrivedAt, () -> clientGone,
+        answer -> answered(slot, answer));
+  }
+
+  private void answered(AnswerSlot slot, Answer answer) {
+    slot.stream = answer.stream();
+    if (slot.stream == null) {
+      setAnswer(slot, AnswerText.message(sessions.writer(), slot.command, answer));
+    } else if (answersEnded) {
+      slot.stream.cancel();
+    }
+    if (slot.command.kind() == Kind.READ) {
+      memory.readAnswered();
+    }
+    if (answer.kind() == Answer.Kind.VALUE && slot.stream == null) {
+      sessions.answerLimits().valueReceived(slot.answer.remaining());
+    }
+    flush();
   }
 
   /** Writes the answers that are next in the order of the commands; closes the connection after the last. */
@@ -253,13 +257,12 @@
     while (!slots.isEmpty() && slots.peek().answer != null) {
       AnswerSlot slot = slots.poll();
       closing |= slot.closesConnection;
-      answersBeingWritten++;
-      write(slot.answer, onAnswerWritten);
+      writeAnswer(slot.answer);
     }
     AnswerSlot next = slots.peek();
     if (next != null && next.stream != null && !next.streamStarted) {
       next.streamStarted = true;
-      write(sessions.writer().valueHead(next.command.id(), next.stream.length()), null);
+      writer.write(sessions.writer().valueHead(next.command.id(), next.stream.length()), () -> {});
       next.stream.attach(new ValueSink(next));
     }
     // Not closed while a command that was read waits in a task. After the close it could get no answer: it
@@ -270,8 +273,7 @@
       answersEnded = true;
       discardBacklog();
       sessions.discardInput(connection);
-      if (evicted && writesInProgress == 0
-          && sessions.now() - lastWriteProgressAt > LingeringClose.LINGER_MS) {
+      if (evicted && writer.isIdle() && writer.sinceProgress() > LingeringClose.LINGER_MS) {
         connection.terminateSilently(); // no answer is in transit that a reset could destroy
       } else {
         lingerOnceWritten();
@@ -280,7 +282,7 @@
   }
 
   private void lingerOnceWritten() {
-    if (answersEnded && !lingering && writesInProgress == 0) {
+    if (answersEnded && !lingering && writer.isIdle()) {
       lingering = true;
       lingeringSince = sessions.now();
       LingeringClose.begin(connection, sessions.loop());
@@ -296,20 +298,12 @@
     sessions.addBacklogBytes(-backlog.clear());
   }
 
-  private void write(Buffer message, CompletionHandler<WriteResult<Buffer, SocketAddress>> handler) {
-    if (writesInProgress++ == 0) {
-      lastWriteProgressAt = sessions.now();
-    }
-    connection.write(message, new EmptyCompletionHandler<>() {
-      @Override
-      public void completed(WriteResult<Buffer, SocketAddress> result) {
-        writesInProgress--;
-        lastWriteProgressAt = sessions.now();
-        if (handler != null) {
-          handler.completed(result);
-        }
-        lingerOnceWritten();
-      }
+  private void writeAnswer(Buffer answer) {
+    int bytes = answer.remaining();
+    answersBeingWritten++;
+    writer.write(answer, () -> {
+      memory.release(bytes);
+      sessions.loop().execute(this::answerWritten);
     });
   }
 
@@ -326,18 +320,17 @@
     @Override
     public void bytes(Buffer bytes) {
       int count = bytes.remaining();
-      write(bytes, new EmptyCompletionHandler<>() {
-        @Override
-        public void completed(WriteResult<Buffer, SocketAddress> result) {
-          sessions.loop().execute(() -> stream.written(count));
-        }
+      memory.hold(count);
+      writer.write(bytes, () -> {
+        memory.release(count);
+        sessions.loop().execute(() -> stream.written(count));
       });
     }
 
     @Override
     public void complete() {
       slot.stream = null;
-      slot.answer = sessions.writer().line(""); // the line end behind the value
+      setAnswer(slot, sessions.writer().line("")); // the line end behind the value
       flush();
     }
 
@@ -350,8 +343,8 @@
   }
 
   /** True if a write has made no progress for longer than the timeout, as the client does not read. */
-  boolean isStalled(double now, double timeoutMs) {
-    return writesInProgress > 0 && now - lastWriteProgressAt > timeoutMs;
+  boolean isStalled(double timeoutMs) {
+    return !writer.isIdle() && writer.sinceProgress() > timeoutMs;
   }
 
   /** Ends the connection without flushing or lingering. */
@@ -386,6 +379,7 @@
   void connectionClosed() {
     answersEnded = true;
     lingering = true; // prevents lingerOnceWritten from starting a lingering close
+    memory.close();
     discardBacklog();
     for (AnswerSlot slot : slots) {
       if (slot.exchange != null) {
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -69,6 +69,7 @@
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("pending-commands", AtomicInteger::new);
   private final ReadAheadFilter readAhead;
   private final CommandFilter commandFilter;
+  private final AnswerLimits answerLimits;
   private double partialCommandDeadline; // when the grace period of stopListening ends, in ms
   private int backlogBytes; // of commands that are read and not started
   private boolean refusesQueuedRequests;
@@ -77,7 +78,7 @@
    * Creates the client side, which does not listen yet.
    *
    * @param clock the proxy's clock, in ms
-   * @param budget the memory for values that are being read
+   * @param budget the memory for values that are being read and for answers until they are written
    */
   public Sessions(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
       Arrivals arrivals, RequestHandler requestHandler, Counters counters, Budget budget) {
@@ -89,6 +90,7 @@
     this.requestHandler = requestHandler;
     this.counters = counters;
     this.writer = new Writer(transport.getMemoryManager());
+    this.answerLimits = new AnswerLimits(budget);
     this.readAhead = new ReadAheadFilter(arrivals, listener::arrivedAt);
     this.commandFilter = new CommandFilter(transport.getMemoryManager(), budget, clock, readAhead::resume);
     loop.scheduleWithFixedDelay(this::closeStale, STALE_CHECK_INTERVAL_MS, STALE_CHECK_INTERVAL_MS,
@@ -248,7 +250,7 @@
       Session session = entry.getValue();
       // While reading a value is paused for lack of memory, the client is not to blame for its slow progress.
       int bytes = commandFilter.isPaused(connection) ? -1 : commandFilter.partialValueBytes(connection);
-      if (session.isStalled(now, WRITE_STALL_TIMEOUT_MS)) {
+      if (session.isStalled(WRITE_STALL_TIMEOUT_MS)) {
         counters.add(Counter.CLIENT_CONNECTIONS_CLOSED_STALE);
         session.terminate();
       } else if (bytes >= 0) {
@@ -352,6 +354,10 @@
     return listener.isClosed() && sessions.isEmpty();
   }
 
+  AnswerLimits answerLimits() {
+    return answerLimits;
+  }
+
   Writer writer() {
     return writer;
   }
--- a/src/main/java/beampoint/memcache/ReplyFilter.java
+++ b/src/main/java/beampoint/memcache/ReplyFilter.java
@@ -1,9 +1,11 @@
 package beampoint.memcache;
 
+import beampoint.buffer.Budget;
 import beampoint.buffer.Collector;
 import beampoint.memcache.Reply.Kind;
 import java.io.IOException;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -24,18 +26,54 @@
   public static final int MAX_VALUE = CommandFilter.MAX_VALUE;
 
   private final MemoryManager<?> memory;
-  private final Attribute<ReplyReader> readers;
+  private final Budget budget;
+  private final Attribute<ReplyReader> readers =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("replies-read");
 
-  public ReplyFilter(MemoryManager<?> memory) {
+  /**
+   * Creates the filter for the connections to all cache nodes.
+   *
+   * @param budget the memory for values that are being read
+   */
+  public ReplyFilter(MemoryManager<?> memory, Budget budget) {
     this.memory = memory;
-    this.readers = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("replies-read",
-        () -> new ReplyReader(memory));
+    this.budget = budget;
+  }
+
+  private ReplyReader reader(Connection<?> connection) {
+    ReplyReader reader = readers.get(connection);
+    if (reader == null) {
+      reader = new ReplyReader(memory, budget, () -> enableReading(connection));
+      readers.set(connection, reader);
+    }
+    return reader;
+  }
+
+  private static void enableReading(Connection<?> connection) {
+    try {
+      connection.enableIOEvent(IOEvent.READ);
+    } catch (IOException e) {
+      connection.terminateSilently();
+    }
+  }
+
+  @Override
+  public NextAction handleClose(FilterChainContext ctx) {
+    ReplyReader reader = readers.get(ctx.getConnection());
+    if (reader != null) {
+      reader.release();
+    }
+    return ctx.getInvokeAction();
   }
 
   @Override
   public NextAction handleRead(FilterChainContext ctx) throws IOException {
     Buffer in = ctx.getMessage();
-    Object message = readers.get(ctx.getConnection()).parse(in);
+    ReplyReader reader = reader(ctx.getConnection());
+    Object message = reader.parse(in);
+    if (reader.isPaused()) {
+      ctx.getConnection().disableIOEvent(IOEvent.READ);
+    }
     if (message == null) {
       return !in.hasRemaining() ? ctx.getStopAction()
           : ctx.getStopAction(in.isComposite() ? Collector.copy(memory, in) : in);
--- a/src/main/java/beampoint/memcache/ReplyReader.java
+++ b/src/main/java/beampoint/memcache/ReplyReader.java
@@ -1,5 +1,6 @@
 package beampoint.memcache;
 
+import beampoint.buffer.Budget;
 import beampoint.buffer.Collector;
 import beampoint.memcache.Reply.Kind;
 import java.nio.charset.StandardCharsets;
@@ -13,13 +14,27 @@
   private static final int MAX_LOAD_LENGTH = 200; // of a load report; a longer one is ignored
 
   private final MemoryManager<?> memory;
+  private final Budget budget;
+  private final Runnable resume;
   private Buffer id; // of the value that is collected
   private String loadReport; // the load report of that value
   private Collector value;
+  private Budget.Claim claim; // of the value that is collected
+  private boolean paused;
   private int streamBytesLeft; // of a long value and the line end behind it
 
-  ReplyReader(MemoryManager<?> memory) {
+  /**
+   * Creates the parser of one connection.
+   *
+   * @param resume is called when reading may continue after a pause, see {@link #isPaused()}
+   */
+  ReplyReader(MemoryManager<?> memory, Budget budget, Runnable resume) {
     this.memory = memory;
+    this.budget = budget;
+    this.resume = () -> {
+      paused = false;
+      resume.run();
+    };
   }
 
   /** Takes a {@link Reply} or a {@link ReplyPart} off the buffer; null if more must be read first. */
@@ -95,17 +110,18 @@
       return complete(lineId, in.slice(from, from + length + 2), in);
     }
     id = lineId == null ? null : Collector.copy(memory, lineId);
-    value = new Collector(memory, length + 2, null);
+    claim = budget.claimReply(resume);
+    value = new Collector(memory, length + 2, claim);
     return collect(in);
   }
 
   private Reply collect(Buffer in) {
-    value.add(in);
+    paused = !value.add(in);
     if (!value.isComplete()) {
       return null;
     }
     Buffer valueAndLineEnd = value.message();
-    value = null;
+    release();
     return complete(id, valueAndLineEnd, in);
   }
 
@@ -118,6 +134,21 @@
     return new Reply(Kind.VALUE, id, valueAndLineEnd.slice(from, end), in.hasRemaining(), loadReport);
   }
 
+  /** True while no more of a value may be read, as the memory budget is used up. */
+  boolean isPaused() {
+    return paused;
+  }
+
+  /** Discards an incomplete value. */
+  void release() {
+    if (claim != null) {
+      claim.release();
+    }
+    value = null;
+    claim = null;
+    paused = false;
+  }
+
   private Object part(Buffer in) {
     if (!in.hasRemaining()) {
       return null;
--- a/src/main/java/beampoint/upstream/ConnectionPools.java
+++ b/src/main/java/beampoint/upstream/ConnectionPools.java
@@ -1,5 +1,6 @@
 package beampoint.upstream;
 
+import beampoint.buffer.Budget;
 import beampoint.count.Counter;
 import beampoint.count.Counters;
 import beampoint.http.HttpFilter;
@@ -73,13 +74,13 @@
   private int openConnections;
 
   ConnectionPools(TCPNIOTransport transport, ScheduledExecutorService loop, DoubleSupplier clock,
-      Counters counters, Listener listener) {
+      Counters counters, Budget budget, Listener listener) {
     this.transport = transport;
     this.loop = loop;
     this.clock = clock;
     this.counters = counters;
     this.listener = listener;
-    this.cacheConnector = connector(new ReplyFilter(transport.getMemoryManager()));
+    this.cacheConnector = connector(new ReplyFilter(transport.getMemoryManager(), budget));
     this.originConnector = connector(new HttpFilter(HttpFilter.MessageKind.RESPONSES));
   }
 
--- a/src/main/java/beampoint/upstream/Replies.java
+++ b/src/main/java/beampoint/upstream/Replies.java
@@ -213,7 +213,7 @@
       return;
     }
     if (pooled.bodyCollector == null) {
-      pooled.bodyClaim = budget.claim(() -> setReading(pooled, true));
+      pooled.bodyClaim = budget.claimReply(() -> setReading(pooled, true));
       pooled.bodyCollector = new Collector(memory, MAX_BODY, pooled.bodyClaim);
     }
     if (!pooled.bodyCollector.add(content.bytes()) && !content.last()) {
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -72,7 +72,7 @@
     this.writer = new Writer(transport.getMemoryManager());
     this.httpWriter = new HttpWriter(transport.getMemoryManager());
     Events events = new Events();
-    this.pools = new ConnectionPools(transport, loop, clock, counters, events);
+    this.pools = new ConnectionPools(transport, loop, clock, counters, budget, events);
     this.replies = new Replies(pools, transport.getMemoryManager(), clock, counters, budget, events);
     pools.setTimeouts(connectTimeoutMs, idleTimeoutMs);
     this.connectionCheck = loop.scheduleWithFixedDelay(() -> {
--- a/src/test/java/beampoint/memcache/ReplyFilterTest.java
+++ b/src/test/java/beampoint/memcache/ReplyFilterTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beampoint.buffer.Budget;
 import beampoint.memcache.Reply.Kind;
 import java.nio.charset.StandardCharsets;
 import org.glassfish.grizzly.Buffer;
@@ -22,8 +23,12 @@
     return Buffers.wrap(MEMORY, text.getBytes(StandardCharsets.ISO_8859_1));
   }
 
+  private static ReplyReader reader() {
+    return new ReplyReader(MEMORY, new Budget(1 << 20), () -> {});
+  }
+
   private static Reply parse(String text) {
-    return (Reply) new ReplyReader(MEMORY).parse(buffer(text));
+    return (Reply) reader().parse(buffer(text));
   }
 
   private static String text(Buffer buffer) {
@@ -92,7 +97,7 @@
 
   /** What is parsed of answers that arrive in pieces of a size: kinds, lengths and bytes. */
   private static String read(String all, int piece) {
-    ReplyReader reader = new ReplyReader(MEMORY);
+    ReplyReader reader = reader();
     StringBuilder read = new StringBuilder();
     Buffer in = null;
     for (int i = 0; i < all.length(); i += piece) {
