A late second copy of a reply is never taken for the reply to the next request

Cause: replies of the origin, and errors of cache nodes, name no request. Connections rested for 8 ms at the origin, not at all where no more could be opened, nor at cache nodes; once one reply is mistaken the connection stays off by one. Ruled out: connections with two requests, ids, the retry decision.

Change: a connection whose last reply named no request rests for 20 ms, and is replaced, not used, before. Its socket is looked at before use, so that a copy not read yet closes it. A message that was read before the request in flight was written is not its reply.

--- a/src/main/java/beampoint/upstream/ConnectionPools.java
+++ b/src/main/java/beampoint/upstream/ConnectionPools.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
@@ -40,8 +41,12 @@
     /** A connection is established, and its request may be written. */
     void connected(PooledConnection pooled);
 
-    /** A message was read. */
-    void received(PooledConnection pooled, Object message);
+    /**
+     * A message was read.
+     *
+     * @param readFor the request that was in flight when it was read; null if there was none
+     */
+    void received(PooledConnection pooled, UpstreamRequest readFor, Object message);
 
     /**
      * The connection has ended or could not be established.
@@ -54,8 +59,11 @@
     void unreachable(UpstreamRequest inFlight);
   }
 
-  /** The time between a reply and the connection's reuse, in which a late second reply would show up. */
-  private static final double MIN_REST_MS = 8;
+  /**
+   * The time between a reply that names no request and the connection's reuse, in which a late second reply
+   * would show up.
+   */
+  private static final double MIN_REST_MS = 20;
 
   private final TCPNIOTransport transport;
   private final ScheduledExecutorService loop;
@@ -115,7 +123,8 @@
     public NextAction handleRead(FilterChainContext ctx) {
       PooledConnection pooled = pooledOf.get(ctx.getConnection());
       Object message = ctx.getMessage();
-      loop.execute(() -> listener.received(pooled, message));
+      UpstreamRequest readFor = pooled.inFlight;
+      loop.execute(() -> listener.received(pooled, readFor, message));
       return ctx.getStopAction();
     }
 
@@ -211,25 +220,35 @@
 
   /**
    * Takes an idle connection for the next request, after closing those that have been idle for too long and
-   * that the periodic check may not have seen yet. Returns the first that applies:
-   * <ol>
-   * <li>the most recently used of the connections that have been idle for {@link #MIN_REST_MS};
-   * <li>for the origin, null if a new connection may be opened;
-   * <li>the most recently used connection, or null if none is idle.
-   * </ol>
-   * On a connection that is reused sooner, a late second reply would be taken for the reply to the next
-   * request; replies of the origin carry no request id that shows the difference.
+   * that the periodic check may not have seen yet: the most recently used of those that have been idle for
+   * {@link #MIN_REST_MS}, else the most recently used whose last reply named its request. Returns null if
+   * there is none; a connection that has to rest is never taken, and closed if its descriptor is needed.
+   *
+   * <p>A late second reply would be taken for the reply to the next request, as replies of the origin and
+   * some of cache nodes don't name the request. It shows up while the connection rests. One that has arrived
+   * and is not read yet, as this thread was busy, is found by a look at the socket.
    */
   PooledConnection takeIdle(Pool pool) {
     closeExpiredIdle(pool);
     double restedSince = clock.getAsDouble() - MIN_REST_MS;
-    for (PooledConnection pooled : pool.idle) {
-      if (pooled.idleSince <= restedSince) {
+    PooledConnection rested = takeFirst(pool, pooled -> pooled.idleSince <= restedSince);
+    return rested != null ? rested : takeFirst(pool, pooled -> !pooled.mustRest);
+  }
+
+  /** Takes the first idle connection that meets a condition; closes those that are no longer clean. */
+  private PooledConnection takeFirst(Pool pool, Predicate<PooledConnection> condition) {
+    for (PooledConnection pooled : List.copyOf(pool.idle)) {
+      if (!condition.test(pooled)) {
+        continue;
+      }
+      if (pooled.isClean()) {
         pool.idle.remove(pooled);
         return pooled;
       }
+      counters.add(Counter.UPSTREAM_BAD_REPLIES);
+      close(pooled);
     }
-    return pool.isOrigin && ensureRoom(pool) ? null : pool.idle.poll();
+    return null;
   }
 
   /**
--- a/src/main/java/beampoint/upstream/PooledConnection.java
+++ b/src/main/java/beampoint/upstream/PooledConnection.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Future;
 import org.glassfish.grizzly.Connection;
@@ -24,6 +25,8 @@
   Future<?> connectTimer;
   double connectStartedAt;
   double idleSince;
+  /** True if its last reply named no request, so that a late second one could be taken for the next reply. */
+  boolean mustRest;
   HttpHead httpHead;
   Collector bodyCollector; // of a reply that is buffered until it is complete
   Budget.Claim bodyClaim; // the memory budget for bodyCollector
@@ -39,11 +42,26 @@
     this.inFlight = inFlight;
   }
 
+  /**
+   * True if the connection is open and nothing has arrived on it that is not read yet. Called while no
+   * request is in flight.
+   */
+  boolean isClean() {
+    try {
+      return connection.isOpen() && channel().read(ByteBuffer.allocate(1)) == 0;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private SocketChannel channel() {
+    return (SocketChannel) ((NIOConnection) connection).getChannel();
+  }
+
   /** Makes the close a reset: what the system holds for the peer is not sent any more. */
   void dropUnsentOnClose() {
     try {
-      ((SocketChannel) ((NIOConnection) connection).getChannel()).setOption(StandardSocketOptions.SO_LINGER,
-          0);
+      channel().setOption(StandardSocketOptions.SO_LINGER, 0);
     } catch (IOException e) {
       // the connection has ended, and nothing more is sent
     }
--- a/src/main/java/beampoint/upstream/Replies.java
+++ b/src/main/java/beampoint/upstream/Replies.java
@@ -63,8 +63,12 @@
     this.listener = listener;
   }
 
-  /** Handles a message that was read on a connection. */
-  void handle(PooledConnection pooled, Object message) {
+  /**
+   * Handles a message that was read on a connection.
+   *
+   * @param readFor the request that was in flight when it was read; null if there was none
+   */
+  void handle(PooledConnection pooled, UpstreamRequest readFor, Object message) {
     UpstreamRequest inFlight = pooled.inFlight;
     if (pooled.closed) {
       return;
@@ -72,7 +76,7 @@
     pooled.lastProgressAt = clock.getAsDouble();
     if (pooled.valueStream != null) {
       continueStream(pooled, message);
-    } else if (inFlight == null || !pooled.requestWritten) {
+    } else if (inFlight == null || inFlight != readFor || !pooled.requestWritten) {
       protocolError(pooled, "unsolicited reply");
     } else if (message instanceof Reply reply) {
       handleReply(pooled, inFlight, reply);
@@ -80,6 +84,7 @@
       protocolError(pooled, fault.problem());
     } else if (message instanceof HttpHead head) {
       pooled.httpHead = head;
+      pooled.mustRest = true; // replies over HTTP name no request
       if (head.hasNoBody()) {
         handleContent(pooled, inFlight, new HttpContent(Buffers.EMPTY_BUFFER, true, head.surplus()));
       }
@@ -188,6 +193,7 @@
       return;
     }
     inFlight.loadReport = reply.loadReport();
+    pooled.mustRest = reply.id() == null;
     if (reply.isStreamed()) {
       startStream(pooled, inFlight, reply.length());
       return;
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -90,8 +90,8 @@
     }
 
     @Override
-    public void received(PooledConnection pooled, Object message) {
-      replies.handle(pooled, message);
+    public void received(PooledConnection pooled, UpstreamRequest readFor, Object message) {
+      replies.handle(pooled, readFor, message);
     }
 
     @Override
