--- a/src/main/java/beampoint/upstream/ConnectionPools.java
+++ b/src/main/java/beampoint/upstream/ConnectionPools.java
@@ -235,17 +235,20 @@
     return rested != null ? rested : takeFirst(pool, pooled -> !pooled.mustRest);
   }
 
-  /** Takes the first idle connection that meets a condition; closes those that are no longer clean. */
+  /** Takes the first idle connection that meets a condition; closes those on which something has come. */
   private PooledConnection takeFirst(Pool pool, Predicate<PooledConnection> condition) {
     for (PooledConnection pooled : List.copyOf(pool.idle)) {
       if (!condition.test(pooled)) {
         continue;
       }
-      if (pooled.isClean()) {
+      int unsolicited = pooled.readUnsolicited();
+      if (unsolicited == 0) {
         pool.idle.remove(pooled);
         return pooled;
       }
-      counters.add(Counter.UPSTREAM_BAD_REPLIES);
+      if (unsolicited > 0) {
+        counters.add(Counter.UPSTREAM_BAD_REPLIES);
+      }
       close(pooled);
     }
     return null;
--- a/src/main/java/beampoint/upstream/PooledConnection.java
+++ b/src/main/java/beampoint/upstream/PooledConnection.java
@@ -43,14 +43,14 @@
   }
 
   /**
-   * True if the connection is open and nothing has arrived on it that is not read yet. Called while no
-   * request is in flight.
+   * Reads a byte that has arrived while no request is in flight: returns 1 if there was one, 0 if nothing has
+   * come, and -1 if the connection has ended. Unless it is 0 the connection can't be used any more.
    */
-  boolean isClean() {
+  int readUnsolicited() {
     try {
-      return connection.isOpen() && channel().read(ByteBuffer.allocate(1)) == 0;
+      return connection.isOpen() ? channel().read(ByteBuffer.allocate(1)) : -1;
     } catch (IOException e) {
-      return false;
+      return -1;
     }
   }
 
