--- a/review/src-2/LongValues.java
+++ b/review/src-2/LongValues.java
@@ -69,8 +69,7 @@
     String known = Rig.list(41, true, hosts);
     Rig.Discovery discovery = rig.new Discovery(known);
     Process proxy = rig.startProxy("n1",
-        rig.config("n1", listen, discovery.port, known, Rig.settings("automatic", 1000)), listen, discovery.port, 0,
-        rig.temporary.resolve("n1"));
+        rig.config("n1", listen, discovery.port, known, Rig.settings()), listen, discovery.port);
     rig.awaitReady(listen);
     List<Thread> clients = new ArrayList<>();
     for (int i = 1; i <= READERS; i++) {
@@ -122,6 +121,16 @@
     void send() throws Exception;
   }
 
+  /** Sends the first request of a connection, which is not judged, and awaits its answer. */
+  private static void first(Rig.Client client, String id) throws IOException {
+    client.send("mg f" + key(id) + " v O" + id + " Pc=page-read,t=acme,d=1200\r\n");
+    client.answer(1200 + LATE_MS);
+  }
+
+  private static String key(String id) {
+    return Integer.toHexString(id.hashCode() & 0xffffff);
+  }
+
   /** Sends a request, awaits its answer and judges it; throws if the connection is of no further use. */
   private void request(Rig rig, Rig.Client client, String id, int waitMs, String value, Sender sender)
       throws Exception {
@@ -157,11 +166,11 @@
   private void read(Rig rig, int port, String name, int bytes) throws InterruptedException {
     for (int i = 0; !writersHaveEnded;) {
       try (Rig.Client client = new Rig.Client(port)) {
+        first(client, name + "x" + i++);
         for (; !writersHaveEnded; i++) {
           String id = name + "x" + i;
-          String key = Integer.toHexString(id.hashCode() & 0xffffff);
           request(rig, client, id, 2500, value(id, bytes),
-              () -> client.send("mg 0" + key + " v O" + id + " Pc=search-read,t=acme,d=2500\r\n"));
+              () -> client.send("mg 0" + key(id) + " v O" + id + " Pc=search-read,t=acme,d=2500\r\n"));
           Thread.sleep(10);
         }
       } catch (InterruptedException e) {
@@ -178,14 +187,11 @@
     byte[] piece = new byte[bytes / PIECES];
     Arrays.fill(piece, (byte) 'x');
     for (int i = 0; i < ROUNDS; i++) {
-      String first = name + "x" + 2 * i;
       String id = name + "x" + (2 * i + 1);
-      String key = Integer.toHexString(id.hashCode() & 0xffffff);
       try (Rig.Client client = new Rig.Client(port)) {
-        request(rig, client, first, 1200, value(first, USUAL_BYTES),
-            () -> client.send("mg f" + key + " v O" + first + " Pc=page-read,t=acme,d=1200\r\n"));
+        first(client, name + "x" + 2 * i);
         request(rig, client, id, 5000, "", () -> {
-          client.send("ms 0" + key + " " + bytes + " O" + id + " Pc=publish-version,t=acme,d=5000\r\n");
+          client.send("ms 0" + key(id) + " " + bytes + " O" + id + " Pc=publish-version,t=acme,d=5000\r\n");
           for (int j = 0; j < PIECES; j++) {
             client.socket.getOutputStream().write(piece);
             Thread.sleep(WRITE_MS / PIECES);
--- a/review/src-2/ManyCommands.java
+++ b/review/src-2/ManyCommands.java
@@ -47,8 +47,7 @@
     String known = Rig.list(41, true, hosts);
     Rig.Discovery discovery = rig.new Discovery(known);
     Process proxy = rig.startProxy("n1",
-        rig.config("n1", listen, discovery.port, known, Rig.settings("automatic", 1000)), listen, discovery.port, 0,
-        rig.temporary.resolve("n1"));
+        rig.config("n1", listen, discovery.port, known, Rig.settings()), listen, discovery.port);
     rig.awaitReady(listen);
     List<Thread> usual = new ArrayList<>();
     for (int i = 1; i <= USUAL_CLIENTS; i++) {
--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -114,9 +114,8 @@
 
   // ---- proxies
 
-  /** Starts a proxy with the run command of the deploy file; {@code ops} 0 gives it no operators' address. */
-  Process startProxy(String name, Path config, int listen, int discovery, int ops, Path tmp)
-      throws IOException {
+  /** Starts a proxy with the run command of the deploy file. */
+  Process startProxy(String name, Path config, int listen, int discovery) throws IOException {
     Matcher run =
         Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(root.resolve("deploy/balancer.toml")));
     if (!run.find()) {
@@ -130,11 +129,8 @@
     environment.put("PROXY_LISTEN", "127.0.0.1:" + listen);
     environment.put("PROXY_DISCOVERY", "127.0.0.1:" + discovery);
     environment.put("PROXY_CONFIG", config.toString());
-    environment.put("TMPDIR", Files.createDirectories(tmp).toString());
+    environment.put("TMPDIR", Files.createDirectory(temporary.resolve(name)).toString());
     environment.remove("PROXY_OPS");
-    if (ops != 0) {
-      environment.put("PROXY_OPS", "127.0.0.1:" + ops);
-    }
     Process process = builder.start();
     processes.add(process);
     logs.add(log);
@@ -158,16 +154,6 @@
     throw new IOException("the proxy is not ready after 30 s");
   }
 
-  /** One call of an operator; returns the status code. */
-  int call(int port, String method, String path) throws IOException {
-    try (Client client = new Client(port)) {
-      client.send(method + " " + path + " HTTP/1.1\r\nHost: 127.0.0.1:" + port + "\r\n\r\n");
-      int status = Integer.parseInt(client.line(1000).split(" ")[1]);
-      note("operator: " + method + " " + path + " at port " + port + " -> " + status);
-      return status;
-    }
-  }
-
   /** A signal to a process that this case started. */
   void signal(String name, Process process) throws Exception {
     note("signal " + name + " to process " + process.pid());
@@ -197,12 +183,12 @@
   }
 
   /** The settings of a small deployment. */
-  static String settings(String discovery, int graceMs) {
-    return "{\"discovery\":\"" + discovery + "\",\"siblings\":3,\"zone\":0,\"localities\":[\"a\"],"
+  static String settings() {
+    return "{\"discovery\":\"automatic\",\"siblings\":3,\"zone\":0,\"localities\":[\"a\"],"
         + "\"skus\":[\"m2\",\"origin\"],\"family-info\":{\"mode\":\"aside\",\"origin-kind\":1},"
         + "\"policy-limits\":{\"max-attempts\":4,\"probes\":false,\"retry-after\":true,"
         + "\"max-retry-after-ms\":2000,\"connect-timeout-ms\":200,\"conn-idle-ms\":60000},"
-        + "\"rules\":{\"drain-grace-ms\":" + graceMs + ",\"ask-every-ms\":10000},\"lanes\":["
+        + "\"rules\":{\"drain-grace-ms\":1000},\"lanes\":["
         + "{\"name\":\"page-read\",\"idempotency\":\"safe\",\"target-ms\":500,\"hard-limit-ms\":1200},"
         + "{\"name\":\"search-read\",\"idempotency\":\"safe\",\"target-ms\":800,\"hard-limit-ms\":2500},"
         + "{\"name\":\"publish-version\",\"idempotency\":\"unsafe\",\"target-ms\":1200,"
@@ -392,12 +378,10 @@
     return headers;
   }
 
-  /** Discovery: answers each watch with what it holds, sends changes, and an empty line every 2 s. */
+  /** Discovery: answers each watch with the whole list, which does not change, and an empty line every 2 s. */
   final class Discovery {
     final int port;
-    private final List<Socket> watches = new ArrayList<>();
-    private String whole;
-    private long linesPerSecond; // 0: at once
+    private final String whole;
 
     Discovery(String whole) throws IOException {
       this.whole = whole;
@@ -411,70 +395,11 @@
       note("discovery: " + line);
       OutputStream out = socket.getOutputStream();
       out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
-      String list;
-      synchronized (this) {
-        list = whole;
-        if (linesPerSecond == 0) {
-          chunk(out, list + "\n");
-          watches.add(socket);
-        }
-      }
-      if (linesPerSecond > 0) {
-        sendSlowly(out, list);
-        synchronized (this) {
-          if (!whole.equals(list)) {
-            chunk(out, whole + "\n");
-          }
-          watches.add(socket);
-        }
-      }
+      chunk(out, whole + "\n");
       while (true) {
         Thread.sleep(2000);
-        synchronized (this) {
-          chunk(out, "\n");
-        }
-      }
-    }
-
-    /** Sends a list with so many of its entries a second. */
-    private void sendSlowly(OutputStream out, String list) throws Exception {
-      double begun = now();
-      String[] entries = list.split("(?<=\\},)");
-      for (int i = 0; i < entries.length; i++) {
-        Thread.sleep(Math.max(0, (long) (begun + i * 1000.0 / linesPerSecond - now())));
-        chunk(out, entries[i]);
-      }
-      chunk(out, "\n");
-      note("discovery: the whole list was sent, in " + Math.round(now() - begun) + " ms");
-    }
-
-    /** From now on lists are sent with so many entries a second. */
-    synchronized void limit(long entriesPerSecond) {
-      linesPerSecond = entriesPerSecond;
-    }
-
-    /** Holds another list, and sends a change to all watches. */
-    synchronized void change(String newWhole, String change) throws IOException {
-      whole = newWhole;
-      for (Socket watch : List.copyOf(watches)) {
-        try {
-          chunk(watch.getOutputStream(), change + "\n");
-        } catch (IOException e) {
-          watches.remove(watch);
-        }
-      }
-      note("discovery: has and sends " + change);
-    }
-
-    /** Holds another list, and resets all watches. */
-    synchronized void resetWatches(String newWhole) throws IOException {
-      whole = newWhole;
-      for (Socket watch : watches) {
-        watch.setSoLinger(true, 0);
-        watch.close();
+        chunk(out, "\n");
       }
-      watches.clear();
-      note("discovery: all watches are reset");
     }
 
     private void chunk(OutputStream out, String text) throws IOException {
