--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -77,7 +77,8 @@
       result = body.run(rig, trouble);
       rig.note("result " + result + (result == BROKEN ? ": the rule was broken"
           : result == HELD ? ": the rule held" : ": the case could not run"));
-    } catch (Exception e) {
+    } catch (Throwable e) { // also an error must not end the case with the code of a broken rule
+      result = NOT_RUN;
       e.printStackTrace();
     }
     System.exit(result);
