Review stand-ins: signals are sent by the shell's own kill

Cause: the command kill is a program of its own that a machine may lack; the shell's is always there. Change: Stage sends signals by /bin/sh.

--- a/review/src-2/Stage.java
+++ b/review/src-2/Stage.java
@@ -399,7 +399,7 @@
     }
 
     void signal(String name) throws IOException, InterruptedException {
-      new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+      new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
     }
 
     @Override
