--- a/review/src-2/PausedWrites.java
+++ b/review/src-2/PausedWrites.java
@@ -61,7 +61,7 @@
       Stage.http(wire, 200, "r" + work.id());
     }), "origin"));
     int port = Stage.freePort();
-    stage.start("n1", port, stage.config(port, stage.discovery(entries), entries,
+    Stage.Proxy proxy = stage.start("n1", port, stage.config(port, stage.discovery(entries), entries,
         List.of(new Stage.Lane("page-read", "safe", "all", 0, 500, 1200),
             new Stage.Lane("publish-version", "unsafe", "all", 0, 1200, 5000),
             new Stage.Lane("feedback-post", "keyed", "all", WINDOW_MS, 800, DEADLINE_MS))));
@@ -89,6 +89,9 @@
     for (Thread thread : threads) {
       thread.join(90_000);
     }
+    if (!proxy.process.isAlive() || sent.get() < WRITERS * WRITES) {
+      throw new IllegalStateException("the proxy has ended, or only " + sent + " writes could be sent");
+    }
     stage.say("writes with no final answer half a second after their time: " + lost + " of " + sent
         + "; begun more than 0.1 s after their client has gone: " + begunLate
         + "; of these applied twice: " + appliedTwice);
@@ -142,20 +145,23 @@
             + " ms, and closes its connection");
         GONE_AT.put(id, stage.now());
         return false;
+      } catch (IOException e) {
+        stage.note("LOST client got for " + id + ": " + e);
+        return false;
       }
     }
   }
 
   /** Sends a write once more, in one piece, with a new id and the idempotency key of the first time. */
-  private static void sendAgain(Stage stage, int port, String key) throws IOException {
+  private static void sendAgain(Stage stage, int port, String key) {
     try (Stage.Wire wire = Stage.Wire.connect(port)) {
       wire.socket.setSoTimeout(DEADLINE_MS + SLACK_MS);
       String id = "r" + key.substring(1);
       wire.write("ms 7" + key.substring(1) + " " + BYTES + " O" + id + " Pc=feedback-post,t=sabarmati-tools,d="
           + DEADLINE_MS + ",k=" + key + "\r\n" + "x".repeat(BYTES) + "\r\n");
       stage.note("client got for " + id + ", the same write again: " + wire.line());
-    } catch (SocketTimeoutException e) {
-      stage.note("client got nothing for the same write again, " + key);
+    } catch (IOException e) {
+      stage.note("client got nothing for the same write again, " + key + ": " + e);
     }
   }
 }
