Counters for the most memory held and the most bytes read ahead

Change: memory_held_peak_bytes and read_ahead_peak_bytes in stats and in the last log line. Behaviour is unchanged.

--- a/src/main/java/beampoint/buffer/Budget.java
+++ b/src/main/java/beampoint/buffer/Budget.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.LongConsumer;
 
 /**
  * The account of the memory that this process holds for others: values that clients send, replies of servers
@@ -18,6 +19,7 @@
   /** The part of the memory that values from clients leave to replies and answers, as a divisor. */
   private static final int ANSWERS_DIVISOR = 2;
 
+  private final LongConsumer heldListener;
   private long limit; // in bytes
   private long held; // in bytes
   private long heldForAnswers; // the part of it for replies and answers
@@ -28,7 +30,17 @@
 
   /** A budget with a limit in bytes. */
   public Budget(long limitBytes) {
+    this(limitBytes, held -> {});
+  }
+
+  /**
+   * A budget with a limit in bytes.
+   *
+   * @param heldListener receives the bytes that are held each time that these grow
+   */
+  public Budget(long limitBytes, LongConsumer heldListener) {
     this.limit = limitBytes;
+    this.heldListener = heldListener;
   }
 
   /** The bytes of one message that is buffered whole. */
@@ -70,8 +82,7 @@
     }
 
     private void change(long count) {
-      held += count;
-      heldForAnswers += incomplete == incompleteReplies ? count : 0;
+      hold(count, incomplete == incompleteReplies ? count : 0);
     }
 
     private void setPaused(boolean on) {
@@ -98,14 +109,20 @@
 
   /** Counts bytes of an answer that waits for its client. */
   public void holdAnswer(long bytes) {
+    hold(bytes, bytes);
+  }
+
+  private void hold(long bytes, long bytesForAnswers) {
     held += bytes;
-    heldForAnswers += bytes;
+    heldForAnswers += bytesForAnswers;
+    if (bytes > 0) {
+      heldListener.accept(held);
+    }
   }
 
   /** Bytes of an answer are written, or not needed any more. */
   public void releaseAnswer(long bytes) {
-    held -= bytes;
-    heldForAnswers -= bytes;
+    hold(-bytes, -bytes);
     resumePaused();
   }
 
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -91,7 +91,8 @@
     this.counters = counters;
     this.writer = new Writer(transport.getMemoryManager());
     this.answerLimits = new AnswerLimits(budget);
-    this.readAhead = new ReadAheadFilter(arrivals, listener::arrivedAt);
+    this.readAhead = new ReadAheadFilter(arrivals, listener::arrivedAt,
+        bytes -> counters.raise(Counter.READ_AHEAD_PEAK_BYTES, bytes));
     this.commandFilter = new CommandFilter(transport.getMemoryManager(), budget, clock, readAhead::resume);
     loop.scheduleWithFixedDelay(this::closeStale, STALE_CHECK_INTERVAL_MS, STALE_CHECK_INTERVAL_MS,
         TimeUnit.MILLISECONDS);
--- a/src/main/java/beampoint/count/Counter.java
+++ b/src/main/java/beampoint/count/Counter.java
@@ -12,6 +12,8 @@
  * <li>VALUES_CUT_OFF: streamed values whose connection ended before the last byte;
  * <li>OPS_CALLS_UNFINISHED: calls of operators whose connection was closed, by a timeout or to make room,
  * before the answer;
+ * <li>MEMORY_HELD_PEAK_BYTES: the most that the memory budget has held, READ_AHEAD_PEAK_BYTES: the most that
+ * was read ahead of its turn;
  * <li>WATCHES_BROKEN: times that the current watch of the host list ended or did not answer in time.
  * </ul>
  */
@@ -22,7 +24,8 @@
   ATTEMPTS_SENT, ATTEMPTS_OK, ATTEMPTS_MISS, ATTEMPTS_ERROR, ATTEMPTS_FULL, ATTEMPTS_TIMEOUT,
   ATTEMPTS_CONNECT_FAILED, ATTEMPTS_RESET, ATTEMPTS_CANCELLED, ATTEMPTS_NOT_SENT,
   UPSTREAM_CONNECTIONS, UPSTREAM_BAD_REPLIES, PROBES_SENT,
-  VALUES_STREAMED, VALUES_CUT_OFF, CONFIG_APPLIED, CONFIG_REJECTED,
+  VALUES_STREAMED, VALUES_CUT_OFF, MEMORY_HELD_PEAK_BYTES, READ_AHEAD_PEAK_BYTES, CONFIG_APPLIED,
+  CONFIG_REJECTED,
   OPS_CALLS_UNFINISHED, NODES_OUT, NODES_BACK,
   MEMBER_MESSAGES_SENT, MEMBER_BYTES_SENT, MEMBER_BYTES_RECEIVED,
   MEMBER_MESSAGES_DROPPED, MEMBERS_DIED, MEMBERS_BACK,
--- a/src/main/java/beampoint/count/Counters.java
+++ b/src/main/java/beampoint/count/Counters.java
@@ -19,6 +19,11 @@
     values.addAndGet(counter.ordinal(), number);
   }
 
+  /** Raises a peak to a value that may exceed it. */
+  public void raise(Counter peak, long value) {
+    values.accumulateAndGet(peak.ordinal(), value, Math::max);
+  }
+
   public long get(Counter counter) {
     return values.get(counter.ordinal());
   }
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -6,6 +6,7 @@
 import beampoint.Balancer.Settings;
 import beampoint.buffer.Budget;
 import beampoint.client.Sessions;
+import beampoint.count.Counter;
 import beampoint.count.Counters;
 import beampoint.discovery.HostListWatcher;
 import beampoint.fleet.membership.MembershipSettings;
@@ -109,7 +110,7 @@
         .setServerConnectionBackLog(1024)
         .build();
     transport.setChannelConfigurator(new SharedListener());
-    this.budget = new Budget(0);
+    this.budget = new Budget(0, held -> counters.raise(Counter.MEMORY_HELD_PEAK_BYTES, held));
     this.decisions = new Decisions(balancerFactory.apply(settings), settings, names, counters, clock, loop,
         this::isReady, this::isBanned);
     this.upstreams = new Upstreams(transport, loop, clock, decisions, counters, budget,
--- a/src/main/java/beampoint/transport/ReadAheadFilter.java
+++ b/src/main/java/beampoint/transport/ReadAheadFilter.java
@@ -4,6 +4,7 @@
 import java.nio.channels.SelectionKey;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.LongConsumer;
 import java.util.function.ToDoubleFunction;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -40,6 +41,7 @@
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("read-ahead", ReadAhead::new);
   private final Arrivals arrivals;
   private final ToDoubleFunction<Connection<?>> arrivedAt;
+  private final LongConsumer bufferedListener;
   private int bufferedBytes; // on all connections
 
   /**
@@ -47,8 +49,11 @@
    *
    * @param arrivedAt returns the earliest time at which what is read on a connection now can have arrived, in
    * ms
+   * @param bufferedListener receives the bytes that are read ahead each time that these grow
    */
-  public ReadAheadFilter(Arrivals arrivals, ToDoubleFunction<Connection<?>> arrivedAt) {
+  public ReadAheadFilter(Arrivals arrivals, ToDoubleFunction<Connection<?>> arrivedAt,
+      LongConsumer bufferedListener) {
+    this.bufferedListener = bufferedListener;
     this.arrivals = arrivals;
     this.arrivedAt = arrivedAt;
   }
@@ -89,6 +94,7 @@
     while (message != null) {
       readAhead.chunks.add(new Chunk(message, arrivedAt.applyAsDouble(connection)));
       bufferedBytes += message.remaining();
+      bufferedListener.accept(bufferedBytes);
       message = isFull && bufferedBytes < MAX_READ_AHEAD_BYTES ? SocketReadFilter.read(connection) : null;
     }
   }
--- a/src/test/java/beampoint/count/CountersTest.java
+++ b/src/test/java/beampoint/count/CountersTest.java
@@ -20,6 +20,14 @@
     assertTrue(counters.toString().contains(" requests_taken=2 "), counters.toString());
   }
 
+  @Test
+  void aPeakOnlyRises() {
+    Counters counters = new Counters();
+    counters.raise(Counter.MEMORY_HELD_PEAK_BYTES, 7);
+    counters.raise(Counter.MEMORY_HELD_PEAK_BYTES, 5);
+    assertEquals(7, counters.get(Counter.MEMORY_HELD_PEAK_BYTES));
+  }
+
   @Test
   void violatedInvariantFailsAnAssertionInDebugBuilds() {
     Counters counters = new Counters();
