--- a/src/main/java/beampoint/transport/ReadAheadFilter.java
+++ b/src/main/java/beampoint/transport/ReadAheadFilter.java
@@ -87,8 +87,14 @@
     return ctx.getInvokeAction();
   }
 
-  /** Reads once, and if that fills the read buffer, until nothing is left or the limit is reached. */
+  /**
+   * Reads once, and if that fills the read buffer, until nothing is left or the limit is reached. Beyond the
+   * limit nothing is read on a connection that has chunks to pass on.
+   */
   private void readAll(NIOConnection connection, ReadAhead readAhead) throws IOException {
+    if (bufferedBytes >= MAX_READ_AHEAD_BYTES && !readAhead.chunks.isEmpty()) {
+      return;
+    }
     Buffer message = SocketReadFilter.read(connection);
     boolean isFull = message != null && message.remaining() == connection.getReadBufferSize();
     while (message != null) {
--- a/src/test/java/beampoint/serve/ReadAheadTest.java
+++ b/src/test/java/beampoint/serve/ReadAheadTest.java
@@ -10,6 +10,8 @@
 import beampoint.Stub;
 import beampoint.count.Counter;
 import beampoint.serve.ProxyFixture.Client;
+import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
@@ -19,6 +21,10 @@
 @Timeout(30)
 class ReadAheadTest {
 
+  private static final int CLIENTS = 40;
+  private static final int VALUE_BYTES = 4 * 1024 * 1024;
+  private static final int MAX_READ_AHEAD_BYTES = 4 * 1024 * 1024; // on all connections together
+  private static final int READ_BYTES = 32 * 1024; // the most that one read takes
   private static final String FIRST = READ.replace("O9b", "Ofirst");
 
   /** Guards against attempts for a client that has left, if its close is behind many requests. */
@@ -77,4 +83,38 @@
       assertTrue(apartMs < sendMs + 100, "sent within " + sendMs + " ms, deadlines " + apartMs + " ms apart");
     }
   }
+
+  /** Guards against a limit of the bytes read ahead that each connection exceeds further in every pass. */
+  @Test
+  void whatIsReadAheadOnAllConnectionsStaysWithinItsLimit() throws Exception {
+    List<Client> clients = new ArrayList<>();
+    List<Thread> senders = new ArrayList<>();
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody())) {
+      proxy.refuseAll();
+      for (int i = 0; i < CLIENTS; i++) {
+        Client client = new Client(proxy);
+        String write = "ms 7f " + VALUE_BYTES + " Ow" + i + " Pc=put,t=acme,d=4000,k=5c\r\n"
+            + "x".repeat(VALUE_BYTES) + "\r\n";
+        clients.add(client);
+        senders.add(new Thread(() -> sendAndClose(client, write)));
+      }
+      senders.forEach(Thread::start);
+      for (Thread sender : senders) {
+        sender.join();
+      }
+      long peak = proxy.proxy.counters().get(Counter.READ_AHEAD_PEAK_BYTES);
+      assertTrue(peak <= MAX_READ_AHEAD_BYTES + CLIENTS * READ_BYTES, "read ahead: " + peak + " bytes");
+    } finally {
+      Client.closeAll(clients);
+    }
+  }
+
+  private static void sendAndClose(Client client, String text) {
+    try (client) {
+      client.send(text);
+      client.line();
+    } catch (IOException e) {
+      // the proxy may close the connection of a client
+    }
+  }
 }
