--- a/src/main/java/beampoint/Balancer.java
+++ b/src/main/java/beampoint/Balancer.java
@@ -96,6 +96,8 @@
     CONNECT_FAILED(true),
     /** The proxy did not send the request, for example because its latest start had passed. */
     NOT_SENT(true),
+    /** An answer was received in part and discarded, as the proxy had no memory for it. */
+    DISCARDED(false),
     /** The cache does not hold the key. */
     MISS(true);
 
@@ -105,6 +107,11 @@
     Result(boolean neverRan) {
       this.neverRan = neverRan;
     }
+
+    /** True if the endpoint answered the request in time, whatever became of its answer. */
+    public boolean isAnswer() {
+      return this == OK || this == MISS || this == DISCARDED;
+    }
   }
 
   /**
--- a/src/main/java/beampoint/buffer/Budget.java
+++ b/src/main/java/beampoint/buffer/Budget.java
@@ -1,14 +1,13 @@
 package beampoint.buffer;
 
-import java.util.ArrayList;
-import java.util.LinkedHashSet;
-import java.util.Set;
 import java.util.function.LongConsumer;
 
 /**
  * The account of the memory that this process holds for others: values that clients send, replies of servers
- * that are being received, and answers that are not written to their client yet. Confined to the decision
- * thread.
+ * that are being received, and answers that are not written to their client yet. A message for which there is
+ * no room is discarded: nothing waits for memory, as that would cost the time of those who wait. Values of
+ * clients, and replies together with answers, may each use half of the limit in any case, and all that the
+ * other of the two leaves free. Confined to the decision thread.
  */
 public final class Budget {
 
@@ -16,17 +15,14 @@
   private static final int MAX_WINDOW_BYTES = 128 * 1024;
   /** The part of the free memory that the windows of all streams may take, as a divisor. */
   private static final int WINDOWS_DIVISOR = 4;
-  /** The part of the memory that values from clients leave to replies and answers, as a divisor. */
-  private static final int ANSWERS_DIVISOR = 2;
+  /** The part of the limit that values, and replies with answers, have in any case, as a divisor. */
+  private static final int GUARANTEED_DIVISOR = 2;
 
   private final LongConsumer heldListener;
   private long limit; // in bytes
-  private long held; // in bytes
-  private long heldForAnswers; // the part of it for replies and answers
+  private long heldForValues; // of clients, in bytes
+  private long heldForAnswers; // and for replies, in bytes
   private int streams;
-  private int pausedClaims;
-  private final Set<Claim> incompleteValues = new LinkedHashSet<>(); // of clients, the oldest first
-  private final Set<Claim> incompleteReplies = new LinkedHashSet<>(); // of servers, the oldest first
 
   /** A budget with a limit in bytes. */
   public Budget(long limitBytes) {
@@ -43,130 +39,110 @@
     this.heldListener = heldListener;
   }
 
+  /** What a message that is buffered whole is. */
+  private enum Kind {
+    VALUE, REPLY, RECEIPT
+  }
+
   /** The bytes of one message that is buffered whole. */
   public final class Claim {
-    private final Set<Claim> incomplete;
-    private final Runnable resume;
+    private final Kind kind;
     private long bytes;
-    private boolean paused;
 
-    private Claim(Set<Claim> incomplete, Runnable resume) {
-      this.incomplete = incomplete;
-      this.resume = resume;
+    private Claim(Kind kind) {
+      this.kind = kind;
     }
 
     /**
-     * Counts received bytes; returns false if no more may be read until the callback. The oldest incomplete
-     * message of its kind is never paused. If all could be paused, they might use up the budget between them
-     * so that none could be completed.
+     * Counts received bytes. Returns false if there is no room for them: then the message has to be discarded
+     * whole, and nothing of it stays counted.
      */
     public boolean add(int count) {
+      if (!hasRoom(this, count)) {
+        release();
+        return false;
+      }
       change(count);
-      bytes += count;
-      setPaused(held > limit && incomplete.iterator().next() != this);
-      return !paused;
-    }
-
-    /** The message is complete. Its bytes stay counted until they are released. */
-    public void complete() {
-      setPaused(false);
-      incomplete.remove(this);
-      resumePaused();
+      return true;
     }
 
     /** The bytes are no longer held. A second call has no effect. */
     public void release() {
       change(-bytes);
-      bytes = 0;
-      complete();
     }
 
     private void change(long count) {
-      hold(count, incomplete == incompleteReplies ? count : 0);
-    }
-
-    private void setPaused(boolean on) {
-      pausedClaims += on == paused ? 0 : on ? 1 : -1;
-      paused = on;
+      bytes += count;
+      if (kind == Kind.VALUE) {
+        heldForValues += count;
+      } else {
+        heldForAnswers += count;
+      }
+      notifyIfGrown(count);
     }
   }
 
-  /** Starts to buffer a client's value. The callback runs when more of a paused value may be read. */
-  public Claim claim(Runnable resume) {
-    return claim(incompleteValues, resume);
+  /** Starts to buffer a client's value. */
+  public Claim claimValue() {
+    return new Claim(Kind.VALUE);
   }
 
-  /** Starts to buffer a server's reply. The callback runs when more of a paused reply may be read. */
-  public Claim claimReply(Runnable resume) {
-    return claim(incompleteReplies, resume);
+  /** Starts to buffer a server's reply to a read. */
+  public Claim claimReply() {
+    return new Claim(Kind.REPLY);
   }
 
-  private Claim claim(Set<Claim> incomplete, Runnable resume) {
-    Claim claim = new Claim(incomplete, resume);
-    incomplete.add(claim);
-    return claim;
+  /**
+   * Starts to buffer the receipt of a write, for which there is always room: the write has been carried out,
+   * and its client must not be told otherwise.
+   */
+  public Claim claimReceipt() {
+    return new Claim(Kind.RECEIPT);
   }
 
-  /** Counts bytes of an answer that waits for its client. */
-  public void holdAnswer(long bytes) {
-    hold(bytes, bytes);
+  /** True if a message may grow. The only one of its kind always may, however small the limit is. */
+  private boolean hasRoom(Claim claim, int count) {
+    long heldForKind = claim.kind == Kind.VALUE ? heldForValues : heldForAnswers;
+    boolean isOnly = heldForKind == claim.bytes;
+    return claim.kind == Kind.RECEIPT || isOnly || heldForKind + count <= limit / GUARANTEED_DIVISOR
+        || held() + count <= limit;
   }
 
-  private void hold(long bytes, long bytesForAnswers) {
-    held += bytes;
-    heldForAnswers += bytesForAnswers;
-    if (bytes > 0) {
-      heldListener.accept(held);
+  private void notifyIfGrown(long count) {
+    if (count > 0) {
+      heldListener.accept(held());
     }
   }
 
-  /** Bytes of an answer are written, or not needed any more. */
-  public void releaseAnswer(long bytes) {
-    hold(-bytes, -bytes);
-    resumePaused();
-  }
-
-  /** Resumes paused messages: the oldest of either kind in any case, the others while the limit allows it. */
-  private void resumePaused() {
-    if (pausedClaims > 0) {
-      resumePaused(incompleteReplies);
-      resumePaused(incompleteValues);
-    }
+  /** Counts bytes of an answer that waits for its client. */
+  public void holdAnswer(long bytes) {
+    heldForAnswers += bytes;
+    notifyIfGrown(bytes);
   }
 
-  private void resumePaused(Set<Claim> incomplete) {
-    boolean isOldest = true;
-    for (Claim claim : new ArrayList<>(incomplete)) {
-      if (claim.paused && (isOldest || held <= limit)) {
-        claim.setPaused(false);
-        claim.resume.run();
-      }
-      isOldest = false;
-    }
+  /** Bytes of an answer are written, or not needed any more. */
+  public void releaseAnswer(long bytes) {
+    heldForAnswers -= bytes;
   }
 
   /** Sets the limit in bytes. */
   public void setLimit(long bytes) {
     limit = bytes;
-    resumePaused();
   }
 
   /** The bytes that are held, whatever for. */
   public long held() {
-    return held;
+    return heldForValues + heldForAnswers;
   }
 
   /** How many more bytes may be held; 0 if the limit is reached. */
   public long free() {
-    return Math.max(0, limit - held);
+    return Math.max(0, limit - held());
   }
 
-  /**
-   * True if no read may be started, as there is no memory for its answer. Values from clients alone don't
-   * refuse reads: a part of the memory is for answers.
-   */
+  /** True if no read may be started, as there is no memory for its answer. */
   public boolean mustRefuseReads() {
-    return held > limit && heldForAnswers > limit / ANSWERS_DIVISOR;
+    return held() > limit && heldForAnswers > limit / GUARANTEED_DIVISOR;
   }
 
   /** The number of open streams. */
--- a/src/main/java/beampoint/buffer/Collector.java
+++ b/src/main/java/beampoint/buffer/Collector.java
@@ -27,7 +27,7 @@
    * A collector of one message.
    *
    * @param length the length of the message in bytes
-   * @param claim counts the bytes in a budget; may be null
+   * @param claim counts the bytes in a budget
    */
   public Collector(MemoryManager<?> memory, int length, Budget.Claim claim) {
     this.memory = memory;
@@ -36,9 +36,15 @@
     this.message = BuffersBuffer.create(memory);
   }
 
-  /** Takes up to the missing bytes from a buffer; returns false if no more may be read for now. */
+  /**
+   * Takes up to the missing bytes from a buffer. Returns false, and takes none, if there is no memory for
+   * them: then the message has to be discarded.
+   */
   public boolean add(Buffer in) {
     int count = Math.min(length - size, in.remaining());
+    if (!claim.add(count)) {
+      return false;
+    }
     size += count;
     for (int left = count; left > 0;) {
       if (used == chunk.length) {
@@ -52,7 +58,7 @@
       used += part;
       left -= part;
     }
-    return claim == null || claim.add(count);
+    return true;
   }
 
   private void closeChunk() {
@@ -76,9 +82,6 @@
     closeChunk();
     used = 0;
     chunk = new byte[0];
-    if (claim != null) {
-      claim.complete();
-    }
     return message;
   }
 
--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -110,9 +110,9 @@
       return;
     }
     boolean closes = command.kind() == Kind.QUIT || command.kind() == Kind.FATAL;
-    sessions
-        .addBacklogBytes(sessions.mustAnswerAtOnce() && !closes ? backlog.addAnswer(immediateAnswer(command))
-            : backlog.add(command.copy(sessions.memory()), arrivedAt));
+    boolean isAnswered = sessions.mustAnswerAtOnce() && !closes || command.isValueDiscarded();
+    sessions.addBacklogBytes(isAnswered ? backlog.addAnswer(immediateAnswer(command))
+        : backlog.add(command.copy(sessions.memory()), arrivedAt));
     closeIfBacklogsOverLimit();
   }
 
@@ -218,10 +218,16 @@
     return "CLIENT_ERROR " + problem;
   }
 
+  /** True if a valid request can't be started, as there is no memory for its value or its answer. */
+  private boolean hasNoMemory(Command command) {
+    return command.kind() == Kind.READ ? sessions.answerLimits().mustRefuseReads()
+        : command.isValueDiscarded();
+  }
+
   private void startRequest(AnswerSlot slot, Command command, double arrivedAt) {
     String problem = rejectionLine(command);
     boolean isRead = command.kind() == Kind.READ;
-    if (problem == null && isRead && sessions.answerLimits().mustRefuseReads()) {
+    if (problem == null && hasNoMemory(command)) {
       problem = AnswerText.errorLine(sessions.requestHandler().refuse(command));
     }
     if (problem != null) {
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -93,7 +93,7 @@
     this.answerLimits = new AnswerLimits(budget);
     this.readAhead = new ReadAheadFilter(arrivals, listener::arrivedAt,
         bytes -> counters.raise(Counter.READ_AHEAD_PEAK_BYTES, bytes));
-    this.commandFilter = new CommandFilter(transport.getMemoryManager(), budget, clock, readAhead::resume);
+    this.commandFilter = new CommandFilter(transport.getMemoryManager(), budget, clock);
     loop.scheduleWithFixedDelay(this::closeStale, STALE_CHECK_INTERVAL_MS, STALE_CHECK_INTERVAL_MS,
         TimeUnit.MILLISECONDS);
   }
@@ -136,6 +136,9 @@
       Command command = ctx.getMessage();
       double arrivedAt = readAhead.arrivedAt(connection);
       pending.get(connection).incrementAndGet();
+      if (command.isValueDiscarded()) {
+        counters.add(Counter.VALUES_DISCARDED);
+      }
       execute(arrivedAt, () -> {
         Session session = sessions.remove(connection);
         if (session != null) {
@@ -249,14 +252,12 @@
     for (Map.Entry<Connection<?>, Session> entry : List.copyOf(sessions.entrySet())) {
       Connection<?> connection = entry.getKey();
       Session session = entry.getValue();
-      // While reading a value is paused for lack of memory, the client is not to blame for its slow progress.
-      int bytes = commandFilter.isPaused(connection) ? -1 : commandFilter.partialValueBytes(connection);
       if (session.isStalled(WRITE_STALL_TIMEOUT_MS)) {
         counters.add(Counter.CLIENT_CONNECTIONS_CLOSED_STALE);
         session.terminate();
-      } else if (bytes >= 0) {
-        session.closeIfStale(now, commandFilter.hasPartialCommand(connection), bytes, COMMAND_TIMEOUT_MS,
-            idleTimeoutMs);
+      } else {
+        session.closeIfStale(now, commandFilter.hasPartialCommand(connection),
+            commandFilter.partialValueBytes(connection), COMMAND_TIMEOUT_MS, idleTimeoutMs);
       }
     }
   }
--- a/src/main/java/beampoint/count/Counter.java
+++ b/src/main/java/beampoint/count/Counter.java
@@ -9,7 +9,9 @@
  * <li>CLIENT_CONNECTIONS_CLOSED_STALE: client connections closed because they were inactive for too long;
  * <li>REQUESTS_GONE: requests whose client disconnected before the answer;
  * <li>ATTEMPTS_FULL: attempts that an endpoint declined because it was busy;
+ * <li>ATTEMPTS_DISCARDED: attempts whose reply was discarded, as there was no memory for it;
  * <li>VALUES_CUT_OFF: streamed values whose connection ended before the last byte;
+ * <li>VALUES_DISCARDED: values of writes that were discarded, as there was no memory for them;
  * <li>OPS_CALLS_UNFINISHED: calls of operators whose connection was closed, by a timeout or to make room,
  * before the answer;
  * <li>MEMORY_HELD_PEAK_BYTES: the most that the memory budget has held, READ_AHEAD_PEAK_BYTES: the most that
@@ -22,9 +24,10 @@
   REQUESTS_TAKEN, REQUESTS_GONE, BAD_COMMANDS,
   ANSWERED_SERVED, ANSWERED_REFUSED, ANSWERED_FAILED,
   ATTEMPTS_SENT, ATTEMPTS_OK, ATTEMPTS_MISS, ATTEMPTS_ERROR, ATTEMPTS_FULL, ATTEMPTS_TIMEOUT,
-  ATTEMPTS_CONNECT_FAILED, ATTEMPTS_RESET, ATTEMPTS_CANCELLED, ATTEMPTS_NOT_SENT,
+  ATTEMPTS_CONNECT_FAILED, ATTEMPTS_RESET, ATTEMPTS_CANCELLED, ATTEMPTS_NOT_SENT, ATTEMPTS_DISCARDED,
   UPSTREAM_CONNECTIONS, UPSTREAM_BAD_REPLIES, PROBES_SENT,
-  VALUES_STREAMED, VALUES_CUT_OFF, MEMORY_HELD_PEAK_BYTES, READ_AHEAD_PEAK_BYTES, CONFIG_APPLIED,
+  VALUES_STREAMED, VALUES_CUT_OFF, VALUES_DISCARDED, MEMORY_HELD_PEAK_BYTES, READ_AHEAD_PEAK_BYTES,
+  CONFIG_APPLIED,
   CONFIG_REJECTED,
   OPS_CALLS_UNFINISHED, NODES_OUT, NODES_BACK,
   MEMBER_MESSAGES_SENT, MEMBER_BYTES_SENT, MEMBER_BYTES_RECEIVED,
--- a/src/main/java/beampoint/memcache/Command.java
+++ b/src/main/java/beampoint/memcache/Command.java
@@ -9,7 +9,7 @@
 /**
  * One command of a client. The buffers are slices of what was read.
  *
- * @param value the value of a write, else null
+ * @param value the value of a write; null if it was discarded for lack of memory, and for other commands
  * @param waitMs for how long the client waits for the answer, in ms
  * @param isRetry true if the client marked the request as a retry
  * @param problem the error line to answer with, or null
@@ -57,6 +57,11 @@
     }
   }
 
+  /** True for a write whose value was discarded, as there was no memory for it: it can only be refused. */
+  public boolean isValueDiscarded() {
+    return kind == Kind.WRITE && value == null;
+  }
+
   /** True for a read or a write. */
   public boolean isRequest() {
     return kind == Kind.READ || kind == Kind.WRITE;
--- a/src/main/java/beampoint/memcache/CommandFilter.java
+++ b/src/main/java/beampoint/memcache/CommandFilter.java
@@ -4,7 +4,6 @@
 import beampoint.buffer.Collector;
 import beampoint.memcache.Command.Kind;
 import java.io.IOException;
-import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -32,19 +31,12 @@
   private final MemoryManager<?> memory;
   private final Budget budget;
   private final DoubleSupplier clock;
-  private final Consumer<Connection<?>> onReadingEnabled;
 
-  /**
-   * Creates the filter for the connections of all clients.
-   *
-   * @param onReadingEnabled is called for each connection whose reading is enabled again
-   */
-  public CommandFilter(MemoryManager<?> memory, Budget budget, DoubleSupplier clock,
-      Consumer<Connection<?>> onReadingEnabled) {
+  /** Creates the filter for the connections of all clients. */
+  public CommandFilter(MemoryManager<?> memory, Budget budget, DoubleSupplier clock) {
     this.memory = memory;
     this.budget = budget;
     this.clock = clock;
-    this.onReadingEnabled = onReadingEnabled;
   }
 
   /** The parser state of one connection. */
@@ -55,8 +47,8 @@
     private double lastReadAt;
     private int discardedBytes;
 
-    ReadState(Connection<?> connection) {
-      super(memory, budget, () -> enableReading(connection));
+    ReadState() {
+      super(memory, budget);
     }
   }
 
@@ -66,29 +58,17 @@
   private ReadState state(Connection<?> connection) {
     ReadState state = states.get(connection);
     if (state == null) {
-      state = new ReadState(connection);
+      state = new ReadState();
       states.set(connection, state);
     }
     return state;
   }
 
-  private void enableReading(Connection<?> connection) {
-    try {
-      connection.enableIOEvent(IOEvent.READ);
-      onReadingEnabled.accept(connection);
-    } catch (IOException e) {
-      connection.terminateSilently();
-    }
-  }
-
   /** From here on reads and discards what arrives on a connection, so that its end is seen. */
   public void discardInput(Connection<?> connection) {
     ReadState state = state(connection);
     state.discardsInput = true;
     state.release();
-    if (state.discardedBytes <= MAX_DISCARDED_BYTES) {
-      enableReading(connection);
-    }
   }
 
   /** True while a connection has sent the beginning of a command, and not the rest. */
@@ -101,12 +81,7 @@
     return state(connection).lastReadAt;
   }
 
-  /** True while reading of a value is paused, as the memory budget is used up. */
-  public boolean isPaused(Connection<?> connection) {
-    return state(connection).isPaused();
-  }
-
-  /** How many bytes of an incomplete value were read; 0 if there is none. */
+  /** How many bytes of an incomplete value were read or discarded; 0 if there is none. */
   public int partialValueBytes(Connection<?> connection) {
     return state(connection).partialValueBytes();
   }
@@ -135,9 +110,6 @@
     Command command = state.parse(in);
     state.hasPartialCommand = command == null;
     state.lastReadAt = clock.getAsDouble();
-    if (state.isPaused()) {
-      ctx.getConnection().disableIOEvent(IOEvent.READ);
-    }
     if (command == null) {
       return !in.hasRemaining() ? ctx.getStopAction()
           : ctx.getStopAction(in.isComposite() ? Collector.copy(memory, in) : in);
--- a/src/main/java/beampoint/memcache/CommandReader.java
+++ b/src/main/java/beampoint/memcache/CommandReader.java
@@ -14,25 +14,16 @@
 
   private final MemoryManager<?> memory;
   private final Budget budget;
-  private final Runnable resume;
   private Command partial; // whose value is not complete
+  private int partialLength; // of its value and the line end behind it
   private Collector value;
   private Budget.Claim claim;
-  private int bytesToSkip; // of the value of a bad command
-  private boolean paused;
+  private int bytesToSkip; // of a value that is discarded
 
-  /**
-   * Creates the parser of one connection.
-   *
-   * @param resume is called when reading may continue after a pause, see {@link #isPaused()}
-   */
-  CommandReader(MemoryManager<?> memory, Budget budget, Runnable resume) {
+  /** Creates the parser of one connection. */
+  CommandReader(MemoryManager<?> memory, Budget budget) {
     this.memory = memory;
     this.budget = budget;
-    this.resume = () -> {
-      paused = false;
-      resume.run();
-    };
   }
 
   /**
@@ -126,34 +117,42 @@
   }
 
   /**
-   * Reads a value: one that is contained in the buffer as a slice of it, else starts to collect its parts.
+   * Reads a value: one that is contained in the buffer as a slice of it, else starts to collect its parts. A
+   * value for which there is no memory is discarded as it arrives.
    */
   private Command startValue(Buffer in, Command command, int length) {
-    int end = in.position() + length + 2;
+    int lengthWithLineEnd = length + 2;
+    int end = in.position() + lengthWithLineEnd;
     if (length <= CommandFilter.MAX_SLICED_VALUE_BYTES && end <= in.limit()) {
-      Buffer valueAndLineEnd = in.slice(end - length - 2, end);
+      Buffer valueAndLineEnd = in.slice(in.position(), end);
       in.position(end);
-      return complete(command, valueAndLineEnd, null);
+      Budget.Claim sliceClaim = budget.claimValue();
+      return sliceClaim.add(lengthWithLineEnd) ? complete(command, valueAndLineEnd, sliceClaim)
+          : command.copy(memory); // its slices would keep the whole buffer
     }
+    partialLength = lengthWithLineEnd;
+    partial = command.copy(memory);
     if (command.kind() == Kind.BAD) {
-      bytesToSkip = length + 2;
+      bytesToSkip = lengthWithLineEnd;
     } else {
-      claim = budget.claim(resume);
-      value = new Collector(memory, length + 2, claim);
+      claim = budget.claimValue();
+      value = new Collector(memory, lengthWithLineEnd, claim);
     }
-    partial = command.copy(memory);
     return continueValue(in);
   }
 
   /** Continues to collect or skip a value. */
   private Command continueValue(Buffer in) {
+    if (value != null && !value.add(in)) {
+      bytesToSkip = partialLength - value.size();
+      release();
+    }
     if (value == null) {
       int count = Math.min(bytesToSkip, in.remaining());
       in.position(in.position() + count);
       bytesToSkip -= count;
       return bytesToSkip > 0 ? null : partial;
     }
-    paused = !value.add(in);
     if (!value.isComplete()) {
       return null;
     }
@@ -161,41 +160,33 @@
     Budget.Claim valueClaim = claim;
     value = null;
     claim = null;
-    paused = false;
     return complete(partial, valueAndLineEnd, valueClaim);
   }
 
   private static Command complete(Command command, Buffer valueAndLineEnd, Budget.Claim claim) {
     int length = valueAndLineEnd.remaining() - 2;
     int from = valueAndLineEnd.position();
-    if (valueAndLineEnd.get(from + length) != '\r' || valueAndLineEnd.get(from + length + 1) != '\n') {
-      if (claim != null) {
-        claim.release();
-      }
-      return Command.of(Kind.FATAL, "CLIENT_ERROR bad data chunk");
+    boolean hasLineEnd =
+        valueAndLineEnd.get(from + length) == '\r' && valueAndLineEnd.get(from + length + 1) == '\n';
+    if (hasLineEnd && command.kind() != Kind.BAD) {
+      return command.withValue(valueAndLineEnd.slice(from, from + length), claim);
     }
-    return command.kind() == Kind.BAD ? command
-        : command.withValue(valueAndLineEnd.slice(from, from + length), claim);
-  }
-
-  /** True while no more of a value may be read, as the memory budget is used up. */
-  boolean isPaused() {
-    return paused;
+    claim.release();
+    return hasLineEnd ? command : Command.of(Kind.FATAL, "CLIENT_ERROR bad data chunk");
   }
 
-  /** How many bytes of an incomplete value were read; 0 if there is none. */
+  /** How many bytes of an incomplete value were read or discarded; 0 if there is none. */
   int partialValueBytes() {
-    return value == null ? 0 : value.size();
+    return value != null ? value.size() : bytesToSkip > 0 ? partialLength - bytesToSkip : 0;
   }
 
-  /** Discards an incomplete value. */
+  /** Discards what was read of an incomplete value. */
   void release() {
     if (claim != null) {
       claim.release();
     }
     value = null;
     claim = null;
-    paused = false;
   }
 
   /**
--- a/src/main/java/beampoint/memcache/ReplyFilter.java
+++ b/src/main/java/beampoint/memcache/ReplyFilter.java
@@ -43,20 +43,12 @@
   private ReplyReader reader(Connection<?> connection) {
     ReplyReader reader = readers.get(connection);
     if (reader == null) {
-      reader = new ReplyReader(memory, budget, () -> enableReading(connection));
+      reader = new ReplyReader(memory, budget);
       readers.set(connection, reader);
     }
     return reader;
   }
 
-  private static void enableReading(Connection<?> connection) {
-    try {
-      connection.enableIOEvent(IOEvent.READ);
-    } catch (IOException e) {
-      connection.terminateSilently();
-    }
-  }
-
   @Override
   public NextAction handleClose(FilterChainContext ctx) {
     ReplyReader reader = readers.get(ctx.getConnection());
@@ -71,15 +63,13 @@
     Buffer in = ctx.getMessage();
     ReplyReader reader = reader(ctx.getConnection());
     Object message = reader.parse(in);
-    if (reader.isPaused()) {
-      ctx.getConnection().disableIOEvent(IOEvent.READ);
-    }
     if (message == null) {
       return !in.hasRemaining() ? ctx.getStopAction()
           : ctx.getStopAction(in.isComposite() ? Collector.copy(memory, in) : in);
     }
-    boolean bad = message instanceof Reply reply && (reply.surplus() || reply.kind() == Kind.BAD);
-    if (bad || message instanceof ReplyPart part && part.surplus()) {
+    boolean endsReading = message instanceof Reply reply
+        && (reply.surplus() || reply.kind() == Kind.BAD || reply.kind() == Kind.DISCARDED);
+    if (endsReading || message instanceof ReplyPart part && part.surplus()) {
       // One request is in flight at a time: what follows its reply belongs to none, and may never end.
       ctx.getConnection().disableIOEvent(IOEvent.READ);
     }
--- a/src/main/java/beampoint/memcache/ReplyReader.java
+++ b/src/main/java/beampoint/memcache/ReplyReader.java
@@ -15,26 +15,16 @@
 
   private final MemoryManager<?> memory;
   private final Budget budget;
-  private final Runnable resume;
   private Buffer id; // of the value that is collected
   private String loadReport; // the load report of that value
   private Collector value;
   private Budget.Claim claim; // of the value that is collected
-  private boolean paused;
   private int streamBytesLeft; // of a long value and the line end behind it
 
-  /**
-   * Creates the parser of one connection.
-   *
-   * @param resume is called when reading may continue after a pause, see {@link #isPaused()}
-   */
-  ReplyReader(MemoryManager<?> memory, Budget budget, Runnable resume) {
+  /** Creates the parser of one connection. */
+  ReplyReader(MemoryManager<?> memory, Budget budget) {
     this.memory = memory;
     this.budget = budget;
-    this.resume = () -> {
-      paused = false;
-      resume.run();
-    };
   }
 
   /** Takes a {@link Reply} or a {@link ReplyPart} off the buffer; null if more must be read first. */
@@ -110,13 +100,17 @@
       return complete(lineId, in.slice(from, from + length + 2), in);
     }
     id = lineId == null ? null : Collector.copy(memory, lineId);
-    claim = budget.claimReply(resume);
+    claim = budget.claimReply();
     value = new Collector(memory, length + 2, claim);
     return collect(in);
   }
 
   private Reply collect(Buffer in) {
-    paused = !value.add(in);
+    if (!value.add(in)) {
+      release();
+      in.position(in.limit());
+      return new Reply(Kind.DISCARDED, null, null, false, loadReport);
+    }
     if (!value.isComplete()) {
       return null;
     }
@@ -134,11 +128,6 @@
     return new Reply(Kind.VALUE, id, valueAndLineEnd.slice(from, end), in.hasRemaining(), loadReport);
   }
 
-  /** True while no more of a value may be read, as the memory budget is used up. */
-  boolean isPaused() {
-    return paused;
-  }
-
   /** Discards an incomplete value. */
   void release() {
     if (claim != null) {
@@ -146,7 +135,6 @@
     }
     value = null;
     claim = null;
-    paused = false;
   }
 
   private Object part(Buffer in) {
--- a/src/main/java/beampoint/policy/BalancerPolicy.java
+++ b/src/main/java/beampoint/policy/BalancerPolicy.java
@@ -210,13 +210,12 @@
     if (attempt == null) {
       return;
     }
-    boolean answered = e.result() == Result.OK || e.result() == Result.MISS;
-    state.onAttemptEnded(request, attempt, answered);
+    state.onAttemptEnded(request, attempt, e.result().isAnswer());
     idle.remove(attempt.node);
     idle.add(attempt.node);
     slowStart.onAttemptEnded(e.result() == Result.OK);
     health.onOutcome(attempt, e);
-    if (attempt.node.origin && e.result() != Result.OK) {
+    if (attempt.node.origin && e.result() != Result.OK && e.result() != Result.DISCARDED) {
       ring.onOriginOverload();
     }
     if (!e.result().neverRan && request.mayHaveRunAt == null) {
@@ -264,7 +263,8 @@
     double retryAt =
         state.now + (originRefusedConnection ? state.random.nextDouble() * health.expectedTime(node) : 0);
     double tokens = result.neverRan ? 0 : 1; // an attempt that never ran caused no work
-    if (result == Result.NOT_SENT || retryAt >= request.usefulUntil
+    boolean isOutOfResources = result == Result.NOT_SENT || result == Result.DISCARDED; // of this proxy
+    if (isOutOfResources || retryAt >= request.usefulUntil
         || retryTokens < tokens || request.attemptCount >= request.maxAttempts) {
       giveUp(request);
       return;
--- a/src/main/java/beampoint/policy/health/EndpointHealth.java
+++ b/src/main/java/beampoint/policy/health/EndpointHealth.java
@@ -145,7 +145,7 @@
     (node.origin ? state.originTimeouts : state.timeouts).add(state.now, MIN_HALF_LIFE_MS,
         result == Result.TIMEOUT ? 1 : 0);
     if (!node.origin) {
-      state.failures.add(state.now, MAX_HALF_LIFE_MS, result == Result.OK || result == Result.MISS ? 0 : 1);
+      state.failures.add(state.now, MAX_HALF_LIFE_MS, result.isAnswer() ? 0 : 1);
     }
     boolean broken = result == Result.CONNECT_FAILED || result == Result.RESET;
     node.errors.add(state.now, halfLife(), result == Result.ERROR || broken ? 1 : 0);
--- a/src/main/java/beampoint/transport/ReadAheadFilter.java
+++ b/src/main/java/beampoint/transport/ReadAheadFilter.java
@@ -122,11 +122,6 @@
     return key.isValid() && (key.interestOps() & SelectionKey.OP_READ) != 0;
   }
 
-  /** Passes on what was read ahead before reading was disabled; called after it is enabled again. */
-  public void resume(Connection<?> connection) {
-    schedule((NIOConnection) connection, readAheads.get(connection));
-  }
-
   private void clear(ReadAhead readAhead) {
     for (Chunk chunk : readAhead.chunks) {
       bufferedBytes -= chunk.bytes().remaining();
--- a/src/main/java/beampoint/upstream/PooledConnection.java
+++ b/src/main/java/beampoint/upstream/PooledConnection.java
@@ -30,6 +30,7 @@
   HttpHead httpHead;
   Collector bodyCollector; // of a reply that is buffered until it is complete
   Budget.Claim bodyClaim; // the memory budget for bodyCollector
+  int skippedBodyBytes; // of a reply whose body is no answer
   Stream valueStream; // a long value that is passed on to the client as it is read
   double lastProgressAt; // when bytes were last read, or reading was paused or resumed
   boolean readingPaused; // until the client has taken more of the value
--- a/src/main/java/beampoint/upstream/Replies.java
+++ b/src/main/java/beampoint/upstream/Replies.java
@@ -186,6 +186,7 @@
       case ALIVE -> inFlight.isProbe() ? Result.OK : null;
       case BUSY -> Result.FULL;
       case FAILED -> Result.ERROR;
+      case DISCARDED -> Result.DISCARDED;
       case BAD -> null;
     };
     if (result == null) {
@@ -193,6 +194,10 @@
       return;
     }
     inFlight.loadReport = reply.loadReport();
+    if (result == Result.DISCARDED) {
+      listener.end(pooled, result);
+      return;
+    }
     pooled.mustRest = reply.id() == null;
     if (reply.isStreamed()) {
       startStream(pooled, inFlight, reply.length());
@@ -205,47 +210,73 @@
   }
 
   private void handleContent(PooledConnection pooled, UpstreamRequest inFlight, HttpContent content) {
-    boolean read = !inFlight.isProbe() && inFlight.exchange.command().kind() == Command.Kind.READ;
-    boolean isLong = read && pooled.httpHead.status() == 200
-        && pooled.httpHead.length() > ReplyFilter.MAX_BUFFERED_VALUE;
-    if (isLong && pooled.bodyCollector == null) {
-      if (pooled.httpHead.length() > MAX_BODY) {
-        protocolError(pooled,
-            "body of " + pooled.httpHead.length() + " bytes exceeds the limit of " + MAX_BODY);
-        return;
-      }
-      startStream(pooled, inFlight, pooled.httpHead.length());
-      continueStream(pooled, content);
-      return;
-    }
-    if (pooled.bodyCollector == null) {
-      pooled.bodyClaim = budget.claimReply(() -> setReading(pooled, true));
-      pooled.bodyCollector = new Collector(memory, MAX_BODY, pooled.bodyClaim);
-    }
-    if (!pooled.bodyCollector.add(content.bytes()) && !content.last()) {
-      setReading(pooled, false);
-    }
-    if (content.bytes().hasRemaining()) {
-      protocolError(pooled, "body exceeds the limit of " + MAX_BODY + " bytes");
+    HttpHead head = pooled.httpHead;
+    boolean isRead = !inFlight.isProbe() && inFlight.exchange.command().kind() == Command.Kind.READ;
+    boolean isAnswer = !inFlight.isProbe() && head.status() == 200;
+    if (isRead && isAnswer && head.length() > ReplyFilter.MAX_BUFFERED_VALUE) {
+      streamContent(pooled, inFlight, content);
       return;
     }
-    if (!content.last()) {
+    boolean isUsable = isAnswer ? collectBody(pooled, isRead, content.bytes())
+        : skipBody(pooled, content.bytes().remaining());
+    if (!isUsable || !content.last()) {
       return;
     }
-    HttpHead head = pooled.httpHead;
-    Buffer body = pooled.bodyCollector.message();
-    pooled.bodyClaim.release();
+    Buffer body = isAnswer ? takeBody(pooled) : Buffers.EMPTY_BUFFER;
     pools.release(pooled, head.closes() || content.surplus());
     if (head.status() == 200) {
-      boolean write = !inFlight.isProbe() && inFlight.exchange.command().kind() == Command.Kind.WRITE;
-      Answer.Kind kind = write ? Answer.Kind.RECEIPT : Answer.Kind.VALUE;
-      listener.complete(inFlight, Result.OK, inFlight.isProbe() ? null : Answer.complete(kind, body));
+      Answer.Kind kind = isRead ? Answer.Kind.VALUE : Answer.Kind.RECEIPT;
+      listener.complete(inFlight, Result.OK, isAnswer ? Answer.complete(kind, body) : null);
     } else {
       boolean notExecuted = head.declined() && (head.status() == 503 || head.status() == 504);
       listener.complete(inFlight, notExecuted ? Result.FULL : Result.ERROR, null);
     }
   }
 
+  /** Starts to stream a long value with the first part of its body. */
+  private void streamContent(PooledConnection pooled, UpstreamRequest inFlight, HttpContent content) {
+    long length = pooled.httpHead.length();
+    if (length > MAX_BODY) {
+      protocolError(pooled, "body of " + length + " bytes exceeds the limit of " + MAX_BODY);
+      return;
+    }
+    startStream(pooled, inFlight, length);
+    continueStream(pooled, content);
+  }
+
+  /**
+   * Keeps a part of a body until the body is complete. Returns false if the attempt has ended, as there is no
+   * memory for it or it is too long.
+   */
+  private boolean collectBody(PooledConnection pooled, boolean isRead, Buffer bytes) {
+    if (pooled.bodyCollector == null) {
+      pooled.bodyClaim = isRead ? budget.claimReply() : budget.claimReceipt();
+      pooled.bodyCollector = new Collector(memory, MAX_BODY, pooled.bodyClaim);
+    }
+    if (!pooled.bodyCollector.add(bytes)) {
+      listener.end(pooled, Result.DISCARDED);
+      return false;
+    }
+    return !bytes.hasRemaining() || failTooLongBody(pooled);
+  }
+
+  private static Buffer takeBody(PooledConnection pooled) {
+    Buffer body = pooled.bodyCollector.message();
+    pooled.bodyClaim.release();
+    return body;
+  }
+
+  /** Skips a part of a body that is no answer; returns false if the attempt has ended, as it is too long. */
+  private boolean skipBody(PooledConnection pooled, int count) {
+    pooled.skippedBodyBytes += count;
+    return pooled.skippedBodyBytes <= MAX_BODY || failTooLongBody(pooled);
+  }
+
+  private boolean failTooLongBody(PooledConnection pooled) {
+    protocolError(pooled, "body exceeds the limit of " + MAX_BODY + " bytes");
+    return false;
+  }
+
   /**
    * Logs a protocol violation and ends the connection, as nothing after it can be interpreted. The result is
    * an error and not a reset: the endpoint is alive, and the request may have been executed.
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -258,6 +258,7 @@
     pooled.requestWritten = false;
     pooled.httpHead = null;
     pooled.bodyCollector = null;
+    pooled.skippedBodyBytes = 0;
     Buffer request;
     if (inFlight.isProbe()) {
       request = pool.isOrigin ? httpWriter.get("/alive", pool.hostHeader) : writer.line("mn");
--- a/src/test/java/beampoint/serve/MemoryBudgetTest.java
+++ b/src/test/java/beampoint/serve/MemoryBudgetTest.java
@@ -8,8 +8,10 @@
 import beampoint.serve.ProxyFixture.Client;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongPredicate;
+import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -26,6 +28,11 @@
   private static final int READS = 128; // of each, sent at once
   private static final int VALUE_BYTES = 60_000;
 
+  private static final int LONG_WRITERS = 20;
+  private static final int LONG_READERS = 20;
+  private static final int ANSWER_LINE_BYTES = 40; // at most
+  private static final int LONG_VALUE_BYTES = 1024 * 1024;
+
   private static String read(String id) {
     return "mg 7f v O" + id + " Pc=read,t=acme,d=4000\r\n";
   }
@@ -146,4 +153,118 @@
       assertEquals(1, origin.connections());
     }
   }
+
+  /** An origin that reads requests whole, and answers each once the test allows it. */
+  private static Stub waitingOrigin(CountDownLatch mayAnswer) throws Exception {
+    return new Stub(peer -> {
+      for (String head = peer.head(); head != null; head = peer.head()) {
+        peer.bytes(bodyLength(head));
+        mayAnswer.await();
+        peer.say("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nreceipt");
+      }
+    });
+  }
+
+  private static int bodyLength(String head) {
+    return head.lines().filter(line -> line.startsWith("Content-Length: "))
+        .mapToInt(line -> Integer.parseInt(line.substring("Content-Length: ".length()))).findFirst()
+        .orElse(0);
+  }
+
+  /**
+   * Guards against long values that are read one after the other and fill the heap while the origin takes its
+   * time: requests got no answer, reads a wrong value, and the process ended.
+   */
+  @Test
+  void longValuesThatAwaitTheOriginHoldNoMoreThanTheBudget() throws Exception {
+    List<Client> writers = new ArrayList<>();
+    CountDownLatch mayAnswer = new CountDownLatch(1);
+    try (Stub origin = waitingOrigin(mayAnswer);
+        ProxyFixture proxy = ProxyFixture.withMemory(MEMORY_MB, Stub.nobody(), origin.address())) {
+      proxy.sendTo("origin");
+      for (int i = 0; i < LONG_WRITERS; i++) {
+        writers.add(new Client(proxy));
+        writers.get(i).send("ms 7f " + LONG_VALUE_BYTES + " Ow" + i + " Pc=put,t=acme,d=30000,k=5c\r\n"
+            + "x".repeat(LONG_VALUE_BYTES / 2));
+      }
+      for (Client writer : writers) {
+        writer.send("x".repeat(LONG_VALUE_BYTES - LONG_VALUE_BYTES / 2) + "\r\n");
+      }
+      awaitCount(() -> proxy.proxy.counters().get(Counter.REQUESTS_TAKEN), LONG_WRITERS);
+      mayAnswer.countDown();
+      int served = 0;
+      for (int i = 0; i < LONG_WRITERS; i++) {
+        String answer = writers.get(i).line();
+        served += answer.equals("HD Ow" + i + " creceipt") ? 1 : 0;
+        assertTrue(answer.startsWith("HD Ow" + i) || answer.startsWith("SERVER_ERROR busy"), answer);
+      }
+      assertTrue(served >= 1, "served: " + served);
+      long peak = proxy.proxy.counters().get(Counter.MEMORY_HELD_PEAK_BYTES);
+      assertTrue(peak <= BUDGET_BYTES + LONG_WRITERS * ANSWER_LINE_BYTES, "held: " + peak);
+      awaitHeld(proxy, held -> held == 0);
+    } finally {
+      Client.closeAll(writers);
+    }
+  }
+
+  private static void awaitCount(LongSupplier counter, long count) throws Exception {
+    long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+    while (counter.getAsLong() < count) {
+      assertTrue(System.nanoTime() < giveUpAt, counter.getAsLong() + " of " + count);
+      Thread.sleep(1);
+    }
+  }
+
+  /** An origin that answers each read with a chunked value, the second half once the test allows it. */
+  private static Stub chunkedOrigin(String value, CountDownLatch mayGoOn) throws Exception {
+    String half = value.substring(0, value.length() / 2);
+    String chunk = Integer.toHexString(half.length()) + "\r\n" + half + "\r\n";
+    return new Stub(peer -> {
+      for (String head = peer.head(); head != null; head = peer.head()) {
+        peer.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk);
+        mayGoOn.await();
+        peer.say(chunk + "0\r\n\r\n");
+      }
+    });
+  }
+
+  /**
+   * Guards against replies without a length that fill the heap one after the other, and against replies that
+   * wait for memory while their callers' time runs: each read is served or refused at once.
+   */
+  @Test
+  void chunkedRepliesHoldNoMoreThanTheBudgetAndNoneWaits() throws Exception {
+    List<Client> readers = new ArrayList<>();
+    CountDownLatch mayGoOn = new CountDownLatch(1);
+    String value = "x".repeat(LONG_VALUE_BYTES);
+    try (Stub origin = chunkedOrigin(value, mayGoOn);
+        ProxyFixture proxy = ProxyFixture.withMemory(MEMORY_MB, Stub.nobody(), origin.address())) {
+      proxy.sendTo("origin");
+      for (int i = 0; i < LONG_READERS; i++) {
+        readers.add(new Client(proxy.port, 16 * 1024));
+        readers.get(i).send("mg 7f v Or" + i + " Pc=read,t=acme,d=30000\r\n");
+      }
+      awaitCount(() -> proxy.proxy.counters().get(Counter.ATTEMPTS_DISCARDED), 1);
+      mayGoOn.countDown();
+      int served = 0;
+      for (int i = 0; i < LONG_READERS; i++) {
+        String answer = readers.get(i).line();
+        if (answer.startsWith("VA ")) {
+          served++;
+          assertEquals("VA " + LONG_VALUE_BYTES + " Or" + i, answer);
+          assertEquals(value.hashCode(), readers.get(i).bytes(LONG_VALUE_BYTES).hashCode());
+        } else {
+          assertEquals("SERVER_ERROR busy", answer);
+        }
+      }
+      assertTrue(served >= 1, "served: " + served);
+      assertEquals(0, proxy.proxy.counters().get(Counter.ATTEMPTS_TIMEOUT));
+      assertEquals(0, proxy.proxy.counters().get(Counter.UPSTREAM_BAD_REPLIES));
+      long peak = proxy.proxy.counters().get(Counter.MEMORY_HELD_PEAK_BYTES);
+      assertTrue(peak <= BUDGET_BYTES + LONG_READERS * ANSWER_LINE_BYTES, "held: " + peak);
+      awaitHeld(proxy, held -> held == 0);
+    } finally {
+      Client.closeAll(readers);
+    }
+  }
 }
