--- a/src/main/java/beampoint/memcache/Reply.java
+++ b/src/main/java/beampoint/memcache/Reply.java
@@ -14,8 +14,8 @@
 public record Reply(Kind kind, Buffer id, Buffer body, boolean surplus, int length, String loadReport) {
 
   /**
-   * The kinds of replies. BAD violates the protocol, and what follows it can't be parsed. DISCARDED is a value for
-   * which there is no memory, and the rest of which is not read.
+   * The kinds of replies. BAD violates the protocol, and what follows it can't be parsed. DISCARDED is a
+   * value for which there is no memory, and the rest of which is not read.
    */
   public enum Kind {
     VALUE, RECEIPT, MISS, FAILED, BUSY, ALIVE, BAD, DISCARDED
