--- a/src/main/java/beampoint/serve/Decisions.java
+++ b/src/main/java/beampoint/serve/Decisions.java
@@ -130,7 +130,6 @@
   @Override
   public Exchange accept(Command command, double arrivedAt, BooleanSupplier clientGone,
       Consumer<Answer> onAnswer) {
-    int requestClass = names.requestClass(command);
     Exchange exchange = open(command, arrivedAt + command.waitMs(), clientGone, onAnswer);
     double deadline = exchange.deadline();
     // Queued, because the request must have its place in the order of answers before the module can answer.
@@ -138,7 +137,7 @@
       scheduleOverdueCheck(deadline + ANSWER_GRACE_MS - clock.getAsDouble(), exchange, deadline);
       // Waits for the first list for at most half of the time that is left until the deadline: the later a
       // refusal comes, the more of this time its client has lost.
-      initialListGate.runWhenOpen((deadline - clock.getAsDouble()) / 2, () -> begin(exchange, requestClass));
+      initialListGate.runWhenOpen((deadline - clock.getAsDouble()) / 2, () -> begin(exchange));
     });
     return exchange;
   }
@@ -147,7 +146,7 @@
   public Answer refuse(Command command) {
     AtomicReference<Answer> answer = new AtomicReference<>();
     Exchange exchange = open(command, clock.getAsDouble() + command.waitMs(), () -> false, answer::set);
-    submit(exchange, names.requestClass(command), true);
+    submit(exchange, true);
     if (!exchange.isOver()) {
       close(exchange, Answer.FAILED);
       dispatch(new RequestGone(exchange.id()));
@@ -165,19 +164,25 @@
     return exchange;
   }
 
-  private void begin(Exchange exchange, int requestClass) {
+  private void begin(Exchange exchange) {
     if (exchange.isClientWaiting()) { // otherwise the module would receive RequestGone before RequestReceived
-      submit(exchange, requestClass, false);
+      submit(exchange, false);
     }
   }
 
   /**
-   * Passes a request to the module.
+   * Passes a request to the module. Only here its class is looked up: settings that were applied since the
+   * request was accepted may number the classes in another way. If they have dropped its class, it is failed.
    *
    * @param overflow true if the request can't be queued, so that the module may only refuse or fail it
    */
-  private void submit(Exchange exchange, int requestClass, boolean overflow) {
+  private void submit(Exchange exchange, boolean overflow) {
     Command command = exchange.command();
+    int requestClass = names.requestClass(command);
+    if (requestClass < 0) {
+      close(exchange, Answer.FAILED);
+      return;
+    }
     exchange.setLastEventAt(clock.getAsDouble());
     dispatch(new RequestReceived(exchange.id(), Math.min(exchange.deadline(), attemptDeadline),
         names.tenant(command), requestClass, NameIndex.key(command.key()),
--- a/src/test/java/beampoint/serve/OperationsTest.java
+++ b/src/test/java/beampoint/serve/OperationsTest.java
@@ -30,6 +30,10 @@
 @Timeout(30)
 class OperationsTest {
 
+  private static final int PIPELINED_REQUESTS = 32; // that are open on a connection at most
+
+  private static final int TRANSITION_MS = 3000; // the longest deadline, and 2 s
+
   @TempDir
   private Path directory;
   private final ScriptedModule module = new ScriptedModule();
@@ -274,6 +278,84 @@
     }
   }
 
+  /**
+   * Guards against the rules of another class for a request that is taken up just before new settings are
+   * applied and begun just after: writes that must not run twice did. The script makes it so that the last
+   * request, for which there is no room at first, is taken up in the task before the reload.
+   */
+  @Test
+  void aRequestThatIsTakenUpWhileSettingsChangeHasTheRulesOfItsClass() throws Exception {
+    Config config = ProxyFixture.config(List.of(), 384, Stub.nobody(), ProxyFixture.SETTINGS, "127.0.0.1:0");
+    Config next = withSettings(config, ProxyFixture.SETTINGS.replace("{\"name\":\"put\"",
+        "{\"name\":\"added\",\"idempotency\":\"safe\",\"target-ms\":500,\"hard-limit-ms\":1000},"
+            + "{\"name\":\"put\""));
+    Proxy proxy = new Proxy(config, settings -> module, directory);
+    refuseAllAndRunAtTheSecond(() -> proxy.reload(next));
+    proxy.start();
+    try (Client client = new Client(proxy.port())) {
+      sendMoreWritesThanMayBeOpen(client);
+      for (int i = 1; i <= PIPELINED_REQUESTS + 1; i++) {
+        assertEquals("SERVER_ERROR busy", client.line());
+      }
+      SettingsChanged changed = module.next(SettingsChanged.class);
+      Balancer.RequestReceived last = module.next(Balancer.RequestReceived.class);
+      assertEquals(PIPELINED_REQUESTS + 1, last.id());
+      assertEquals(Balancer.Idempotency.KEYED,
+          changed.settings().classes().get(last.requestClass()).idempotency());
+    } finally {
+      proxy.stop();
+    }
+  }
+
+  /**
+   * Guards against a request that gets another class's rules, or no answer, if its class is dropped between
+   * its acceptance and its begin. The thread is busy as the change is due, which queues it between the two.
+   */
+  @Test
+  void aRequestWhoseClassIsDroppedBeforeItBeginsIsFailed() throws Exception {
+    Config config = ProxyFixture.config(List.of(), 384, Stub.nobody(), ProxyFixture.SETTINGS, "127.0.0.1:0");
+    Config next =
+        withSettings(config, ProxyFixture.SETTINGS.replace("\"name\":\"put\"", "\"name\":\"new\""));
+    Proxy proxy = new Proxy(config, settings -> module, directory);
+    refuseAllAndRunAtTheSecond(() -> ProxyFixture.sleep(TRANSITION_MS));
+    proxy.start();
+    proxy.reload(next);
+    module.next(SettingsChanged.class);
+    try (Client client = new Client(proxy.port())) {
+      sendMoreWritesThanMayBeOpen(client);
+      for (int i = 1; i <= PIPELINED_REQUESTS; i++) {
+        assertEquals("SERVER_ERROR busy", client.line());
+      }
+      assertEquals("SERVER_ERROR failed", client.line());
+      module.next(SettingsChanged.class);
+      assertEquals(0, proxy.counters().get(Counter.LOGIC_EXCEPTIONS));
+    } finally {
+      proxy.stop();
+    }
+  }
+
+  /** Makes the module refuse every request, and run a task on the decision thread at the second one. */
+  private void refuseAllAndRunAtTheSecond(Runnable task) {
+    module.script = event -> {
+      if (event instanceof Balancer.RequestReceived e) {
+        if (e.id() == 2) {
+          task.run();
+        }
+        return List.of(new Balancer.Refuse(e.id(), 0));
+      }
+      return List.of();
+    };
+  }
+
+  /** Sends writes at once, the last of which is accepted only when the first one is answered. */
+  private static void sendMoreWritesThanMayBeOpen(Client client) throws Exception {
+    StringBuilder writes = new StringBuilder();
+    for (int i = 1; i <= PIPELINED_REQUESTS + 1; i++) {
+      writes.append(ProxyFixture.WRITE.replace("O9b", "O" + i));
+    }
+    client.send(writes.toString());
+  }
+
   /** Guards against many idle connections that fill the memory: each may hold only little of it. */
   @Test
   void anIdleConnectionCostsLittleMemory() throws Exception {
