--- a/src/main/java/beampoint/upstream/Replies.java
+++ b/src/main/java/beampoint/upstream/Replies.java
@@ -19,6 +19,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.Executor;
 import java.util.function.DoubleSupplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.IOEvent;
@@ -50,16 +51,18 @@
   private final DoubleSupplier clock;
   private final Counters counters;
   private final Budget budget;
+  private final Executor loop;
   private final ResultListener listener;
   private final Set<PooledConnection> streaming = new LinkedHashSet<>();
 
   Replies(ConnectionPools pools, MemoryManager<?> memory, DoubleSupplier clock, Counters counters,
-      Budget budget, ResultListener listener) {
+      Budget budget, Executor loop, ResultListener listener) {
     this.pools = pools;
     this.memory = memory;
     this.clock = clock;
     this.counters = counters;
     this.budget = budget;
+    this.loop = loop;
     this.listener = listener;
   }
 
@@ -260,9 +263,14 @@
     return !bytes.hasRemaining() || failTooLongBody(pooled);
   }
 
-  private static Buffer takeBody(PooledConnection pooled) {
+  /**
+   * Takes a complete body. It stays counted up to the task before the one that counts the answer: otherwise
+   * other messages could take the memory in between.
+   */
+  private Buffer takeBody(PooledConnection pooled) {
     Buffer body = pooled.bodyCollector.message();
-    pooled.bodyClaim.release();
+    loop.execute(pooled.bodyClaim::release);
+    pooled.bodyClaim = null;
     return body;
   }
 
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -73,7 +73,7 @@
     this.httpWriter = new HttpWriter(transport.getMemoryManager());
     Events events = new Events();
     this.pools = new ConnectionPools(transport, loop, clock, counters, budget, events);
-    this.replies = new Replies(pools, transport.getMemoryManager(), clock, counters, budget, events);
+    this.replies = new Replies(pools, transport.getMemoryManager(), clock, counters, budget, loop, events);
     pools.setTimeouts(connectTimeoutMs, idleTimeoutMs);
     this.connectionCheck = loop.scheduleWithFixedDelay(() -> {
       replies.endStalled();
