--- a/src/main/java/beampoint/buffer/Budget.java
+++ b/src/main/java/beampoint/buffer/Budget.java
@@ -1,5 +1,7 @@
 package beampoint.buffer;
 
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.function.LongConsumer;
 
 /**
@@ -7,7 +9,11 @@
  * that are being received, and answers that are not written to their client yet. A message for which there is
  * no room is discarded: nothing waits for memory, as that would cost the time of those who wait. Values of
  * clients, and replies together with answers, may each use half of the limit in any case, and all that the
- * other of the two leaves free. Confined to the decision thread.
+ * other of the two leaves free.
+ *
+ * <p>The longer a value of a client is, the more it leaves free for shorter ones. If there is no room, the
+ * incomplete value is discarded of which most is missing. So long values, however many and however slow, do
+ * not cost short ones their place. Confined to the decision thread.
  */
 public final class Budget {
 
@@ -17,12 +23,15 @@
   private static final int WINDOWS_DIVISOR = 4;
   /** The part of the limit that values, and replies with answers, have in any case, as a divisor. */
   private static final int GUARANTEED_DIVISOR = 2;
+  /** The part of the memory for values that long ones leave free for shorter ones at most, as a divisor. */
+  private static final int RESERVE_DIVISOR = 8;
 
   private final LongConsumer heldListener;
   private long limit; // in bytes
   private long heldForValues; // of clients, in bytes
   private long heldForAnswers; // and for replies, in bytes
   private int streams;
+  private final Set<Claim> incompleteValues = new LinkedHashSet<>(); // of which bytes are held
 
   /** A budget with a limit in bytes. */
   public Budget(long limitBytes) {
@@ -47,10 +56,14 @@
   /** The bytes of one message that is buffered whole. */
   public final class Claim {
     private final Kind kind;
+    private final long length; // of a value; 0 for others
+    private final Runnable onDiscard;
     private long bytes;
 
-    private Claim(Kind kind) {
+    private Claim(Kind kind, long length, Runnable onDiscard) {
       this.kind = kind;
+      this.length = length;
+      this.onDiscard = onDiscard;
     }
 
     /**
@@ -58,17 +71,27 @@
      * whole, and nothing of it stays counted.
      */
     public boolean add(int count) {
-      if (!hasRoom(this, count)) {
+      if (!makeRoom(this, count)) {
         release();
         return false;
       }
       change(count);
+      if (bytes < length) {
+        incompleteValues.add(this);
+      } else {
+        incompleteValues.remove(this);
+      }
       return true;
     }
 
     /** The bytes are no longer held. A second call has no effect. */
     public void release() {
       change(-bytes);
+      incompleteValues.remove(this);
+    }
+
+    private long missing() {
+      return length - bytes;
     }
 
     private void change(long count) {
@@ -82,14 +105,20 @@
     }
   }
 
-  /** Starts to buffer a client's value. */
-  public Claim claimValue() {
-    return new Claim(Kind.VALUE);
+  /**
+   * Starts to buffer a client's value.
+   *
+   * @param length the length of the value in bytes
+   * @param onDiscard is called if the incomplete value is to be discarded in favour of others; its claim is
+   * released then
+   */
+  public Claim claimValue(int length, Runnable onDiscard) {
+    return new Claim(Kind.VALUE, length, onDiscard);
   }
 
   /** Starts to buffer a server's reply to a read. */
   public Claim claimReply() {
-    return new Claim(Kind.REPLY);
+    return new Claim(Kind.REPLY, 0, () -> {});
   }
 
   /**
@@ -97,15 +126,49 @@
    * and its client must not be told otherwise.
    */
   public Claim claimReceipt() {
-    return new Claim(Kind.RECEIPT);
+    return new Claim(Kind.RECEIPT, 0, () -> {});
   }
 
-  /** True if a message may grow. The only one of its kind always may, however small the limit is. */
+  /** Returns true if a message may grow; discards values for it of which more is missing. */
+  private boolean makeRoom(Claim claim, int count) {
+    while (!hasRoom(claim, count)) {
+      Claim next = claim.kind == Kind.VALUE ? mostIncomplete(claim) : claim;
+      if (next == claim) {
+        return false;
+      }
+      next.release();
+      next.onDiscard.run();
+    }
+    return true;
+  }
+
+  /** The incomplete value of which most is missing, or the given one if none lacks more. */
+  private Claim mostIncomplete(Claim claim) {
+    Claim most = claim;
+    for (Claim value : incompleteValues) {
+      most = value.missing() > most.missing() ? value : most;
+    }
+    return most;
+  }
+
+  /** True if a message has room to grow. The only one of its kind always has, however small the limit is. */
   private boolean hasRoom(Claim claim, int count) {
-    long heldForKind = claim.kind == Kind.VALUE ? heldForValues : heldForAnswers;
-    boolean isOnly = heldForKind == claim.bytes;
-    return claim.kind == Kind.RECEIPT || isOnly || heldForKind + count <= limit / GUARANTEED_DIVISOR
-        || held() + count <= limit;
+    return switch (claim.kind) {
+      case RECEIPT -> true;
+      case REPLY -> heldForAnswers == claim.bytes || heldForAnswers + count <= available(heldForValues);
+      case VALUE -> heldForValues == claim.bytes
+          || heldForValues + count <= availableForValue(claim.length);
+    };
+  }
+
+  /** What values, or replies with answers, may hold while so many bytes are held for the other of the two. */
+  private long available(long heldForOther) {
+    return Math.max(limit / GUARANTEED_DIVISOR, limit - heldForOther);
+  }
+
+  private long availableForValue(long length) {
+    long available = available(heldForAnswers);
+    return available - Math.min(length, available / RESERVE_DIVISOR);
   }
 
   private void notifyIfGrown(long count) {
--- a/src/main/java/beampoint/memcache/CommandReader.java
+++ b/src/main/java/beampoint/memcache/CommandReader.java
@@ -126,7 +126,7 @@
     if (length <= CommandFilter.MAX_SLICED_VALUE_BYTES && end <= in.limit()) {
       Buffer valueAndLineEnd = in.slice(in.position(), end);
       in.position(end);
-      Budget.Claim sliceClaim = budget.claimValue();
+      Budget.Claim sliceClaim = budget.claimValue(lengthWithLineEnd, () -> {}); // it is complete at once
       return sliceClaim.add(lengthWithLineEnd) ? complete(command, valueAndLineEnd, sliceClaim)
           : command.copy(memory); // its slices would keep the whole buffer
     }
@@ -135,7 +135,7 @@
     if (command.kind() == Kind.BAD) {
       bytesToSkip = lengthWithLineEnd;
     } else {
-      claim = budget.claimValue();
+      claim = budget.claimValue(lengthWithLineEnd, this::discardValue);
       value = new Collector(memory, lengthWithLineEnd, claim);
     }
     return continueValue(in);
@@ -144,8 +144,7 @@
   /** Continues to collect or skip a value. */
   private Command continueValue(Buffer in) {
     if (value != null && !value.add(in)) {
-      bytesToSkip = partialLength - value.size();
-      release();
+      discardValue();
     }
     if (value == null) {
       int count = Math.min(bytesToSkip, in.remaining());
@@ -163,6 +162,12 @@
     return complete(partial, valueAndLineEnd, valueClaim);
   }
 
+  /** There is no memory for the value: discards what was read of it, and skips the rest. */
+  private void discardValue() {
+    bytesToSkip = partialLength - value.size();
+    release();
+  }
+
   private static Command complete(Command command, Buffer valueAndLineEnd, Budget.Claim claim) {
     int length = valueAndLineEnd.remaining() - 2;
     int from = valueAndLineEnd.position();
--- a/src/test/java/beampoint/buffer/StreamTest.java
+++ b/src/test/java/beampoint/buffer/StreamTest.java
@@ -119,11 +119,11 @@
   /** Received bytes are counted once, until they are released, and none of a message without room. */
   @Test
   void claimCountsReceivedBytes() {
-    Budget.Claim claim = budget.claimValue();
+    Budget.Claim claim = budget.claimValue(4 << 20, () -> calls.add("discard"));
     assertEquals(0, budget.held());
     assertTrue(claim.add(2 << 20), "the only value has room, however small the limit is");
     assertEquals(2 << 20, budget.held());
-    Budget.Claim next = budget.claimValue();
+    Budget.Claim next = budget.claimValue(4 << 20, () -> calls.add("discard"));
     assertFalse(next.add(10));
     assertEquals(2 << 20, budget.held());
     claim.release();
@@ -131,5 +131,6 @@
     assertEquals(0, budget.held());
     assertTrue(next.add(10));
     assertEquals(10, budget.held());
+    assertEquals(List.of(), calls);
   }
 }
--- a/src/test/java/beampoint/client/AnswerLimitsTest.java
+++ b/src/test/java/beampoint/client/AnswerLimitsTest.java
@@ -70,7 +70,7 @@
 
   @Test
   void readsAreRefusedOnlyWhenAnswersFillTheMemory() {
-    Budget.Claim value = budget.claimValue();
+    Budget.Claim value = budget.claimValue(9 * MEGABYTE, () -> {});
     value.add(9 * MEGABYTE);
     assertFalse(limits.mustRefuseReads(), "values of clients alone leave a part to reads");
     budget.holdAnswer(5 * MEGABYTE);
--- a/src/test/java/beampoint/serve/MemoryBudgetTest.java
+++ b/src/test/java/beampoint/serve/MemoryBudgetTest.java
@@ -30,8 +30,10 @@
 
   private static final int LONG_WRITERS = 20;
   private static final int LONG_READERS = 20;
+  private static final int SHORT_WRITES = 40;
+  private static final int SHORT_VALUE_BYTES = 20_000;
   private static final int ANSWER_LINE_BYTES = 40; // at most
-  private static final int LONG_VALUE_BYTES = 1024 * 1024;
+  private static final int LONG_VALUE_BYTES = 1024 * 1024 - 2; // 1 MiB with the line end
 
   private static String read(String id) {
     return "mg 7f v O" + id + " Pc=read,t=acme,d=4000\r\n";
@@ -154,12 +156,14 @@
     }
   }
 
-  /** An origin that reads requests whole, and answers each once the test allows it. */
+  /** An origin that reads requests whole, and answers each for a key that begins with 7 once it may. */
   private static Stub waitingOrigin(CountDownLatch mayAnswer) throws Exception {
     return new Stub(peer -> {
       for (String head = peer.head(); head != null; head = peer.head()) {
         peer.bytes(bodyLength(head));
-        mayAnswer.await();
+        if (head.startsWith("PUT /7")) {
+          mayAnswer.await();
+        }
         peer.say("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nreceipt");
       }
     });
@@ -267,4 +271,75 @@
       Client.closeAll(readers);
     }
   }
+
+  /** Writes a short value in two pieces, and returns the first line of the answer. */
+  private static String writeInPieces(Client client, String id) throws Exception {
+    client.send("ms 5 " + SHORT_VALUE_BYTES + " O" + id + " Pc=put,t=acme,d=4000,k=5c\r\n"
+        + "x".repeat(SHORT_VALUE_BYTES / 2));
+    Thread.sleep(5);
+    return client.request("x".repeat(SHORT_VALUE_BYTES - SHORT_VALUE_BYTES / 2) + "\r\n");
+  }
+
+  private static String longWrite(int number) {
+    return "ms 7f " + LONG_VALUE_BYTES + " Ow" + number + " Pc=put,t=acme,d=30000,k=5c\r\n";
+  }
+
+  /**
+   * Guards against long values that hold up all other writes: while more of them are on their way than the
+   * memory holds, short writes are served.
+   */
+  @Test
+  void shortWritesAreServedBesideSlowLongValues() throws Exception {
+    List<Client> writers = new ArrayList<>();
+    try (Stub origin = waitingOrigin(new CountDownLatch(1));
+        ProxyFixture proxy = ProxyFixture.withMemory(MEMORY_MB, Stub.nobody(), origin.address());
+        Client quick = new Client(proxy)) {
+      proxy.sendTo("origin");
+      for (int i = 0; i < LONG_WRITERS; i++) {
+        writers.add(new Client(proxy));
+        writers.get(i).send(longWrite(i) + "x".repeat(LONG_VALUE_BYTES / 3));
+      }
+      assertShortWritesAreServed(quick);
+      Client.closeAll(writers);
+      awaitHeld(proxy, held -> held == 0);
+    } finally {
+      Client.closeAll(writers);
+    }
+  }
+
+  /**
+   * Guards against long values that take all memory while they wait for the origin: they leave room for
+   * shorter ones, which are served and not refused.
+   */
+  @Test
+  void shortWritesAreServedWhileLongValuesAwaitTheOrigin() throws Exception {
+    List<Client> writers = new ArrayList<>();
+    CountDownLatch mayAnswer = new CountDownLatch(1);
+    try (Stub origin = waitingOrigin(mayAnswer);
+        ProxyFixture proxy = ProxyFixture.withMemory(MEMORY_MB, Stub.nobody(), origin.address());
+        Client quick = new Client(proxy)) {
+      proxy.sendTo("origin");
+      for (int i = 0; i < LONG_WRITERS; i++) {
+        writers.add(new Client(proxy));
+        writers.get(i).send(longWrite(i) + "x".repeat(LONG_VALUE_BYTES) + "\r\n");
+        awaitCount(() -> proxy.proxy.counters().get(Counter.REQUESTS_TAKEN), i + 1);
+      }
+      assertShortWritesAreServed(quick);
+      mayAnswer.countDown();
+      int served = 0;
+      for (int i = 0; i < LONG_WRITERS; i++) {
+        served += writers.get(i).line().equals("HD Ow" + i + " creceipt") ? 1 : 0;
+      }
+      assertTrue(served >= BUDGET_BYTES / LONG_VALUE_BYTES / 2, "served: " + served);
+      awaitHeld(proxy, held -> held == 0);
+    } finally {
+      Client.closeAll(writers);
+    }
+  }
+
+  private static void assertShortWritesAreServed(Client client) throws Exception {
+    for (int i = 0; i < SHORT_WRITES; i++) {
+      assertEquals("HD Oq" + i + " creceipt", writeInPieces(client, "q" + i));
+    }
+  }
 }
