Commands at once: no more are read while 1,000 wait for their task

Cause: each pass reads 32 KB of every connection and queues a task for each command, while tasks run for 10 ms a pass; nothing stopped the reading as they piled up. Ruled out: answers, which these clients read; read ahead, which is bounded. Change: ReadAheadFilter passes no chunk on while 1,000 commands are queued; they wait unparsed, within the limit of read ahead.

--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -42,6 +42,8 @@
   private static final int QUEUE_LIMIT_BYTES = 4 * 1024 * 1024;
   /** Above this total, which includes queued answers, a connection that queues more is closed. */
   private static final int HARD_LIMIT_BYTES = 8 * 1024 * 1024;
+  /** Above this number of commands in queued tasks, on all connections, no more are read. */
+  private static final int MAX_QUEUED_COMMANDS = 1000;
   private static final long STALE_CHECK_INTERVAL_MS = 250;
   private static final double COMMAND_TIMEOUT_MS = 2500; // until the first command, or within a command
   private static final double WRITE_STALL_TIMEOUT_MS = 10_000; // of a client that does not read its answers
@@ -71,6 +73,7 @@
   private final CommandFilter commandFilter;
   private final AnswerLimits answerLimits;
   private double partialCommandDeadline; // when the grace period of stopListening ends, in ms
+  private int queuedCommands; // that were read and whose task has not run
   private int backlogBytes; // of commands that are read and not started
   private boolean refusesQueuedRequests;
 
@@ -92,6 +95,7 @@
     this.writer = new Writer(transport.getMemoryManager());
     this.answerLimits = new AnswerLimits(budget);
     this.readAhead = new ReadAheadFilter(arrivals, listener::arrivedAt,
+        () -> queuedCommands >= MAX_QUEUED_COMMANDS,
         bytes -> counters.raise(Counter.READ_AHEAD_PEAK_BYTES, bytes));
     this.commandFilter = new CommandFilter(transport.getMemoryManager(), budget, clock);
     loop.scheduleWithFixedDelay(this::closeStale, STALE_CHECK_INTERVAL_MS, STALE_CHECK_INTERVAL_MS,
@@ -139,7 +143,9 @@
       if (command.isValueDiscarded()) {
         counters.add(Counter.VALUES_DISCARDED);
       }
+      counters.raise(Counter.COMMANDS_QUEUED_PEAK, ++queuedCommands);
       execute(arrivedAt, () -> {
+        queuedCommands--;
         Session session = sessions.remove(connection);
         if (session != null) {
           sessions.put(connection, session);
--- a/src/main/java/beampoint/count/Counter.java
+++ b/src/main/java/beampoint/count/Counter.java
@@ -15,7 +15,7 @@
  * <li>OPS_CALLS_UNFINISHED: calls of operators whose connection was closed, by a timeout or to make room,
  * before the answer;
  * <li>MEMORY_HELD_PEAK_BYTES: the most that the memory budget has held, READ_AHEAD_PEAK_BYTES: the most that
- * was read ahead of its turn;
+ * was read ahead of its turn, COMMANDS_QUEUED_PEAK: the most commands that were read and not handled;
  * <li>WATCHES_BROKEN: times that the current watch of the host list ended or did not answer in time.
  * </ul>
  */
@@ -27,6 +27,7 @@
   ATTEMPTS_CONNECT_FAILED, ATTEMPTS_RESET, ATTEMPTS_CANCELLED, ATTEMPTS_NOT_SENT, ATTEMPTS_DISCARDED,
   UPSTREAM_CONNECTIONS, UPSTREAM_BAD_REPLIES, PROBES_SENT,
   VALUES_STREAMED, VALUES_CUT_OFF, VALUES_DISCARDED, MEMORY_HELD_PEAK_BYTES, READ_AHEAD_PEAK_BYTES,
+  COMMANDS_QUEUED_PEAK,
   CONFIG_APPLIED,
   CONFIG_REJECTED,
   OPS_CALLS_UNFINISHED, NODES_OUT, NODES_BACK,
--- a/src/main/java/beampoint/transport/ReadAheadFilter.java
+++ b/src/main/java/beampoint/transport/ReadAheadFilter.java
@@ -4,6 +4,7 @@
 import java.nio.channels.SelectionKey;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.ToDoubleFunction;
 import org.glassfish.grizzly.Buffer;
@@ -20,7 +21,8 @@
 /**
  * Reads from the socket, as the first filter of a chain. Unlike {@link SocketReadFilter}, it reads all that a
  * peer has sent, and passes on one read buffer of it in each selector pass. So if the peer has sent much, its
- * disconnect is seen in the next pass, and not only when all that it sent has been handled.
+ * disconnect is seen in the next pass, and not only when all that it sent has been handled. What is not
+ * passed on yet takes little memory: commands that are parsed take a multiple of their bytes.
  */
 public final class ReadAheadFilter extends TransportFilter {
 
@@ -41,6 +43,7 @@
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("read-ahead", ReadAhead::new);
   private final Arrivals arrivals;
   private final ToDoubleFunction<Connection<?>> arrivedAt;
+  private final BooleanSupplier isCongested;
   private final LongConsumer bufferedListener;
   private int bufferedBytes; // on all connections
 
@@ -49,10 +52,12 @@
    *
    * @param arrivedAt returns the earliest time at which what is read on a connection now can have arrived, in
    * ms
+   * @param isCongested returns true while nothing is to be passed on, as too much of it is not handled yet
    * @param bufferedListener receives the bytes that are read ahead each time that these grow
    */
   public ReadAheadFilter(Arrivals arrivals, ToDoubleFunction<Connection<?>> arrivedAt,
-      LongConsumer bufferedListener) {
+      BooleanSupplier isCongested, LongConsumer bufferedListener) {
+    this.isCongested = isCongested;
     this.bufferedListener = bufferedListener;
     this.arrivals = arrivals;
     this.arrivedAt = arrivedAt;
@@ -74,7 +79,8 @@
       connection.terminateWithReason(e); // notifies the filters, unless they have been notified already
       return ctx.getStopAction();
     }
-    if (readAhead.chunks.isEmpty() || readAhead.pass == arrivals.passNumber()) {
+    boolean isDue = readAhead.pass != arrivals.passNumber() && !isCongested.getAsBoolean();
+    if (readAhead.chunks.isEmpty() || !isDue) {
       schedule(connection, readAhead);
       return ctx.getStopAction();
     }
--- a/src/test/java/beampoint/serve/ReadAheadTest.java
+++ b/src/test/java/beampoint/serve/ReadAheadTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -25,8 +26,12 @@
   private static final int VALUE_BYTES = 4 * 1024 * 1024;
   private static final int MAX_READ_AHEAD_BYTES = 4 * 1024 * 1024; // on all connections together
   private static final int READ_BYTES = 32 * 1024; // the most that one read takes
+  private static final int COMMANDS = 2000; // of each client
+  private static final int MAX_QUEUED_COMMANDS = 1000; // on all connections together
   private static final String FIRST = READ.replace("O9b", "Ofirst");
 
+  private final AtomicInteger answered = new AtomicInteger();
+
   /** Guards against attempts for a client that has left, if its close is behind many requests. */
   @Test
   void aCloseBehindManyRequestsIsSeenBeforeAnyIsStarted() throws Exception {
@@ -109,6 +114,42 @@
     }
   }
 
+  /** Guards against clients that send many commands at once, which fill the heap as all are parsed. */
+  @Test
+  void commandsThatAreNotHandledYetAreFewHoweverManyAreSentAtOnce() throws Exception {
+    List<Client> clients = new ArrayList<>();
+    List<Thread> senders = new ArrayList<>();
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody())) {
+      proxy.refuseAll();
+      for (int i = 0; i < CLIENTS; i++) {
+        String commands = reads(COMMANDS).replace(" v O", " v O" + i + "x");
+        Client client = new Client(proxy);
+        clients.add(client);
+        senders.add(new Thread(() -> sendAndRead(client, commands, COMMANDS)));
+      }
+      senders.forEach(Thread::start);
+      for (Thread sender : senders) {
+        sender.join();
+      }
+      assertEquals((long) CLIENTS * COMMANDS, answered.get());
+      long peak = proxy.proxy.counters().get(Counter.COMMANDS_QUEUED_PEAK);
+      assertTrue(peak <= MAX_QUEUED_COMMANDS + READ_BYTES / READ.length(), "queued: " + peak);
+    } finally {
+      Client.closeAll(clients);
+    }
+  }
+
+  private void sendAndRead(Client client, String text, int answers) {
+    try {
+      client.send(text);
+      for (int i = 0; i < answers && client.line().startsWith("SERVER_ERROR busy"); i++) {
+        answered.incrementAndGet();
+      }
+    } catch (IOException e) {
+      // its answers are missing in the count
+    }
+  }
+
   private static void sendAndClose(Client client, String text) {
     try (client) {
       client.send(text);
