Collector owns its claim, so readers and connections keep one field in place of two

Change: CommandReader, ReplyReader and PooledConnection kept a collector and its claim side by side.

--- a/src/main/java/beampoint/buffer/Collector.java
+++ b/src/main/java/beampoint/buffer/Collector.java
@@ -77,7 +77,17 @@
     return size;
   }
 
-  /** Returns the complete message; nothing may be added after that. */
+  /** The budget's claim of the bytes, which outlives the collector if the message is kept. */
+  public Budget.Claim claim() {
+    return claim;
+  }
+
+  /** The bytes are no longer held. A second call has no effect. */
+  public void release() {
+    claim.release();
+  }
+
+  /** Returns the complete message; nothing may be added after that. Its bytes stay claimed. */
   public Buffer message() {
     closeChunk();
     used = 0;
--- a/src/main/java/beampoint/memcache/CommandReader.java
+++ b/src/main/java/beampoint/memcache/CommandReader.java
@@ -17,7 +17,6 @@
   private Command partial; // whose value is not complete
   private int partialLength; // of its value and the line end behind it
   private Collector value;
-  private Budget.Claim claim;
   private int bytesToSkip; // of a value that is discarded
 
   /** Creates the parser of one connection. */
@@ -135,8 +134,8 @@
     if (command.kind() == Kind.BAD) {
       bytesToSkip = lengthWithLineEnd;
     } else {
-      claim = budget.claimValue(lengthWithLineEnd, this::discardValue);
-      value = new Collector(memory, lengthWithLineEnd, claim);
+      value = new Collector(memory, lengthWithLineEnd,
+          budget.claimValue(lengthWithLineEnd, this::discardValue));
     }
     return continueValue(in);
   }
@@ -155,11 +154,9 @@
     if (!value.isComplete()) {
       return null;
     }
-    Buffer valueAndLineEnd = value.message();
-    Budget.Claim valueClaim = claim;
+    Collector whole = value;
     value = null;
-    claim = null;
-    return complete(partial, valueAndLineEnd, valueClaim);
+    return complete(partial, whole.message(), whole.claim());
   }
 
   /** There is no memory for the value: discards what was read of it, and skips the rest. */
@@ -187,11 +184,10 @@
 
   /** Discards what was read of an incomplete value. */
   void release() {
-    if (claim != null) {
-      claim.release();
+    if (value != null) {
+      value.release();
+      value = null;
     }
-    value = null;
-    claim = null;
   }
 
   /**
--- a/src/main/java/beampoint/memcache/ReplyReader.java
+++ b/src/main/java/beampoint/memcache/ReplyReader.java
@@ -18,7 +18,6 @@
   private Buffer id; // of the value that is collected
   private String loadReport; // the load report of that value
   private Collector value;
-  private Budget.Claim claim; // of the value that is collected
   private int streamBytesLeft; // of a long value and the line end behind it
 
   /** Creates the parser of one connection. */
@@ -100,8 +99,7 @@
       return complete(lineId, in.slice(from, from + length + 2), in);
     }
     id = lineId == null ? null : Collector.copy(memory, lineId);
-    claim = budget.claimReply();
-    value = new Collector(memory, length + 2, claim);
+    value = new Collector(memory, length + 2, budget.claimReply());
     return collect(in);
   }
 
@@ -130,11 +128,10 @@
 
   /** Discards an incomplete value. */
   void release() {
-    if (claim != null) {
-      claim.release();
+    if (value != null) {
+      value.release();
+      value = null;
     }
-    value = null;
-    claim = null;
   }
 
   private Object part(Buffer in) {
--- a/src/main/java/beampoint/upstream/PooledConnection.java
+++ b/src/main/java/beampoint/upstream/PooledConnection.java
@@ -1,6 +1,5 @@
 package beampoint.upstream;
 
-import beampoint.buffer.Budget;
 import beampoint.buffer.Collector;
 import beampoint.buffer.Stream;
 import beampoint.http.HttpHead;
@@ -29,7 +28,6 @@
   boolean mustRest;
   HttpHead httpHead;
   Collector bodyCollector; // of a reply that is buffered until it is complete
-  Budget.Claim bodyClaim; // the memory budget for bodyCollector
   int skippedBodyBytes; // of a reply whose body is no answer
   Stream valueStream; // a long value that is passed on to the client as it is read
   double lastProgressAt; // when bytes were last read, or reading was paused or resumed
@@ -70,8 +68,8 @@
 
   void close() {
     closed = true;
-    if (bodyClaim != null) {
-      bodyClaim.release();
+    if (bodyCollector != null) {
+      bodyCollector.release();
     }
     if (connection != null) {
       connection.terminateSilently();
--- a/src/main/java/beampoint/upstream/Replies.java
+++ b/src/main/java/beampoint/upstream/Replies.java
@@ -253,8 +253,8 @@
    */
   private boolean collectBody(PooledConnection pooled, boolean isRead, Buffer bytes) {
     if (pooled.bodyCollector == null) {
-      pooled.bodyClaim = isRead ? budget.claimReply() : budget.claimReceipt();
-      pooled.bodyCollector = new Collector(memory, MAX_BODY, pooled.bodyClaim);
+      pooled.bodyCollector =
+          new Collector(memory, MAX_BODY, isRead ? budget.claimReply() : budget.claimReceipt());
     }
     if (!pooled.bodyCollector.add(bytes)) {
       listener.end(pooled, Result.DISCARDED);
@@ -268,10 +268,10 @@
    * other messages could take the memory in between.
    */
   private Buffer takeBody(PooledConnection pooled) {
-    Buffer body = pooled.bodyCollector.message();
-    loop.execute(pooled.bodyClaim::release);
-    pooled.bodyClaim = null;
-    return body;
+    Collector body = pooled.bodyCollector;
+    pooled.bodyCollector = null;
+    loop.execute(body::release);
+    return body.message();
   }
 
   /** Skips a part of a body that is no answer; returns false if the attempt has ended, as it is too long. */
