--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -48,6 +48,7 @@
   private static final int EVICTION_THRESHOLD_DIVISOR = 4;
   private static final int READ_BUFFER_BYTES = 32 * 1024; // the most that one read takes
   private static final int BUDGET_DIVISOR = 8; // values may take 1/8 of the memory
+  private static final double MAX_BUDGET_HEAP_SHARE = 3.0 / 8; // as the heap may be small beside the memory
   private static final int MIN_DESCRIPTORS = 8; // per process for clients and upstreams, even if fewer remain
 
   private final Config config; // at the start; not updated by a reload
@@ -149,13 +150,19 @@
     int reserved = RESERVED_DESCRIPTORS + (config.ops() == null ? 0 : OPS_DESCRIPTORS)
         + (config.fleet() == null ? 0 : FLEET_DESCRIPTORS);
     int available = Math.max(MIN_DESCRIPTORS, (config.sockets() - processes * reserved) / processes);
-    budget.setLimit(config.memoryMb() * 1024L * 1024 / BUDGET_DIVISOR / processes);
+    budget.setLimit(budgetBytes(config.memoryMb(), Runtime.getRuntime().maxMemory(), processes));
     int clients = processes == 1 ? available / 2 : available * 2 / 3;
     upstreams.setMaxConnections(available - clients);
     sessions.setConnectionLimits(clients,
         Math.min(clients * 9 / 10, config.sockets() / EVICTION_THRESHOLD_DIVISOR));
   }
 
+  /** The memory for values, replies and answers of one of so many processes, in bytes. */
+  static long budgetBytes(int memoryMb, long heapBytes, int processes) {
+    long share = memoryMb * 1024L * 1024 / BUDGET_DIVISOR / processes;
+    return Math.min(share, (long) (heapBytes * MAX_BUDGET_HEAP_SHARE));
+  }
+
   /**
    * As {@link #start()}, but reports that it is ready only after a warm-up of its code. If another process of
    * this proxy may be serving, it listens to clients only after the warm-up, and after discovery has answered
--- a/src/test/java/beampoint/serve/MemoryBudgetTest.java
+++ b/src/test/java/beampoint/serve/MemoryBudgetTest.java
@@ -280,6 +280,17 @@
     return client.request("x".repeat(SHORT_VALUE_BYTES - SHORT_VALUE_BYTES / 2) + "\r\n");
   }
 
+  /** Guards against a budget that is larger than the heap, where the platform grants much more memory. */
+  @Test
+  void theBudgetIsAPartOfTheHeapHoweverMuchMemoryIsConfigured() {
+    long heapBytes = 64L * 1024 * 1024;
+    long megabyte = 1024 * 1024;
+    assertEquals(24 * megabyte, Proxy.budgetBytes(192, heapBytes, 1));
+    assertEquals(12 * megabyte, Proxy.budgetBytes(192, heapBytes, 2));
+    assertEquals(24 * megabyte, Proxy.budgetBytes(2048, heapBytes, 1));
+    assertEquals(24 * megabyte, Proxy.budgetBytes(2048, heapBytes, 2), "each process has its own heap");
+  }
+
   private static String longWrite(int number) {
     return "ms 7f " + LONG_VALUE_BYTES + " Ow" + number + " Pc=put,t=acme,d=30000,k=5c\r\n";
   }
