A value that a client reads slowly is sent whole before its connection is closed

Cause: an answer counted as sent once it was written to the socket. The system held up to some MB of it. The connection lingered for 500 ms and was closed; the next input was answered with a reset, which drops what the system holds. Ruled out: the value in the proxy (values_cut_off=0, all 35 requests served).

Change: the connection lingers only once the system has sent all. With its send buffer at the minimum a socket is ready for writing when its queue is empty; SendQueueMonitor watches that with a selector of its own. A client that does not read is waited for until 0.1 s before a SIGKILL may come, and outside of restarts for 10 s.

Fail before: ProxyLifecycleTest (856,768 of 1,048,576 bytes; ended after 0.96 s beside a client that does not read), ConnectionCloseTest (287,908 bytes).

--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -5,7 +5,6 @@
 import beampoint.exchange.Answer;
 import beampoint.memcache.Command;
 import beampoint.memcache.Command.Kind;
-import beampoint.transport.LingeringClose;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -27,6 +26,7 @@
   private final CommandBacklog backlog = new CommandBacklog();
   private final AnswerMemory memory;
   private final AnswerWriter writer;
+  private final ConnectionCloser closer;
   private final double openedAt;
   private final ActivityTracker activity;
   private boolean hasReadCommand;
@@ -35,16 +35,14 @@
   private boolean closing; // to be closed once all commands are answered
   private boolean answersEnded; // nothing more is written; the connection may still linger
   private boolean clientGone; // the connection has ended; the task that handles that may still be queued
-  private boolean lingering;
-  private double lingeringSince;
-  private boolean evicted; // closed to make room for other connections
 
   @SuppressWarnings("unchecked") // all connections of a TCP transport have socket addresses
   Session(Connection<?> connection, Sessions sessions, double openedAt) {
     this.connection = (Connection<SocketAddress>) connection;
     this.sessions = sessions;
     this.memory = new AnswerMemory(sessions.answerLimits());
-    this.writer = new AnswerWriter(this.connection, sessions::now, this::lingerOnceWritten);
+    this.writer = new AnswerWriter(this.connection, sessions::now, this::closeOnceWritten);
+    this.closer = new ConnectionCloser(connection, sessions);
     this.openedAt = openedAt;
     this.activity = new ActivityTracker(openedAt);
   }
@@ -279,25 +277,24 @@
       answersEnded = true;
       discardBacklog();
       sessions.discardInput(connection);
-      if (evicted && writer.isIdle() && writer.sinceProgress() > LingeringClose.LINGER_MS) {
-        connection.terminateSilently(); // no answer is in transit that a reset could destroy
-      } else {
-        lingerOnceWritten();
-      }
+      closeOnceWritten();
     }
   }
 
-  private void lingerOnceWritten() {
-    if (answersEnded && !lingering && writer.isIdle()) {
-      lingering = true;
-      lingeringSince = sessions.now();
-      LingeringClose.begin(connection, sessions.loop());
+  private void closeOnceWritten() {
+    if (answersEnded && writer.isIdle()) {
+      closer.begin(writer);
     }
   }
 
+  /** True while the system still holds a part of the last answers, as the client reads slowly. */
+  boolean emptiesSendQueue() {
+    return closer.emptiesSendQueue();
+  }
+
   /** True if the connection has been in its lingering close for at least so many ms. */
   boolean isLingeringFor(double timeMs) {
-    return answersEnded && lingering && sessions.now() - lingeringSince >= timeMs;
+    return closer.isLingeringFor(timeMs);
   }
 
   private void discardBacklog() {
@@ -350,7 +347,7 @@
 
   /** True if a write has made no progress for longer than the timeout, as the client does not read. */
   boolean isStalled(double timeoutMs) {
-    return !writer.isIdle() && writer.sinceProgress() > timeoutMs;
+    return (closer.emptiesSendQueue() || !writer.isIdle()) && writer.sinceProgress() > timeoutMs;
   }
 
   /** Ends the connection without flushing or lingering. */
@@ -372,7 +369,7 @@
 
   /** Closes it to make room for others: without lingering, unless an answer may still be in transit. */
   void evict() {
-    evicted = true;
+    closer.evict();
     closeWhenIdle();
   }
 
@@ -384,7 +381,7 @@
   /** The connection has ended: cancels its open requests and discards its queue. */
   void connectionClosed() {
     answersEnded = true;
-    lingering = true; // prevents lingerOnceWritten from starting a lingering close
+    closer.connectionClosed();
     memory.close();
     discardBacklog();
     for (AnswerSlot slot : slots) {
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -10,6 +10,7 @@
 import beampoint.memcache.Writer;
 import beampoint.transport.Arrivals;
 import beampoint.transport.ReadAheadFilter;
+import beampoint.transport.SendQueueMonitor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -72,6 +73,7 @@
   private final ReadAheadFilter readAhead;
   private final CommandFilter commandFilter;
   private final AnswerLimits answerLimits;
+  private final SendQueueMonitor sendQueues;
   private double partialCommandDeadline; // when the grace period of stopListening ends, in ms
   private int queuedCommands; // that were read and whose task has not run
   private int backlogBytes; // of commands that are read and not started
@@ -94,6 +96,7 @@
     this.counters = counters;
     this.writer = new Writer(transport.getMemoryManager());
     this.answerLimits = new AnswerLimits(budget);
+    this.sendQueues = new SendQueueMonitor(loop);
     this.readAhead = new ReadAheadFilter(arrivals, listener::arrivedAt,
         () -> queuedCommands >= MAX_QUEUED_COMMANDS,
         bytes -> counters.raise(Counter.READ_AHEAD_PEAK_BYTES, bytes));
@@ -307,9 +310,10 @@
     sessions.values().forEach(Session::refuseQueuedRequests);
   }
 
-  /** True while the answer to a command that was read is not written completely. */
+  /** True while the answer to a command that was read is not written completely, or not sent. */
   public boolean hasUnanswered() {
-    return sessions.keySet().stream().anyMatch(connection -> pending(connection) > 0);
+    return sessions.entrySet().stream()
+        .anyMatch(entry -> pending(entry.getKey()) > 0 || entry.getValue().emptiesSendQueue());
   }
 
   /**
@@ -362,6 +366,15 @@
     return listener.isClosed() && sessions.isEmpty();
   }
 
+  SendQueueMonitor sendQueues() {
+    return sendQueues;
+  }
+
+  /** Releases what is not part of the transport; the connections are closed with that. */
+  public void stop() {
+    sendQueues.close();
+  }
+
   AnswerLimits answerLimits() {
     return answerLimits;
   }
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -327,6 +327,7 @@
     }
     transport.shutdownNow();
     loop.shutdownNow();
+    sessions.stop();
   }
 
   /** How many processes of this proxy there are, for a test. */
--- a/src/test/java/beampoint/serve/ConnectionCloseTest.java
+++ b/src/test/java/beampoint/serve/ConnectionCloseTest.java
@@ -355,4 +355,19 @@
       assertEquals(false, ended.done());
     }
   }
+
+  /** Guards against a value that is cut off half a second after its last write, as its client has quit. */
+  @Test
+  void aValueThatItsClientReadsSlowlyIsSentWholeBeforeAClose() throws Exception {
+    try (Stub cache = ScriptedCache.valueOf(1 << 20);
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        SlowClient client = new SlowClient(proxy.port)) {
+      proxy.sendTo("cache");
+      client.send(READ + "quit\r\n");
+      assertEquals("VA " + (1 << 20) + " O9b", client.line());
+      client.readWhileSending(1 << 20, 2000).get();
+      assertEquals("", client.line());
+      assertNull(client.line());
+    }
+  }
 }
--- a/src/test/java/beampoint/serve/ProxyLifecycleTest.java
+++ b/src/test/java/beampoint/serve/ProxyLifecycleTest.java
@@ -245,4 +245,42 @@
       assertEquals(count, answers.get());
     }
   }
+
+  /**
+   * Guards against a restart that cuts off a value: what the system held for a client that reads slowly was
+   * dropped half a second after the last write, as the client still sent requests.
+   */
+  @Test
+  void aValueThatItsClientReadsSlowlyIsSentWholeAfterASigterm() throws Exception {
+    int valueBytes = 1 << 20;
+    try (Stub cache = ScriptedCache.valueOf(valueBytes);
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        SlowClient client = new SlowClient(proxy.port)) {
+      proxy.sendTo("cache");
+      client.send(READ);
+      assertEquals("VA " + valueBytes + " O9b", client.line());
+      CompletableFuture<Void> value = client.readWhileSending(valueBytes, 1200);
+      long before = System.nanoTime();
+      proxy.proxy.shutDownGracefully();
+      double took = (System.nanoTime() - before) / 1e6;
+      value.get();
+      assertTrue(took < 1700, "the SIGKILL comes 0.7 s after the deadline of 1 s; took " + took);
+    }
+  }
+
+  /** Guards against a client that does not read and would hold the process until it is killed. */
+  @Test
+  void aClientThatDoesNotReadIsWaitedForUntilTheSigkillOnly() throws Exception {
+    try (Stub cache = ScriptedCache.valueOf(1 << 20);
+        ProxyFixture proxy = new ProxyFixture(cache.address(), Stub.nobody());
+        Client client = new Client(proxy.port, 4096)) {
+      proxy.sendTo("cache");
+      client.send(READ);
+      assertTrue(proxy.nextAttemptEnded().done());
+      long before = System.nanoTime();
+      proxy.proxy.shutDownGracefully();
+      double took = (System.nanoTime() - before) / 1e6;
+      assertTrue(took > 1400 && took < 1700, "waited until shortly before the SIGKILL: " + took);
+    }
+  }
 }
--- a/src/test/java/beampoint/serve/ScriptedCache.java
+++ b/src/test/java/beampoint/serve/ScriptedCache.java
@@ -16,6 +16,16 @@
     });
   }
 
+  /** A cache node that answers the read {@code O9b} with a value of so many bytes and rejects all others. */
+  static Stub valueOf(int bytes) throws Exception {
+    String value = "VA " + bytes + " O9b\r\n" + "x".repeat(bytes) + "\r\n";
+    return new Stub(peer -> {
+      for (String line = peer.line(); line != null; line = peer.line()) {
+        peer.say(line.contains(" O9b ") ? value : "SERVER_ERROR busy\r\n");
+      }
+    });
+  }
+
   /** A cache node that reads a command and never answers. */
   static Stub silent() throws Exception {
     return new Stub(peer -> {
