--- a/src/test/java/beampoint/serve/MemoryBudgetTest.java
+++ b/src/test/java/beampoint/serve/MemoryBudgetTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Stub;
+import beampoint.TestHeap;
 import beampoint.count.Counter;
 import beampoint.serve.ProxyFixture.Client;
 import java.util.ArrayList;
@@ -49,11 +50,6 @@
     });
   }
 
-  private static long usedHeapBytes() {
-    System.gc();
-    return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
-  }
-
   /**
    * Guards against answers that fill the heap: clients that send many reads at once and read the answers
    * slowly ended the process, or made it answer nothing any more.
@@ -66,7 +62,7 @@
         ProxyFixture proxy = ProxyFixture.withMemory(MEMORY_MB, cache.address(), Stub.nobody());
         Client quick = new Client(proxy)) {
       proxy.sendTo("cache");
-      long before = usedHeapBytes();
+      long before = TestHeap.usedBytes();
       for (int i = 0; i < SLOW_CLIENTS; i++) {
         slow.add(new Client(proxy.port, 16 * 1024));
         slow.get(i).send(longReads(i));
@@ -76,7 +72,7 @@
           assertEquals("short", quick.line());
         }
       }
-      long growth = usedHeapBytes() - before;
+      long growth = TestHeap.usedBytes() - before;
       assertTrue(growth < 3 * BUDGET_BYTES, "the answers that are not read take " + growth + " bytes");
       assertTrue(proxy.proxy.unreleased() <= BUDGET_BYTES, "held: " + proxy.proxy.unreleased());
       for (int i = 0; i < SLOW_CLIENTS; i++) {
--- a/src/test/java/beampoint/serve/OperationsTest.java
+++ b/src/test/java/beampoint/serve/OperationsTest.java
@@ -9,11 +9,11 @@
 import beampoint.Balancer.ColdShareChanged;
 import beampoint.Balancer.SettingsChanged;
 import beampoint.Stub;
+import beampoint.TestHeap;
 import beampoint.count.Counter;
 import beampoint.ops.AdminServer;
 import beampoint.serve.ProxyFixture.Client;
 import beampoint.serve.ProxyFixture.ScriptedModule;
-import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
@@ -363,9 +363,9 @@
     List<SocketChannel> open = new ArrayList<>();
     try {
       connect(proxy, open, 50); // the first connections also pay one-time costs
-      double before = heapInUse();
+      double before = TestHeap.usedBytes();
       connect(proxy, open, 350);
-      double bytesEach = (heapInUse() - before) / 300;
+      double bytesEach = (TestHeap.usedBytes() - before) / 300;
       assertTrue(bytesEach < 6 * 1024, "bytes per connection, both its ends in this process: " + bytesEach);
     } finally {
       for (SocketChannel client : open) {
@@ -387,13 +387,4 @@
       bytes.clear();
     }
   }
-
-  private static double heapInUse() {
-    double smallest = Double.POSITIVE_INFINITY;
-    for (int i = 0; i < 5; i++) {
-      System.gc();
-      smallest = Math.min(smallest, ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
-    }
-    return smallest;
-  }
 }
