Log and count why a request is refused or failed, and when its reply began

Each refusal and failure of the decision module has a reason now (Refuse, Fail), a counter given_up_REASON and a log line with the request's id and class, the time left, and its last attempt: server, outcome, elapsed, when its reply began. At most 10 such lines a second, the rest is counted. replies_timed_out counts attempts that a time limit ended after their reply's first byte; a long value that breaks off is logged with its server and how far it came, and so is a client connection that is ended as its client reads nothing. AttemptReport replaces seven parameters. Three policy tests expect the reason too.

--- a/src/main/java/beampoint/Balancer.java
+++ b/src/main/java/beampoint/Balancer.java
@@ -114,6 +114,24 @@
     }
   }
 
+  /** Why a request was refused or failed; for the log and the counters. */
+  enum GiveUpReason {
+    /** No endpoint to which the request may go has room for it. */
+    NO_ROOM,
+    /** The proxy can't hold the request while it waits. */
+    NOT_QUEUED,
+    /** An answer would come too late to be of use. */
+    TIME_OVER,
+    /** All attempts that it may have were made. */
+    NO_ATTEMPTS_LEFT,
+    /** Too many retries of late. */
+    RETRIES_LIMITED,
+    /** The proxy itself had no connection, time or memory left for its attempt. */
+    OUT_OF_RESOURCES,
+    /** The module has given no reason. */
+    NOT_STATED
+  }
+
   /**
    * A class of requests. An answer within the target time {@code aim} is worth {@code worth}; a later one
    * within {@code deadline} is worth the fraction {@code lateWorth} of that. Both times count from the
@@ -297,10 +315,22 @@
   }
 
   /** Final answer: not executed, or harmless to retry. A {@code retryAfter} of 0 gives no advice. */
-  record Refuse(long id, double retryAfter) implements Action {}
+  record Refuse(long id, double retryAfter, GiveUpReason reason) implements Action {
+
+    /** A refusal of which the reason is not stated. */
+    public Refuse(long id, double retryAfter) {
+      this(id, retryAfter, GiveUpReason.NOT_STATED);
+    }
+  }
 
   /** Final answer: failed; the request may have been executed. */
-  record Fail(long id) implements Action {}
+  record Fail(long id, GiveUpReason reason) implements Action {
+
+    /** A failure of which the reason is not stated. */
+    public Fail(long id) {
+      this(id, GiveUpReason.NOT_STATED);
+    }
+  }
 
   /** Cancels one attempt. */
   record Cancel(long id, int attempt) implements Action {}
--- a/src/main/java/beampoint/buffer/Stream.java
+++ b/src/main/java/beampoint/buffer/Stream.java
@@ -37,6 +37,7 @@
   private final Deque<Buffer> waiting = new ArrayDeque<>(); // until there is a sink
   private Sink sink;
   private long waitingBytes;
+  private long received;
   private long unwritten;
   private boolean paused;
   private boolean isComplete;
@@ -56,11 +57,17 @@
     return length;
   }
 
+  /** How many bytes of the value were received while it was needed. */
+  public long received() {
+    return received;
+  }
+
   /** Takes the next bytes; returns false if the source must wait until it is resumed. */
   public boolean offer(Buffer bytes) {
     if (isOver) {
       return true;
     }
+    received += bytes.remaining();
     unwritten += bytes.remaining();
     if (sink == null) {
       waiting.add(bytes);
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -263,6 +263,7 @@
       Session session = entry.getValue();
       if (session.isStalled(WRITE_STALL_TIMEOUT_MS)) {
         counters.add(Counter.CLIENT_CONNECTIONS_CLOSED_STALE);
+        LOG.info("a client connection is ended: its client reads no answer");
         session.terminate();
       } else {
         session.closeIfStale(now, commandFilter.hasPartialCommand(connection),
--- a/src/main/java/beampoint/exchange/Exchange.java
+++ b/src/main/java/beampoint/exchange/Exchange.java
@@ -23,6 +23,7 @@
   private boolean over;
   private int attempts;
   private int attemptsInFlight;
+  private AttemptReport lastAttempt;
   private double lastEventAt;
 
   /**
@@ -123,9 +124,15 @@
     return attempts++;
   }
 
-  /** Counts one attempt in flight less. */
-  public void endAttempt() {
+  /** Counts one attempt in flight less, and keeps its report. */
+  public void endAttempt(AttemptReport report) {
     counters.check(attemptsInFlight > 0, "an attempt that ends was in flight");
     attemptsInFlight--;
+    lastAttempt = report;
+  }
+
+  /** The report of the attempt that ended last; null if none has. */
+  public AttemptReport lastAttempt() {
+    return lastAttempt;
   }
 }
--- a/src/main/java/beampoint/policy/BalancerPolicy.java
+++ b/src/main/java/beampoint/policy/BalancerPolicy.java
@@ -189,7 +189,9 @@
 
   private void sendOrGiveUp(Request request, Node node) {
     if (node == null) {
-      giveUp(request);
+      giveUp(request, request.overflow ? GiveUpReason.NOT_QUEUED
+          : request.attemptCount >= request.maxAttempts ? GiveUpReason.NO_ATTEMPTS_LEFT
+          : GiveUpReason.NO_ROOM);
       return;
     }
     request.probedNode = null;
@@ -263,10 +265,9 @@
     double retryAt =
         state.now + (originRefusedConnection ? state.random.nextDouble() * health.expectedTime(node) : 0);
     double tokens = result.neverRan ? 0 : 1; // an attempt that never ran caused no work
-    boolean isOutOfResources = result == Result.NOT_SENT || result == Result.DISCARDED; // of this proxy
-    if (isOutOfResources || retryAt >= request.usefulUntil
-        || retryTokens < tokens || request.attemptCount >= request.maxAttempts) {
-      giveUp(request);
+    GiveUpReason reason = reasonNotToRetry(request, result, retryAt, tokens);
+    if (reason != null) {
+      giveUp(request, reason);
       return;
     }
     retryTokens -= tokens;
@@ -279,12 +280,23 @@
     sendOrGiveUp(request, node.origin ? pickOrigin(request) : pickCache(request));
   }
 
+  /** Why a request whose attempt has failed is not retried; null if it is. */
+  private GiveUpReason reasonNotToRetry(Request request, Result result, double retryAt, double tokens) {
+    if (result == Result.NOT_SENT || result == Result.DISCARDED) {
+      return GiveUpReason.OUT_OF_RESOURCES;
+    }
+    return retryAt >= request.usefulUntil ? GiveUpReason.TIME_OVER
+        : request.attemptCount >= request.maxAttempts ? GiveUpReason.NO_ATTEMPTS_LEFT
+        : retryTokens < tokens ? GiveUpReason.RETRIES_LIMITED : null;
+  }
+
   /**
    * Ends a request with a final answer of the balancer: a refusal if that is correct, otherwise a failure.
    */
-  private void giveUp(Request request) {
+  private void giveUp(Request request, GiveUpReason reason) {
     double wait = state.settings.limits().retryAdvice() ? state.settings.limits().maxRetryAfter() : 0;
-    actions.add(RetrySafety.mayRefuse(request) ? new Refuse(request.id, wait) : new Fail(request.id));
+    actions.add(RetrySafety.mayRefuse(request) ? new Refuse(request.id, wait, reason)
+        : new Fail(request.id, reason));
     finish(request);
   }
 
--- a/src/main/java/beampoint/serve/Decisions.java
+++ b/src/main/java/beampoint/serve/Decisions.java
@@ -5,6 +5,7 @@
 import beampoint.Balancer.AttemptEnded;
 import beampoint.Balancer.BanChanged;
 import beampoint.Balancer.Event;
+import beampoint.Balancer.GiveUpReason;
 import beampoint.Balancer.ProbeEnded;
 import beampoint.Balancer.RequestClass;
 import beampoint.Balancer.RequestGone;
@@ -17,6 +18,7 @@
 import beampoint.count.Counters;
 import beampoint.discovery.HostListWatcher;
 import beampoint.exchange.Answer;
+import beampoint.exchange.AttemptReport;
 import beampoint.exchange.Exchange;
 import beampoint.exchange.RequestHandler;
 import beampoint.log.Log;
@@ -24,6 +26,7 @@
 import beampoint.upstream.AttemptListener;
 import beampoint.upstream.Upstreams;
 import java.nio.charset.StandardCharsets;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -46,6 +49,14 @@
   /** How long the module may take to answer after a deadline or an event. */
   private static final double ANSWER_GRACE_MS = 15;
 
+  private static final Map<GiveUpReason, Counter> GIVE_UP_COUNTERS = new EnumMap<>(GiveUpReason.class);
+
+  static {
+    for (GiveUpReason reason : GiveUpReason.values()) {
+      GIVE_UP_COUNTERS.put(reason, Counter.valueOf("GIVEN_UP_" + reason));
+    }
+  }
+
   private final Balancer balancer;
   private final NameIndex names;
   private final Counters counters;
@@ -61,6 +72,7 @@
   private long lastId;
   private double attemptDeadline = Double.POSITIVE_INFINITY; // in ms on the proxy's clock
   private final InitialListGate initialListGate;
+  private final RequestLog requestLog;
 
   Decisions(Balancer balancer, Settings settings, NameIndex names, Counters counters, Clock clock,
       EventLoop loop, BooleanSupplier ready, Predicate<String> isBanned) {
@@ -73,6 +85,7 @@
     this.ready = ready;
     this.isBanned = isBanned;
     this.initialListGate = new InitialListGate(loop);
+    this.requestLog = new RequestLog(clock);
   }
 
   /** Sets the components that carry out the actions; called before the first event. */
@@ -245,16 +258,16 @@
   }
 
   @Override
-  public void attemptEnded(Exchange exchange, int attempt, String endpoint, double elapsed, Result result,
-      Answer answer, String loadReport) {
-    exchange.endAttempt();
+  public void attemptEnded(AttemptReport report) {
+    Exchange exchange = report.exchange();
+    exchange.endAttempt(report);
     exchange.setLastEventAt(clock.getAsDouble());
-    if (answer != null) {
-      close(exchange, answer);
+    if (report.answer() != null) {
+      close(exchange, report.answer());
     }
     releaseIfDone(exchange);
-    dispatch(new AttemptEnded(exchange.id(), attempt, endpoint, elapsed, result, exchange.isOver(),
-        names.settings().loadColumns().parseNamed(loadReport)));
+    dispatch(new AttemptEnded(exchange.id(), report.attempt(), report.endpoint(), report.elapsedMs(),
+        report.result(), exchange.isOver(), names.settings().loadColumns().parseNamed(report.loadReport())));
   }
 
   @Override
@@ -296,9 +309,9 @@
     if (action instanceof Balancer.Send a) {
       send(a);
     } else if (action instanceof Balancer.Refuse a) {
-      close(exchanges.get(a.id()), Answer.refused((long) Math.ceil(a.retryAfter())));
+      giveUp(exchanges.get(a.id()), Answer.refused((long) Math.ceil(a.retryAfter())), a.reason());
     } else if (action instanceof Balancer.Fail a) {
-      close(exchanges.get(a.id()), Answer.FAILED);
+      giveUp(exchanges.get(a.id()), Answer.FAILED, a.reason());
     } else if (action instanceof Balancer.Cancel a) {
       upstreams.cancel(a.id(), a.attempt());
     } else if (action instanceof Balancer.SetTimer a) {
@@ -330,7 +343,7 @@
       clientGone(exchange);
     }
     if (exchange.isOver() || now >= endBy || attempt >= exchange.maxAttempts()) {
-      loop.execute(() -> attemptEnded(exchange, attempt, a.endpoint(), 0, Result.NOT_SENT, null, null));
+      loop.execute(() -> attemptEnded(AttemptReport.notSent(exchange, attempt, a.endpoint())));
     } else {
       upstreams.send(exchange, attempt, a.endpoint(),
           a.timeout() > 0 ? Math.min(endBy, now + a.timeout()) : endBy, a.arriveBy());
@@ -341,6 +354,15 @@
     counters.check(!isBanned.test(endpoint), "no request or probe is sent to a banned node");
   }
 
+  /** Carries out the module's decision to refuse or fail a request. */
+  private void giveUp(Exchange exchange, Answer answer, GiveUpReason reason) {
+    if (exchange != null && !exchange.isOver()) {
+      counters.add(GIVE_UP_COUNTERS.get(reason));
+      requestLog.givenUp(exchange, answer == Answer.FAILED ? "failed" : "refused", reason);
+      close(exchange, answer);
+    }
+  }
+
   private void close(Exchange exchange, Answer answer) {
     if (exchange != null && exchange.answer(answer)) {
       releaseIfDone(exchange);
--- a/src/main/java/beampoint/serve/WarmUp.java
+++ b/src/main/java/beampoint/serve/WarmUp.java
@@ -12,8 +12,7 @@
 import beampoint.Balancer.Settings;
 import beampoint.buffer.Budget;
 import beampoint.count.Counters;
-import beampoint.exchange.Answer;
-import beampoint.exchange.Exchange;
+import beampoint.exchange.AttemptReport;
 import beampoint.upstream.AttemptListener;
 import beampoint.upstream.Upstreams;
 import java.net.InetSocketAddress;
@@ -94,8 +93,7 @@
   }
 
   @Override
-  public void attemptEnded(Exchange exchange, int attempt, String endpoint, double elapsed, Result result,
-      Answer answer, String loadReport) {
+  public void attemptEnded(AttemptReport report) {
     throw new IllegalStateException("the warm-up makes no attempts, but one ended");
   }
 }
--- a/src/main/java/beampoint/upstream/ConnectionPools.java
+++ b/src/main/java/beampoint/upstream/ConnectionPools.java
@@ -94,15 +94,16 @@
 
   private TCPNIOConnectorHandler connector(Filter codec) {
     FilterChainBuilder chain = FilterChainBuilder.stateless().add(new SocketReadFilter())
-        .add(new UnsolicitedDataFilter()).add(codec).add(new EventFilter());
+        .add(new ReplyBeginFilter()).add(codec).add(new EventFilter());
     return TCPNIOConnectorHandler.builder(transport).processor(chain.build()).build();
   }
 
   /**
-   * Closes a connection that receives bytes while no request is in flight on it. Otherwise the codec could
-   * buffer an incomplete line and prepend it to the reply to the next request.
+   * Records that the reply to the request in flight has begun. Closes a connection that receives bytes while
+   * no request is in flight on it: the codec could buffer an incomplete line and prepend it to the reply to
+   * the next request.
    */
-  private final class UnsolicitedDataFilter extends BaseFilter {
+  private final class ReplyBeginFilter extends BaseFilter {
 
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
@@ -112,6 +113,9 @@
         ctx.getConnection().terminateSilently();
         return ctx.getStopAction();
       }
+      if (pooled != null && pooled.inFlight != null) {
+        pooled.inFlight.replyRead(clock.getAsDouble());
+      }
       return ctx.getInvokeAction();
     }
   }
--- a/src/main/java/beampoint/upstream/PooledConnection.java
+++ b/src/main/java/beampoint/upstream/PooledConnection.java
@@ -30,6 +30,7 @@
   Collector bodyCollector; // of a reply that is buffered until it is complete
   int skippedBodyBytes; // of a reply whose body is no answer
   Stream valueStream; // a long value that is passed on to the client as it is read
+  UpstreamRequest streamedFor; // the request that was answered with this value
   double lastProgressAt; // when bytes were last read, or reading was paused or resumed
   boolean readingPaused; // until the client has taken more of the value
   boolean closed;
--- a/src/main/java/beampoint/upstream/Replies.java
+++ b/src/main/java/beampoint/upstream/Replies.java
@@ -145,6 +145,7 @@
   private void startStream(PooledConnection pooled, UpstreamRequest inFlight, long length) {
     counters.add(Counter.VALUES_STREAMED);
     pooled.inFlight = null;
+    pooled.streamedFor = inFlight;
     streaming.add(pooled);
     pooled.valueStream = new Stream(length, budget, new Stream.Source() {
       @Override
--- a/src/main/java/beampoint/upstream/UpstreamRequest.java
+++ b/src/main/java/beampoint/upstream/UpstreamRequest.java
@@ -22,6 +22,7 @@
   int writtenBytes;
   /** The load report in its reply, or null. */
   String loadReport;
+  private double replyBeganAt = Double.NaN; // in ms on the proxy's clock
 
   /**
    * An attempt or a probe that is not written yet.
@@ -42,6 +43,23 @@
     return exchange == null;
   }
 
+  /** Bytes of its reply were read. */
+  void replyRead(double now) {
+    if (!replyHasBegun()) {
+      replyBeganAt = now;
+    }
+  }
+
+  /** True once the first byte of its reply was read. */
+  boolean replyHasBegun() {
+    return !Double.isNaN(replyBeganAt);
+  }
+
+  /** When the first byte of its reply was read, in ms since its start; NaN if none was. */
+  double replyBeganAfterMs() {
+    return replyBeganAt - startedAt;
+  }
+
   /**
    * True if a part of the request may not have left this machine: it is not written whole, or it was longer
    * than what TCP sends at once, and the system may hold the rest for as long as the server does not read.
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -6,13 +6,16 @@
 import beampoint.count.Counter;
 import beampoint.count.Counters;
 import beampoint.exchange.Answer;
+import beampoint.exchange.AttemptReport;
 import beampoint.exchange.Exchange;
 import beampoint.http.HttpWriter;
 import beampoint.log.Log;
+import beampoint.log.RateLimitedLog;
 import beampoint.memcache.Command;
 import beampoint.memcache.Writer;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -42,6 +45,9 @@
     }
   }
 
+  private static final int MAX_VALUE_LINES_PER_SECOND = 10;
+
+  private final RateLimitedLog valueLog = new RateLimitedLog(LOG, MAX_VALUE_LINES_PER_SECOND);
   private final ScheduledExecutorService loop;
   private final DoubleSupplier clock;
   private final AttemptListener listener;
@@ -286,6 +292,7 @@
     pools.close(pooled);
     if (stream != null) {
       counters.add(Counter.VALUES_CUT_OFF);
+      logCutOff(pooled, stream, resultIfWritten);
       stream.fail();
     }
     if (inFlight != null) {
@@ -294,6 +301,15 @@
     }
   }
 
+  private void logCutOff(PooledConnection pooled, Stream stream, Result cause) {
+    if (valueLog.mayWrite()) {
+      Command command = pooled.streamedFor.exchange.command();
+      valueLog.info("the value for " + command.id().toStringContent(StandardCharsets.ISO_8859_1) + " from "
+          + pooled.pool.endpoint + " broke off after " + stream.received() + " of " + stream.length()
+          + " bytes: " + cause);
+    }
+  }
+
   /**
    * Ends an attempt or probe without a reply. An attempt that was not written completely was never executed,
    * and is reported as not sent: the endpoint did not cause a timeout. A part that may not have left this
@@ -334,8 +350,12 @@
       inFlightAttempts.remove(inFlight.exchange.id());
     }
     counters.add(COUNTERS.get(result));
-    loop.execute(() -> listener.attemptEnded(inFlight.exchange, inFlight.attempt, inFlight.endpoint, elapsed,
-        result, answer, inFlight.loadReport));
+    if (result == Result.TIMEOUT && inFlight.replyHasBegun()) {
+      counters.add(Counter.REPLIES_TIMED_OUT);
+    }
+    AttemptReport report = new AttemptReport(inFlight.exchange, inFlight.attempt, inFlight.endpoint, elapsed,
+        result, answer, inFlight.loadReport, inFlight.replyBeganAfterMs());
+    loop.execute(() -> listener.attemptEnded(report));
   }
 
   private Future<?> schedule(double time, Runnable task) {
--- a/src/test/java/beampoint/policy/AdmissionTest.java
+++ b/src/test/java/beampoint/policy/AdmissionTest.java
@@ -7,6 +7,7 @@
 import beampoint.Balancer.Action;
 import beampoint.Balancer.Endpoint;
 import beampoint.Balancer.EndpointState;
+import beampoint.Balancer.GiveUpReason;
 import beampoint.Balancer.ListKind;
 import beampoint.Balancer.Refuse;
 import beampoint.Balancer.RequestReceived;
@@ -25,7 +26,7 @@
     }
     f.now += 510;
     List<Action> last = f.read(10);
-    assertEquals(List.of(new Refuse(f.nextId() - 1, 400)), last);
+    assertEquals(List.of(new Refuse(f.nextId() - 1, 400, GiveUpReason.NO_ROOM)), last);
   }
 
   @Test
@@ -88,7 +89,8 @@
     for (boolean write : new boolean[] {false, true}) {
       RequestReceived overflow =
           new RequestReceived(f.nextId() + 1_000, f.now + 1_000, 0, 0, 5, write, false, true);
-      assertEquals(List.of(new Refuse(overflow.id(), 400)), f.balancer.handle(f.now, overflow));
+      assertEquals(List.of(new Refuse(overflow.id(), 400, GiveUpReason.NOT_QUEUED)),
+          f.balancer.handle(f.now, overflow));
     }
   }
 }
--- a/src/test/java/beampoint/policy/LateAnswerTest.java
+++ b/src/test/java/beampoint/policy/LateAnswerTest.java
@@ -65,7 +65,8 @@
     long id = f.nextId();
     String endpoint = BalancerFixture.sentTo(f.read(5));
     f.now += 500;
-    assertTrue(f.endAttempt(id, 0, endpoint, 500, Result.TIMEOUT).contains(new Balancer.Refuse(id, 400)));
+    assertTrue(f.endAttempt(id, 0, endpoint, 500, Result.TIMEOUT)
+        .contains(new Balancer.Refuse(id, 400, Balancer.GiveUpReason.TIME_OVER)));
   }
 
   /**
--- a/src/test/java/beampoint/policy/UnconfirmedListTest.java
+++ b/src/test/java/beampoint/policy/UnconfirmedListTest.java
@@ -6,6 +6,7 @@
 
 import beampoint.Balancer.Action;
 import beampoint.Balancer.EndpointState;
+import beampoint.Balancer.GiveUpReason;
 import beampoint.Balancer.ListKind;
 import beampoint.Balancer.Probe;
 import beampoint.Balancer.Refuse;
@@ -74,6 +75,6 @@
     BalancerFixture f = new BalancerFixture(BalancerFixture.READ);
     f.receiveList(ListKind.UNCONFIRMED, List.of(BalancerFixture.cache(0), BalancerFixture.cache(1)));
     List<Action> actions = f.read(5);
-    assertEquals(List.of(new Refuse(0, 400)), actions);
+    assertEquals(List.of(new Refuse(0, 400, GiveUpReason.NO_ROOM)), actions);
   }
 }
