--- a/src/main/java/beampoint/exchange/AttemptReport.java
+++ b/src/main/java/beampoint/exchange/AttemptReport.java
@@ -10,8 +10,8 @@
  * @param elapsedMs since the attempt started
  * @param answer the answer for the client; null unless the request was served
  * @param loadReport the text of the server's load report, or null if there was none
- * @param replyBeganAfterMs when the first byte of a reply was read, since the start of the attempt; NaN if none
- * was
+ * @param replyBeganAfterMs the time from the start of the attempt to the first byte of a reply; NaN if there
+ * was none
  */
 public record AttemptReport(Exchange exchange, int attempt, String endpoint, double elapsedMs, Result result,
     Answer answer, String loadReport, double replyBeganAfterMs) {
