A reply that has begun is awaited until its client gives up, a long one passed on

Cause: the decision module limits an attempt of a safe class that earns nothing late to its target time, and Upstreams applied that limit to the whole reply. What a server had begun to send was cut off. The same limit cut off receipts at the end of the window of a repeat.

Change: the timeout of a Send is the time in which the reply must begin (Upstreams.onTimeout). A reply that has begun, once the request was written whole, is awaited until the client's deadline. A long value of the origin with a length is passed on from its head on, as that of a cache node. Counters replies_awaited and replies_timed_out.

Ruled out by the reproduction: memory (no discarded attempt), stalls (the moment moves with the target of the class), the 10 s limit of streams.

RepeatWindowTest.aReceiptThatHasBegunIsAwaitedBeyondTheWindow failed before (SERVER_ERROR busy).

--- a/src/main/java/beampoint/Balancer.java
+++ b/src/main/java/beampoint/Balancer.java
@@ -303,8 +303,9 @@
       Log {}
 
   /**
-   * Starts an attempt. A timeout of 0 means none: the attempt lasts until the client gives up. If the
-   * request can't have reached the endpoint by {@code arriveBy}, it must not reach it any more.
+   * Starts an attempt. The timeout is the time in ms in which the reply must begin. A reply that has begun is
+   * awaited until the client gives up, and so is any reply if the timeout is 0. If the request can't have
+   * reached the endpoint by {@code arriveBy}, it must not reach it any more.
    */
   record Send(long id, String endpoint, double timeout, double arriveBy) implements Action {
 
--- a/src/main/java/beampoint/count/Counter.java
+++ b/src/main/java/beampoint/count/Counter.java
@@ -10,7 +10,8 @@
  * <li>REQUESTS_GONE: requests whose client disconnected before the answer;
  * <li>ATTEMPTS_FULL: attempts that an endpoint declined because it was busy;
  * <li>ATTEMPTS_DISCARDED: attempts whose reply was discarded, as there was no memory for it;
- * <li>REPLIES_TIMED_OUT: attempts that a time limit ended after the first byte of their reply was read;
+ * <li>REPLIES_AWAITED: attempts whose reply had begun when their timeout was over, so that it was awaited;
+ * <li>REPLIES_TIMED_OUT: attempts that ended at their client's deadline although their reply had begun;
  * <li>GIVEN_UP_...: requests refused or failed by the decision module, by its reason;
  * <li>VALUES_CUT_OFF: streamed values whose connection ended before the last byte;
  * <li>VALUES_DISCARDED: values of writes that were discarded, as there was no memory for them;
@@ -29,7 +30,7 @@
   GIVEN_UP_RETRIES_LIMITED, GIVEN_UP_OUT_OF_RESOURCES, GIVEN_UP_NOT_STATED,
   ATTEMPTS_SENT, ATTEMPTS_OK, ATTEMPTS_MISS, ATTEMPTS_ERROR, ATTEMPTS_FULL, ATTEMPTS_TIMEOUT,
   ATTEMPTS_CONNECT_FAILED, ATTEMPTS_RESET, ATTEMPTS_CANCELLED, ATTEMPTS_NOT_SENT, ATTEMPTS_DISCARDED,
-  REPLIES_TIMED_OUT,
+  REPLIES_AWAITED, REPLIES_TIMED_OUT,
   UPSTREAM_CONNECTIONS, UPSTREAM_BAD_REPLIES, PROBES_SENT,
   VALUES_STREAMED, VALUES_CUT_OFF, VALUES_DISCARDED, MEMORY_HELD_PEAK_BYTES, READ_AHEAD_PEAK_BYTES,
   COMMANDS_QUEUED_PEAK,
--- a/src/main/java/beampoint/serve/Decisions.java
+++ b/src/main/java/beampoint/serve/Decisions.java
@@ -346,7 +346,7 @@
       loop.execute(() -> attemptEnded(AttemptReport.notSent(exchange, attempt, a.endpoint())));
     } else {
       upstreams.send(exchange, attempt, a.endpoint(),
-          a.timeout() > 0 ? Math.min(endBy, now + a.timeout()) : endBy, a.arriveBy());
+          a.timeout() > 0 ? Math.min(endBy, now + a.timeout()) : endBy, endBy, a.arriveBy());
     }
   }
 
--- a/src/main/java/beampoint/upstream/Replies.java
+++ b/src/main/java/beampoint/upstream/Replies.java
@@ -86,11 +86,7 @@
     } else if (message instanceof HttpFault fault) {
       protocolError(pooled, fault.problem());
     } else if (message instanceof HttpHead head) {
-      pooled.httpHead = head;
-      pooled.mustRest = true; // replies over HTTP name no request
-      if (head.hasNoBody()) {
-        handleContent(pooled, inFlight, new HttpContent(Buffers.EMPTY_BUFFER, true, head.surplus()));
-      }
+      handleHead(pooled, inFlight, head);
     } else if (message instanceof HttpContent content) {
       handleContent(pooled, inFlight, content);
     }
@@ -139,8 +135,8 @@
   }
 
   /**
-   * Starts to stream a value. As the client gets its first bytes at once, the attempt counts as successful
-   * and is not retried.
+   * Starts to stream a value whose head was read. As the client gets its head at once, the attempt counts as
+   * successful and is not retried.
    */
   private void startStream(PooledConnection pooled, UpstreamRequest inFlight, long length) {
     counters.add(Counter.VALUES_STREAMED);
@@ -213,14 +209,28 @@
     listener.complete(inFlight, result, served ? Answer.complete(kind, reply.body()) : null);
   }
 
+  /** Handles the head of a reply over HTTP; that of a long value is passed on at once. */
+  private void handleHead(PooledConnection pooled, UpstreamRequest inFlight, HttpHead head) {
+    pooled.httpHead = head;
+    pooled.mustRest = true; // replies over HTTP name no request
+    if (head.hasNoBody()) {
+      handleContent(pooled, inFlight, new HttpContent(Buffers.EMPTY_BUFFER, true, head.surplus()));
+    } else if (isRead(inFlight) && head.status() == 200 && head.length() > MAX_BODY) {
+      protocolError(pooled, "body of " + head.length() + " bytes exceeds the limit of " + MAX_BODY);
+    } else if (isRead(inFlight) && head.status() == 200
+        && head.length() > ReplyFilter.MAX_BUFFERED_VALUE) {
+      startStream(pooled, inFlight, head.length());
+    }
+  }
+
+  private static boolean isRead(UpstreamRequest inFlight) {
+    return !inFlight.isProbe() && inFlight.exchange.command().kind() == Command.Kind.READ;
+  }
+
   private void handleContent(PooledConnection pooled, UpstreamRequest inFlight, HttpContent content) {
     HttpHead head = pooled.httpHead;
-    boolean isRead = !inFlight.isProbe() && inFlight.exchange.command().kind() == Command.Kind.READ;
+    boolean isRead = isRead(inFlight);
     boolean isAnswer = !inFlight.isProbe() && head.status() == 200;
-    if (isRead && isAnswer && head.length() > ReplyFilter.MAX_BUFFERED_VALUE) {
-      streamContent(pooled, inFlight, content);
-      return;
-    }
     boolean isUsable = isAnswer ? collectBody(pooled, isRead, content.bytes())
         : skipBody(pooled, content.bytes().remaining());
     if (!isUsable || !content.last()) {
@@ -237,17 +247,6 @@
     }
   }
 
-  /** Starts to stream a long value with the first part of its body. */
-  private void streamContent(PooledConnection pooled, UpstreamRequest inFlight, HttpContent content) {
-    long length = pooled.httpHead.length();
-    if (length > MAX_BODY) {
-      protocolError(pooled, "body of " + length + " bytes exceeds the limit of " + MAX_BODY);
-      return;
-    }
-    startStream(pooled, inFlight, length);
-    continueStream(pooled, content);
-  }
-
   /**
    * Keeps a part of a body until the body is complete. Returns false if the attempt has ended, as there is no
    * memory for it or it is too long.
--- a/src/main/java/beampoint/upstream/UpstreamRequest.java
+++ b/src/main/java/beampoint/upstream/UpstreamRequest.java
@@ -13,8 +13,10 @@
   final int attempt;
   final String endpoint;
   final double startedAt; // in ms on the proxy's clock
-  /** When the attempt ends unless it is answered, in ms on the proxy's clock. */
+  /** When the attempt ends unless its reply has begun, in ms on the proxy's clock. */
   final double timeoutAt;
+  /** When the attempt ends even if its reply has begun, in ms on the proxy's clock. */
+  final double replyDeadline;
   PooledConnection pooled;
   Future<?> timer;
   boolean finished;
@@ -28,15 +30,17 @@
    * An attempt or a probe that is not written yet.
    *
    * @param arriveBy the latest time at which the request may reach its server. The proxy can't see when that
-   * happens: the system and the server buffer what is written. So an attempt that is not answered ends then.
+   * happens: the system and the server buffer what is written. So an attempt whose reply has not begun ends
+   * then.
    */
   UpstreamRequest(Exchange exchange, int attempt, String endpoint, double startedAt, double timeoutAt,
-      double arriveBy) {
+      double replyDeadline, double arriveBy) {
     this.exchange = exchange;
     this.attempt = attempt;
     this.endpoint = endpoint;
     this.startedAt = startedAt;
     this.timeoutAt = Math.min(timeoutAt, arriveBy);
+    this.replyDeadline = replyDeadline;
   }
 
   boolean isProbe() {
@@ -55,6 +59,11 @@
     return !Double.isNaN(replyBeganAt);
   }
 
+  /** True if its server has received it whole and is sending the reply, so that its timeout is void. */
+  boolean isBeingAnswered() {
+    return replyHasBegun() && pooled != null && pooled.requestWritten;
+  }
+
   /** When the first byte of its reply was read, in ms since its start; NaN if none was. */
   double replyBeganAfterMs() {
     return replyBeganAt - startedAt;
--- a/src/main/java/beampoint/upstream/Upstreams.java
+++ b/src/main/java/beampoint/upstream/Upstreams.java
@@ -174,12 +174,14 @@
   /**
    * Starts an attempt. Its outcome is reported to the {@link AttemptListener}.
    *
-   * @param timeoutAt when the attempt times out, in ms on the proxy's clock
+   * @param timeoutAt when the attempt times out unless its reply has begun, in ms on the proxy's clock
+   * @param replyDeadline when it times out in any case, in ms on the proxy's clock
    * @param arriveBy the latest time at which the request may reach the endpoint, in ms on the proxy's clock
    */
-  public void send(Exchange exchange, int attempt, String endpoint, double timeoutAt, double arriveBy) {
-    UpstreamRequest inFlight =
-        new UpstreamRequest(exchange, attempt, endpoint, clock.getAsDouble(), timeoutAt, arriveBy);
+  public void send(Exchange exchange, int attempt, String endpoint, double timeoutAt, double replyDeadline,
+      double arriveBy) {
+    UpstreamRequest inFlight = new UpstreamRequest(exchange, attempt, endpoint, clock.getAsDouble(),
+        timeoutAt, replyDeadline, arriveBy);
     inFlightAttempts.computeIfAbsent(exchange.id(), id -> new HashMap<>()).put(attempt, inFlight);
     counters.add(Counter.ATTEMPTS_SENT);
     start(inFlight);
@@ -188,9 +190,9 @@
   /** Sends a probe to an endpoint; it may take one connect timeout to connect and one to answer. */
   public void probe(String endpoint) {
     double now = clock.getAsDouble();
+    double timeoutAt = now + 2 * pools.connectTimeoutMs();
     counters.add(Counter.PROBES_SENT);
-    start(new UpstreamRequest(null, 0, endpoint, now, now + 2 * pools.connectTimeoutMs(),
-        Double.POSITIVE_INFINITY));
+    start(new UpstreamRequest(null, 0, endpoint, now, timeoutAt, timeoutAt, Double.POSITIVE_INFINITY));
   }
 
   /** Cancels one attempt of a request. */
@@ -222,7 +224,7 @@
 
   private void start(UpstreamRequest inFlight) {
     Pool pool = pools.pool(inFlight.endpoint);
-    inFlight.timer = schedule(inFlight.timeoutAt, () -> abort(inFlight, Result.TIMEOUT));
+    inFlight.timer = schedule(inFlight.timeoutAt, () -> onTimeout(inFlight));
     if (pool == null) {
       complete(inFlight, Result.CONNECT_FAILED, null);
       return;
@@ -244,6 +246,16 @@
     }
   }
 
+  /** The timeout of an attempt or a probe is over: ends it, or awaits the end of a reply that has begun. */
+  private void onTimeout(UpstreamRequest inFlight) {
+    if (inFlight.isBeingAnswered() && inFlight.replyDeadline > clock.getAsDouble()) {
+      counters.add(Counter.REPLIES_AWAITED);
+      inFlight.timer = schedule(inFlight.replyDeadline, () -> abort(inFlight, Result.TIMEOUT));
+    } else {
+      abort(inFlight, Result.TIMEOUT);
+    }
+  }
+
   /**
    * Writes a request; the only place that does. It is not sent if, while it waited for its connection, its
    * client has disconnected or it has timed out. The server gets the time that is left now, which never
--- a/src/test/java/beampoint/serve/RepeatWindowTest.java
+++ b/src/test/java/beampoint/serve/RepeatWindowTest.java
@@ -131,6 +131,30 @@
     }
   }
 
+  /** A server that answers has received the request whole, so that the window's end does not matter. */
+  @Test
+  void aReceiptThatHasBegunIsAwaitedBeyondTheWindow() throws Exception {
+    for (String endpoint : List.of("origin", "cache")) {
+      try (Stub server = new Stub(peer -> {
+        boolean isOrigin = !peer.line().startsWith("ms ");
+        if (isOrigin) {
+          peer.head();
+        } else {
+          peer.line();
+        }
+        peer.bytes(isOrigin ? 5 : 0);
+        peer.say(isOrigin ? "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nrec" : "HD O9b");
+        TimeUnit.MILLISECONDS.sleep(2 * WINDOW_MS);
+        peer.say(isOrigin ? "eipt" : " creceipt\r\n");
+        peer.beSilent();
+      }); ProxyFixture proxy = new ProxyFixture(server.address(), server.address());
+          Client client = new Client(proxy)) {
+        sendWithinWindow(proxy, endpoint);
+        assertEquals("HD O9b creceipt", client.request(ProxyFixture.WRITE), endpoint);
+      }
+    }
+  }
+
   /** Guards against a server that begins a request long after its client has disconnected. */
   @Test
   void aLongRequestIsNotReadWholeAfterItsClientHasDisconnected() throws Exception {
