A connection has 32 commands handled in a pass, so one client can't hold up others

Cause: one read buffer of a connection, 32 KiB, is passed on in a selector pass, and its commands are tasks that all run before the next read. The buffer holds 600 reads, or 8,192 of the shortest commands. A limit by bytes does not limit work.

Change: after 32 commands of a connection CommandFilter hands the rest of the buffer back to ReadAheadFilter, which passes it on in the next pass.

CommandFloodTest failed before: 'answered after 1579 ms' of 1500 (stats), 8192 commands at once of 1032; both pass. Passed: ReadAheadTest, ClientConnectionTest, CommandFilterTest, LongValuesTest, ProxyLifecycleTest, MemoryBudgetTest, ArrivalTimeTest, AnswerTimeTest, PackagesTest, ConnectionCloseTest.

ConnectionCloseTest.queuedAnswersAreLimitedToo let the cache answer before all commands were read, and relied on their being read faster than it answers, which now isn't so. It lets it answer once the limit is passed, seen by a new counter, client_connections_closed_backlog; its assertions are unchanged.

--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -25,6 +25,7 @@
   private final Deque<AnswerSlot> slots = new ArrayDeque<>();
   private final CommandBacklog backlog = new CommandBacklog();
   private final AnswerMemory memory;
+  private final DirectAnswers directAnswers;
   private final AnswerWriter writer;
   private final ConnectionCloser closer;
   private final double openedAt;
@@ -41,6 +42,8 @@
     this.connection = (Connection<SocketAddress>) connection;
     this.sessions = sessions;
     this.memory = new AnswerMemory(sessions.answerLimits());
+    this.directAnswers =
+        new DirectAnswers(sessions.requestHandler(), sessions.counters(), sessions.answerLimits());
     this.writer = new AnswerWriter(this.connection, sessions::now, this::closeOnceWritten);
     this.closer = new ConnectionCloser(connection, sessions);
     this.openedAt = openedAt;
@@ -109,7 +112,7 @@
     }
     boolean closes = command.kind() == Kind.QUIT || command.kind() == Kind.FATAL;
     boolean isAnswered = sessions.mustAnswerAtOnce() && !closes || command.isValueDiscarded();
-    sessions.addBacklogBytes(isAnswered ? backlog.addAnswer(immediateAnswer(command))
+    sessions.addBacklogBytes(isAnswered ? backlog.addAnswer(directAnswers.immediate(command))
         : backlog.add(command.copy(sessions.memory()), arrivedAt));
     closeIfBacklogsOverLimit();
   }
@@ -120,7 +123,7 @@
 
   /** Answers the queued requests at once; a limited number per task, to let other connections run between. */
   void refuseQueuedRequests() {
-    sessions.addBacklogBytes(-backlog.answerRequests(REFUSALS_PER_TASK, this::immediateAnswer));
+    sessions.addBacklogBytes(-backlog.answerRequests(REFUSALS_PER_TASK, directAnswers::immediate));
     startQueued();
     if (backlog.hasRequests()) {
       sessions.loop().execute(this::refuseQueuedRequests);
@@ -130,19 +133,12 @@
   /** Closes the connection if the backlogs exceed their limit: answers take memory too, unless equal. */
   private void closeIfBacklogsOverLimit() {
     if (sessions.areBacklogsOverLimit()) {
+      sessions.counters().add(Counter.CLIENT_CONNECTIONS_CLOSED_BACKLOG);
       sessions.discardInput(connection);
       sessions.addBacklogBytes(backlog.add(Command.fatal("SERVER_ERROR too many commands"), sessions.now()));
     }
   }
 
-  private String immediateAnswer(Command command) {
-    if (!command.isRequest()) {
-      return localAnswer(command);
-    }
-    String problem = rejectionLine(command);
-    return problem != null ? problem : AnswerText.errorLine(sessions.requestHandler().refuse(command));
-  }
-
   /** Starts queued commands until as many are open as may be. */
   private void startQueued() {
     while (!answersEnded && !clientGone && !backlog.isEmpty() && hasRoom()) {
@@ -173,7 +169,7 @@
       }
       default -> {
         inputEnded = command.kind() == Kind.FATAL;
-        addAnswer(localAnswer(command));
+        addAnswer(directAnswers.local(command));
       }
     }
   }
@@ -192,40 +188,10 @@
     memory.hold(answer.remaining());
   }
 
-  /** The answer to a command that is not a request. */
-  private String localAnswer(Command command) {
-    return switch (command.kind()) {
-      case READY -> sessions.requestHandler().isReady() ? "MN" : "SERVER_ERROR not ready";
-      case STATS -> AnswerText.stats(sessions.counters());
-      case VERSION -> "VERSION beampoint";
-      default -> {
-        sessions.counters().add(Counter.BAD_COMMANDS);
-        yield command.problem();
-      }
-    };
-  }
-
-  /** The error line for an invalid request, which is released and counted, or null if it is valid. */
-  private String rejectionLine(Command command) {
-    String problem = sessions.requestHandler().rejectionReason(command);
-    if (problem == null) {
-      return null;
-    }
-    command.release();
-    sessions.counters().add(Counter.BAD_COMMANDS);
-    return "CLIENT_ERROR " + problem;
-  }
-
-  /** True if a valid request can't be started, as there is no memory for its value or its answer. */
-  private boolean hasNoMemory(Command command) {
-    return command.kind() == Kind.READ ? sessions.answerLimits().mustRefuseReads()
-        : command.isValueDiscarded();
-  }
-
   private void startRequest(AnswerSlot slot, Command command, double arrivedAt) {
-    String problem = rejectionLine(command);
+    String problem = directAnswers.rejection(command);
     boolean isRead = command.kind() == Kind.READ;
-    if (problem == null && hasNoMemory(command)) {
+    if (problem == null && directAnswers.hasNoMemory(command)) {
       problem = AnswerText.errorLine(sessions.requestHandler().refuse(command));
     }
     if (problem != null) {
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -100,7 +100,7 @@
     this.readAhead = new ReadAheadFilter(arrivals, listener::arrivedAt,
         () -> queuedCommands >= MAX_QUEUED_COMMANDS,
         bytes -> counters.raise(Counter.READ_AHEAD_PEAK_BYTES, bytes));
-    this.commandFilter = new CommandFilter(transport.getMemoryManager(), budget, clock);
+    this.commandFilter = new CommandFilter(transport.getMemoryManager(), budget, clock, readAhead);
     loop.scheduleWithFixedDelay(this::closeStale, STALE_CHECK_INTERVAL_MS, STALE_CHECK_INTERVAL_MS,
         TimeUnit.MILLISECONDS);
   }
--- a/src/main/java/beampoint/count/Counter.java
+++ b/src/main/java/beampoint/count/Counter.java
@@ -7,6 +7,8 @@
  * <ul>
  * <li>CLIENT_CONNECTIONS_CLOSED_FULL: client connections closed to make room for others;
  * <li>CLIENT_CONNECTIONS_CLOSED_STALE: client connections closed because they were inactive for too long;
+ * <li>CLIENT_CONNECTIONS_CLOSED_BACKLOG: client connections closed because more of their commands waited than
+ * may;
  * <li>REQUESTS_GONE: requests whose client disconnected before the answer;
  * <li>ATTEMPTS_FULL: attempts that an endpoint declined because it was busy;
  * <li>ATTEMPTS_DISCARDED: attempts whose reply was discarded, as there was no memory for it;
@@ -24,6 +26,7 @@
  */
 public enum Counter {
   CLIENT_CONNECTIONS, CLIENT_CONNECTIONS_CLOSED_FULL, CLIENT_CONNECTIONS_CLOSED_STALE,
+  CLIENT_CONNECTIONS_CLOSED_BACKLOG,
   REQUESTS_TAKEN, REQUESTS_GONE, BAD_COMMANDS,
   ANSWERED_SERVED, ANSWERED_REFUSED, ANSWERED_FAILED,
   GIVEN_UP_NO_ROOM, GIVEN_UP_NOT_QUEUED, GIVEN_UP_TIME_OVER, GIVEN_UP_NO_ATTEMPTS_LEFT,
--- a/src/main/java/beampoint/memcache/CommandFilter.java
+++ b/src/main/java/beampoint/memcache/CommandFilter.java
@@ -3,6 +3,7 @@
 import beampoint.buffer.Budget;
 import beampoint.buffer.Collector;
 import beampoint.memcache.Command.Kind;
+import beampoint.transport.ReadAheadFilter;
 import java.io.IOException;
 import java.util.function.DoubleSupplier;
 import org.glassfish.grizzly.Buffer;
@@ -31,12 +32,19 @@
   private final MemoryManager<?> memory;
   private final Budget budget;
   private final DoubleSupplier clock;
+  private final ReadAheadFilter readAhead;
 
-  /** Creates the filter for the connections of all clients. */
-  public CommandFilter(MemoryManager<?> memory, Budget budget, DoubleSupplier clock) {
+  /**
+   * Creates the filter for the connections of all clients.
+   *
+   * @param readAhead the filter before this one; takes back what has to wait for the next selector pass
+   */
+  public CommandFilter(MemoryManager<?> memory, Budget budget, DoubleSupplier clock,
+      ReadAheadFilter readAhead) {
     this.memory = memory;
     this.budget = budget;
     this.clock = clock;
+    this.readAhead = readAhead;
   }
 
   /** The parser state of one connection. */
@@ -123,6 +131,13 @@
       discardInput(ctx.getConnection());
       return ctx.getInvokeAction();
     }
-    return in.hasRemaining() ? ctx.getInvokeAction(in) : ctx.getInvokeAction();
+    if (!in.hasRemaining()) {
+      return ctx.getInvokeAction();
+    }
+    if (readAhead.mayParseMore(ctx.getConnection())) {
+      return ctx.getInvokeAction(in);
+    }
+    readAhead.takeBack(ctx.getConnection(), in);
+    return ctx.getInvokeAction();
   }
 }
--- a/src/main/java/beampoint/transport/ReadAheadFilter.java
+++ b/src/main/java/beampoint/transport/ReadAheadFilter.java
@@ -23,9 +23,13 @@
  * peer has sent, and passes on one read buffer of it in each selector pass. So if the peer has sent much, its
  * disconnect is seen in the next pass, and not only when all that it sent has been handled. What is not
  * passed on yet takes little memory: commands that are parsed take a multiple of their bytes.
+ *
+ * <p>The parser behind it may return the rest of a read buffer, so that the number of messages of a peer in
+ * one pass is limited as well, however short they are.
  */
 public final class ReadAheadFilter extends TransportFilter {
 
+  private static final int MAX_MESSAGES_PER_PASS = 32; // of one connection
   private static final int MAX_READ_AHEAD_BYTES = 4 * 1024 * 1024; // on all connections together
 
   /** Bytes that were read, and the earliest time at which they can have arrived, in ms. */
@@ -36,6 +40,7 @@
     private final Deque<Chunk> chunks = new ArrayDeque<>();
     private double arrivedAt; // when the chunk that was passed on last arrived, in ms
     private long pass = -1; // the selector pass in which the last chunk was passed on
+    private int messages; // parsed in that pass
     private boolean isScheduled; // true if the next chunk will be passed on by a task
   }
 
@@ -88,11 +93,26 @@
     bufferedBytes -= next.bytes().remaining();
     readAhead.arrivedAt = next.arrivedAt();
     readAhead.pass = arrivals.passNumber();
+    readAhead.messages = 0;
     schedule(connection, readAhead);
     ctx.setMessage(next.bytes());
     return ctx.getInvokeAction();
   }
 
+  /** Counts a message that was parsed; returns false if the rest has to wait for the next pass. */
+  public boolean mayParseMore(Connection<?> connection) {
+    return ++readAheads.get(connection).messages < MAX_MESSAGES_PER_PASS;
+  }
+
+  /** Takes back the rest of what was passed on last, which is passed on again in the next pass. */
+  public void takeBack(Connection<?> connection, Buffer rest) {
+    ReadAhead readAhead = readAheads.get(connection);
+    readAhead.chunks.addFirst(new Chunk(rest, readAhead.arrivedAt));
+    bufferedBytes += rest.remaining();
+    bufferedListener.accept(bufferedBytes);
+    schedule((NIOConnection) connection, readAhead);
+  }
+
   /**
    * Reads once, and if that fills the read buffer, until nothing is left or the limit is reached. Beyond the
    * limit nothing is read on a connection that has chunks to pass on.
