No request is started on a connection whose client may have gone behind unread input

Cause: what is read ahead is limited to 4 MiB on all connections together. Beyond it the close of a client stays unseen behind its unread input, while the commands in front of it are started.

Change: ReadAheadFilter tells which connections may hold unread input. On these no request is started; it waits in the backlog until all is read, which takes some passes, or the close is seen. Other commands go on.

--- a/src/main/java/beampoint/client/CommandBacklog.java
+++ b/src/main/java/beampoint/client/CommandBacklog.java
@@ -63,6 +63,11 @@
     return queued.bytes();
   }
 
+  /** True if the next entry is a request that is not answered yet. */
+  boolean nextIsRequest() {
+    return isRequest(entries.peek());
+  }
+
   /** True if it holds a request that is not answered yet. */
   boolean hasRequests() {
     return entries.stream().anyMatch(CommandBacklog::isRequest);
--- a/src/main/java/beampoint/client/Session.java
+++ b/src/main/java/beampoint/client/Session.java
@@ -106,7 +106,7 @@
     }
     hasReadCommand |= command.problem() == null;
     activity.commandArrived(arrivedAt);
-    if (backlog.isEmpty() && hasRoom()) {
+    if (backlog.isEmpty() && hasRoom() && !(command.isRequest() && sessions.hasUnreadInput(connection))) {
       start(command, arrivedAt);
       return;
     }
@@ -117,6 +117,14 @@
     closeIfBacklogsOverLimit();
   }
 
+  /**
+   * False if the next command is a request and the client may have closed the connection behind input that is
+   * not read yet: the request would be sent to a server on behalf of a client that has gone.
+   */
+  private boolean mayStartNext() {
+    return !backlog.nextIsRequest() || !sessions.hasUnreadInput(connection);
+  }
+
   private boolean hasRoom() {
     return slots.size() + answersBeingWritten < MAX_PIPELINED && memory.mayStart();
   }
@@ -140,8 +148,8 @@
   }
 
   /** Starts queued commands until as many are open as may be. */
-  private void startQueued() {
-    while (!answersEnded && !clientGone && !backlog.isEmpty() && hasRoom()) {
+  void startQueued() {
+    while (!answersEnded && !clientGone && !backlog.isEmpty() && hasRoom() && mayStartNext()) {
       CommandBacklog.Entry next = backlog.poll();
       sessions.addBacklogBytes(-backlog.freedBy(next));
       if (next instanceof CommandBacklog.QueuedCommand queued && inputEnded) {
--- a/src/main/java/beampoint/client/Sessions.java
+++ b/src/main/java/beampoint/client/Sessions.java
@@ -14,13 +14,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Queue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -46,11 +42,10 @@
   /** Above this number of commands in queued tasks, on all connections, no more are read. */
   private static final int MAX_QUEUED_COMMANDS = 1000;
   private static final long STALE_CHECK_INTERVAL_MS = 250;
-  private static final double COMMAND_TIMEOUT_MS = 2500; // until the first command, or within a command
+  static final double COMMAND_TIMEOUT_MS = 2500; // until the first command, or within a command
   private static final double WRITE_STALL_TIMEOUT_MS = 10_000; // of a client that does not read its answers
   private static final double IDLE_TIMEOUT_MS = 15_000; // between commands
   private static final double CROWDED_IDLE_TIMEOUT_MS = 2000; // from half of the eviction threshold on
-  private static final double CROWDED_LINGER_MS = 50; // of a lingering close, when room is needed
   private static final long CLOSE_IDLE_INTERVAL_MS = 10;
   /**
    * A command that arrived longer ago than this is executed only after another read, which shows whether the
@@ -65,13 +60,13 @@
   private final ClientListener listener;
   private final RequestHandler requestHandler;
   private final Counters counters;
-  private int evictionThreshold = 1; // the number of connections beyond which inactive ones are closed
   private final Writer writer;
   private final Map<Connection<?>, Session> sessions = new LinkedHashMap<>(); // least recently used first
   private final Attribute<AtomicInteger> pending =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("pending-commands", AtomicInteger::new);
   private final ReadAheadFilter readAhead;
   private final CommandFilter commandFilter;
+  private final ConnectionEvictor evictor;
   private final AnswerLimits answerLimits;
   private final SendQueueMonitor sendQueues;
   private double partialCommandDeadline; // when the grace period of stopListening ends, in ms
@@ -99,8 +94,9 @@
     this.sendQueues = new SendQueueMonitor(loop);
     this.readAhead = new ReadAheadFilter(arrivals, listener::arrivedAt,
         () -> queuedCommands >= MAX_QUEUED_COMMANDS,
-        bytes -> counters.raise(Counter.READ_AHEAD_PEAK_BYTES, bytes));
+        bytes -> counters.raise(Counter.READ_AHEAD_PEAK_BYTES, bytes), this::readToEnd);
     this.commandFilter = new CommandFilter(transport.getMemoryManager(), budget, clock, readAhead);
+    this.evictor = new ConnectionEvictor(sessions, commandFilter, listener, counters, clock);
     loop.scheduleWithFixedDelay(this::closeStale, STALE_CHECK_INTERVAL_MS, STALE_CHECK_INTERVAL_MS,
         TimeUnit.MILLISECONDS);
   }
@@ -113,8 +109,8 @@
    */
   public void setConnectionLimits(int max, int evictAbove) {
     listener.setMaxConnections(max);
-    evictionThreshold = evictAbove;
-    evictForRoom(null);
+    evictor.setThreshold(evictAbove);
+    evictor.makeRoom(null);
     listener.resumeAccepting();
   }
 
@@ -189,63 +185,8 @@
   private void opened(Connection<?> connection) {
     Session session = new Session(connection, this, clock.getAsDouble());
     sessions.put(connection, session);
-    if (sessions.size() > evictionThreshold) {
-      evictForRoom(session);
-    }
-  }
-
-  /**
-   * Closes connections beyond the eviction threshold, so that the limit is not reached: first those that have
-   * not completed a command in time, then the longest idle. Many clients that only connect, or send one
-   * request and stay connected, must not cost the other clients their connections, especially because the
-   * clients' environment may allow fewer connections than this limit. Connections that were opened or began a
-   * command recently may still be sending. They are closed only if they are more than a third of the
-   * threshold, or if no idle ones are left and the maximum is reached: the one without progress for longest
-   * first, so that clients that have stopped sending are closed before slow ones.
-   *
-   * @param except is not closed; may be null
-   */
-  private void evictForRoom(Session except) {
-    double now = clock.getAsDouble();
-    int excess = sessions.size() - evictionThreshold;
-    for (Session session : List.copyOf(sessions.values())) {
-      if (excess > 0 && session.closer().isLingeringFor(CROWDED_LINGER_MS)) {
-        session.terminate();
-        excess--;
-      }
-    }
-    Deque<Session> overdue = new ArrayDeque<>(); // without a complete command in time
-    Deque<Session> idle = new ArrayDeque<>();
-    // Those that may still be sending a command, by the time of their last progress.
-    Queue<Map.Entry<Double, Session>> sending = new PriorityQueue<>(Map.Entry.comparingByKey());
-    int count = 0;
-    for (Map.Entry<Connection<?>, Session> entry : sessions.entrySet()) {
-      Session session = entry.getValue();
-      count += session.isClosing() ? 0 : 1;
-      if (session != except && session.isOpenAndIdle()) {
-        boolean expectsCommand =
-            session.hasSentNoCommand() || commandFilter.hasPartialCommand(entry.getKey());
-        if (expectsCommand && now - session.inactiveSince() < COMMAND_TIMEOUT_MS) {
-          sending.add(
-              Map.entry(Math.max(session.openedAt(), commandFilter.lastReadAt(entry.getKey())), session));
-        } else {
-          (expectsCommand ? overdue : idle).add(session);
-        }
-      }
-    }
-    int sendingCount = sending.size();
-    while (count > evictionThreshold) {
-      boolean evictsSending = sendingCount > evictionThreshold / 3
-          || idle.isEmpty() && count >= listener.maxConnections();
-      Session next = !overdue.isEmpty() ? overdue.poll()
-          : evictsSending && sendingCount > 0 ? sending.poll().getValue() : idle.poll();
-      if (next == null) {
-        return;
-      }
-      sendingCount = sending.size();
-      count--;
-      counters.add(Counter.CLIENT_CONNECTIONS_CLOSED_FULL);
-      next.evict();
+    if (sessions.size() > evictor.threshold()) {
+      evictor.makeRoom(session);
     }
   }
 
@@ -257,7 +198,7 @@
   private void closeStale() {
     double now = clock.getAsDouble();
     double idleTimeoutMs =
-        sessions.size() > evictionThreshold / 2 ? CROWDED_IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS;
+        sessions.size() > evictor.threshold() / 2 ? CROWDED_IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS;
     for (Map.Entry<Connection<?>, Session> entry : List.copyOf(sessions.entrySet())) {
       Connection<?> connection = entry.getKey();
       Session session = entry.getValue();
@@ -272,6 +213,21 @@
     }
   }
 
+  /** Starts what waited until all input of a connection was read. */
+  private void readToEnd(Connection<?> connection) {
+    arrivals.afterNextRead(() -> {
+      Session session = sessions.get(connection);
+      if (session != null) {
+        session.startQueued();
+      }
+    });
+  }
+
+  /** True if a connection may hold unread input, and the close of its client behind that. */
+  boolean hasUnreadInput(Connection<?> connection) {
+    return readAhead.hasUnread(connection);
+  }
+
   private void closed(Connection<?> connection) {
     Session session = sessions.remove(connection);
     if (session != null) {
@@ -362,6 +318,11 @@
     return clock.getAsDouble();
   }
 
+  /** The number of open connections. */
+  public int connections() {
+    return sessions.size();
+  }
+
   /** True once the listener is closed and all connections have ended. */
   public boolean isDrained() {
     return listener.isClosed() && sessions.isEmpty();
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -307,6 +307,11 @@
     return listening.join().getPort();
   }
 
+  /** For a test: the number of open client connections. */
+  int connectedClients() throws InterruptedException, ExecutionException {
+    return loop.submit(sessions::connections).get();
+  }
+
   /** For a test: 0 if no value bytes are held and no stream is open. */
   long unreleased() {
     return budget.held() + budget.streams();
--- a/src/main/java/beampoint/transport/ReadAheadFilter.java
+++ b/src/main/java/beampoint/transport/ReadAheadFilter.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.ToDoubleFunction;
 import org.glassfish.grizzly.Buffer;
@@ -41,6 +42,7 @@
     private double arrivedAt; // when the chunk that was passed on last arrived, in ms
     private long pass = -1; // the selector pass in which the last chunk was passed on
     private int messages; // parsed in that pass
+    private boolean hasUnread; // the socket may hold input, and the peer's close behind it
     private boolean isScheduled; // true if the next chunk will be passed on by a task
   }
 
@@ -50,6 +52,7 @@
   private final ToDoubleFunction<Connection<?>> arrivedAt;
   private final BooleanSupplier isCongested;
   private final LongConsumer bufferedListener;
+  private final Consumer<Connection<?>> onReadToEnd;
   private int bufferedBytes; // on all connections
 
   /**
@@ -59,9 +62,11 @@
    * ms
    * @param isCongested returns true while nothing is to be passed on, as too much of it is not handled yet
    * @param bufferedListener receives the bytes that are read ahead each time that these grow
+   * @param onReadToEnd receives each connection that has no unread input any more
    */
   public ReadAheadFilter(Arrivals arrivals, ToDoubleFunction<Connection<?>> arrivedAt,
-      BooleanSupplier isCongested, LongConsumer bufferedListener) {
+      BooleanSupplier isCongested, LongConsumer bufferedListener, Consumer<Connection<?>> onReadToEnd) {
+    this.onReadToEnd = onReadToEnd;
     this.isCongested = isCongested;
     this.bufferedListener = bufferedListener;
     this.arrivals = arrivals;
@@ -99,6 +104,14 @@
     return ctx.getInvokeAction();
   }
 
+  /**
+   * True if the socket of a connection may hold input that was not read for lack of room: its peer may have
+   * closed the connection behind that.
+   */
+  public boolean hasUnread(Connection<?> connection) {
+    return readAheads.get(connection).hasUnread;
+  }
+
   /** Counts a message that was parsed; returns false if the rest has to wait for the next pass. */
   public boolean mayParseMore(Connection<?> connection) {
     return ++readAheads.get(connection).messages < MAX_MESSAGES_PER_PASS;
@@ -119,15 +132,27 @@
    */
   private void readAll(NIOConnection connection, ReadAhead readAhead) throws IOException {
     if (bufferedBytes >= MAX_READ_AHEAD_BYTES && !readAhead.chunks.isEmpty()) {
+      readAhead.hasUnread = true;
       return;
     }
     Buffer message = SocketReadFilter.read(connection);
     boolean isFull = message != null && message.remaining() == connection.getReadBufferSize();
+    // More may have arrived behind a read that did not fill the buffer: only one that returns nothing shows
+    // that all was read.
+    boolean readsToEnd = isFull || readAhead.hasUnread;
     while (message != null) {
       readAhead.chunks.add(new Chunk(message, arrivedAt.applyAsDouble(connection)));
       bufferedBytes += message.remaining();
       bufferedListener.accept(bufferedBytes);
-      message = isFull && bufferedBytes < MAX_READ_AHEAD_BYTES ? SocketReadFilter.read(connection) : null;
+      if (readsToEnd && bufferedBytes >= MAX_READ_AHEAD_BYTES) {
+        readAhead.hasUnread = true;
+        return;
+      }
+      message = readsToEnd ? SocketReadFilter.read(connection) : null;
+    }
+    if (readAhead.hasUnread) {
+      readAhead.hasUnread = false;
+      onReadToEnd.accept(connection);
     }
   }
 
--- a/src/test/java/beampoint/serve/ReadAheadTest.java
+++ b/src/test/java/beampoint/serve/ReadAheadTest.java
@@ -26,6 +26,9 @@
   private static final int VALUE_BYTES = 4 * 1024 * 1024;
   private static final int MAX_READ_AHEAD_BYTES = 4 * 1024 * 1024; // on all connections together
   private static final int READ_BYTES = 32 * 1024; // the most that one read takes
+  private static final int UPLOADING_CLIENTS = 40;
+  private static final int UPLOADED_BYTES = 400_000; // of each; together more than is read ahead
+  private static final int LEAVING_CLIENTS = 3;
   private static final int COMMANDS = 2000; // of each client
   private static final int MAX_QUEUED_COMMANDS = 1000; // on all connections together
   private static final String FIRST = READ.replace("O9b", "Ofirst");
@@ -59,6 +62,53 @@
     }
   }
 
+  /**
+   * Guards against attempts for a client that has left, if its close is behind requests that are not read yet
+   * because others have sent as much as is read ahead.
+   */
+  @Test
+  void noRequestIsStartedOnAConnectionThatMayHaveEndedBehindUnreadInput() throws Exception {
+    CountDownLatch seen = new CountDownLatch(1);
+    CountDownLatch clientsLeft = new CountDownLatch(1);
+    List<Client> uploading = new ArrayList<>();
+    List<Client> leaving = new ArrayList<>();
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client other = new Client(proxy)) {
+      proxy.module.script = event -> {
+        if (event instanceof RequestReceived e) {
+          seen.countDown();
+          ProxyFixture.await(clientsLeft);
+          return List.of(new Refuse(e.id(), 0));
+        }
+        return List.of();
+      };
+      for (int i = 0; i < UPLOADING_CLIENTS + LEAVING_CLIENTS; i++) {
+        (i < UPLOADING_CLIENTS ? uploading : leaving).add(new Client(proxy));
+      }
+      proxy.awaitClients(1 + UPLOADING_CLIENTS + LEAVING_CLIENTS);
+      other.send(FIRST);
+      seen.await();
+      for (Client client : uploading) {
+        client.send("ms 7f " + VALUE_BYTES + " Ow Pc=put,t=acme,d=4000\r\n" + "x".repeat(UPLOADED_BYTES));
+      }
+      for (Client client : leaving) {
+        client.send(reads(9_000));
+        client.close();
+      }
+      clientsLeft.countDown();
+      assertEquals("SERVER_ERROR busy", other.line());
+      assertEquals("SERVER_ERROR busy", other.request(READ));
+      proxy.awaitCount(Counter.READ_AHEAD_PEAK_BYTES, MAX_READ_AHEAD_BYTES);
+      while (proxy.proxy.connectedClients() > 1 + UPLOADING_CLIENTS) {
+        assertEquals("MN", other.request("mn\r\n"));
+      }
+      assertEquals(2, proxy.proxy.counters().get(Counter.REQUESTS_TAKEN));
+    } finally {
+      Client.closeAll(uploading);
+      Client.closeAll(leaving);
+    }
+  }
+
   /** Guards against deadlines that count only from the handling of the requests before. */
   @Test
   void theDeadlineOfARequestCountsFromItsArrivalHoweverMuchArrivedBefore() throws Exception {
