A test reads what is held on the decision thread, after the writes it has seen

LongValuesTest.aValueThatBreaksOffBeforeItsTurn... failed once: 4 bytes held for 0. Traced: the 4 bytes are the answer MN that the client had just got. Its memory is released after the write to the socket, on the decision thread, while the test read the account from its own thread. Proxy.unreleased(), which only tests call, asks on the decision thread now, behind that release. No assertion is changed.

--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -313,8 +313,8 @@
   }
 
   /** For a test: 0 if no value bytes are held and no stream is open. */
-  long unreleased() {
-    return budget.held() + budget.streams();
+  long unreleased() throws InterruptedException, ExecutionException {
+    return loop.submit(() -> budget.held() + budget.streams()).get();
   }
 
   /** The port that operators call; 0 if there is none, or none yet. */
