--- a/src/main/java/beampoint/transport/ReadAheadFilter.java
+++ b/src/main/java/beampoint/transport/ReadAheadFilter.java
@@ -30,7 +30,7 @@
  */
 public final class ReadAheadFilter extends TransportFilter {
 
-  private static final int MAX_MESSAGES_PER_PASS = 32; // of one connection
+  private static final int MAX_MESSAGES_PER_PASS = 64; // of one connection
   private static final int MAX_READ_AHEAD_BYTES = 4 * 1024 * 1024; // on all connections together
 
   /** Bytes that were read, and the earliest time at which they can have arrived, in ms. */
