A write whose id comes again does not run again, in either process of an upgrade

Cause: the ids in use were those of open requests of one process only.

The claim is given up if no attempt may have run. A request whose id is claimed is answered 'SERVER_ERROR failed', which promises nothing, and counted in ids_used_before. RequestIds holds what stood in Decisions.

--- a/src/main/java/beampoint/count/Counter.java
+++ b/src/main/java/beampoint/count/Counter.java
@@ -10,6 +10,7 @@
  * <li>CLIENT_CONNECTIONS_CLOSED_BACKLOG: client connections closed because more of their commands waited than
  * may;
  * <li>REQUESTS_GONE: requests whose client disconnected before the answer;
+ * <li>IDS_USED_BEFORE: requests that were failed because one with the same id may have run;
  * <li>ATTEMPTS_FULL: attempts that an endpoint declined because it was busy;
  * <li>ATTEMPTS_DISCARDED: attempts whose reply was discarded, as there was no memory for it;
  * <li>REPLIES_AWAITED: attempts whose reply had begun when their timeout was over, so that it was awaited;
@@ -27,7 +28,7 @@
 public enum Counter {
   CLIENT_CONNECTIONS, CLIENT_CONNECTIONS_CLOSED_FULL, CLIENT_CONNECTIONS_CLOSED_STALE,
   CLIENT_CONNECTIONS_CLOSED_BACKLOG,
-  REQUESTS_TAKEN, REQUESTS_GONE, BAD_COMMANDS,
+  REQUESTS_TAKEN, REQUESTS_GONE, BAD_COMMANDS, IDS_USED_BEFORE,
   ANSWERED_SERVED, ANSWERED_REFUSED, ANSWERED_FAILED,
   GIVEN_UP_NO_ROOM, GIVEN_UP_NOT_QUEUED, GIVEN_UP_TIME_OVER, GIVEN_UP_NO_ATTEMPTS_LEFT,
   GIVEN_UP_RETRIES_LIMITED, GIVEN_UP_OUT_OF_RESOURCES, GIVEN_UP_NOT_STATED,
--- a/src/main/java/beampoint/exchange/Exchange.java
+++ b/src/main/java/beampoint/exchange/Exchange.java
@@ -24,6 +24,8 @@
   private int attempts;
   private int attemptsInFlight;
   private AttemptReport lastAttempt;
+  private boolean mayHaveRun;
+  private boolean claimsId;
   private double lastEventAt;
 
   /**
@@ -129,6 +131,22 @@
     counters.check(attemptsInFlight > 0, "an attempt that ends was in flight");
     attemptsInFlight--;
     lastAttempt = report;
+    mayHaveRun |= !report.result().neverRan;
+  }
+
+  /** True once an attempt has ended that may have been executed. */
+  public boolean mayHaveRun() {
+    return mayHaveRun;
+  }
+
+  /** Notes that the request holds the claim of its id. */
+  public void setClaimsId() {
+    claimsId = true;
+  }
+
+  /** True if the request holds the claim of its id, so that no other may run under it. */
+  public boolean claimsId() {
+    return claimsId;
   }
 
   /** The report of the attempt that ended last; null if none has. */
--- a/src/main/java/beampoint/serve/Decisions.java
+++ b/src/main/java/beampoint/serve/Decisions.java
@@ -21,17 +21,15 @@
 import beampoint.exchange.AttemptReport;
 import beampoint.exchange.Exchange;
 import beampoint.exchange.RequestHandler;
+import beampoint.handover.UsedRequestIds;
 import beampoint.log.Log;
 import beampoint.memcache.Command;
 import beampoint.upstream.AttemptListener;
 import beampoint.upstream.Upstreams;
-import java.nio.charset.StandardCharsets;
 import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -68,14 +66,15 @@
   private Upstreams upstreams;
   private HostListWatcher watcher;
   private final Map<Long, Exchange> exchanges = new HashMap<>(); // open, or with an attempt in flight
-  private final Set<String> idsInUse = new HashSet<>(); // the client ids of these exchanges
+  private final RequestIds ids;
   private long lastId;
   private double attemptDeadline = Double.POSITIVE_INFINITY; // in ms on the proxy's clock
   private final InitialListGate initialListGate;
   private final RequestLog requestLog;
 
   Decisions(Balancer balancer, Settings settings, NameIndex names, Counters counters, Clock clock,
-      EventLoop loop, BooleanSupplier ready, Predicate<String> isBanned) {
+      EventLoop loop, BooleanSupplier ready, Predicate<String> isBanned, UsedRequestIds usedIds) {
+    this.ids = new RequestIds(usedIds, counters);
     this.balancer = balancer;
     this.settings = settings;
     this.names = names;
@@ -133,11 +132,7 @@
   public String rejectionReason(Command command) {
     return names.requestClass(command) < 0 ? "unknown class"
         : !names.knowsTenant(command) ? "unknown tenant"
-        : idsInUse.contains(id(command)) ? "id in use" : null;
-  }
-
-  private static String id(Command command) {
-    return command.id().toStringContent(StandardCharsets.ISO_8859_1);
+        : ids.isOpen(command) ? "id in use" : null;
   }
 
   @Override
@@ -173,7 +168,7 @@
         clientGone, onAnswer, counters);
     counters.add(Counter.REQUESTS_TAKEN);
     exchanges.put(exchange.id(), exchange);
-    idsInUse.add(id(command));
+    ids.opened(command);
     return exchange;
   }
 
@@ -185,14 +180,15 @@
 
   /**
    * Passes a request to the module. Only here its class is looked up: settings that were applied since the
-   * request was accepted may number the classes in another way. If they have dropped its class, it is failed.
+   * request was accepted may number the classes in another way. If they have dropped its class, it is failed,
+   * and so is one that may run only once and whose id was used before.
    *
    * @param overflow true if the request can't be queued, so that the module may only refuse or fail it
    */
   private void submit(Exchange exchange, boolean overflow) {
     Command command = exchange.command();
     int requestClass = names.requestClass(command);
-    if (requestClass < 0) {
+    if (requestClass < 0 || !overflow && !ids.claim(exchange, settings.classes().get(requestClass))) {
       close(exchange, Answer.FAILED);
       return;
     }
@@ -374,7 +370,7 @@
     if (exchange.isOver() && exchange.attemptsInFlight() == 0) {
       exchange.command().release();
       exchanges.remove(exchange.id());
-      idsInUse.remove(id(exchange.command()));
+      ids.closed(exchange);
     }
   }
 
--- a/src/main/java/beampoint/serve/Operations.java
+++ b/src/main/java/beampoint/serve/Operations.java
@@ -46,15 +46,20 @@
 
   Operations(Path directory, String name, int port, Dependencies proxy) {
     this.proxy = proxy;
-    String base = "beampoint-" + name.replaceAll("[^A-Za-z0-9.-]", "_") + "-" + port;
-    this.banFile = new BanFile(directory.resolve(base + ".bans.json"), name);
+    this.banFile = new BanFile(sharedFile(directory, name, port, ".bans.json"), name);
     try {
-      processRegistry = new ProcessRegistry(directory.resolve(base + ".processes"));
+      processRegistry = new ProcessRegistry(sharedFile(directory, name, port, ".processes"));
     } catch (IOException e) {
       LOG.error("can't detect other processes of this proxy in " + directory + ": " + e.getMessage());
     }
   }
 
+  /** The path of a file that the processes of a proxy share. */
+  static Path sharedFile(Path directory, String name, int port, String suffix) {
+    return directory
+        .resolve("beampoint-" + name.replaceAll("[^A-Za-z0-9.-]", "_") + "-" + port + suffix);
+  }
+
   /**
    * Applies the stored bans. Must be called before the first host list is applied; otherwise a banned node
    * would be used briefly.
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -13,6 +13,7 @@
 import beampoint.fleet.message.MemberState;
 import beampoint.fleet.node.FleetNode;
 import beampoint.fleet.transport.ViewExchanger;
+import beampoint.handover.UsedRequestIds;
 import beampoint.log.Log;
 import beampoint.ops.AdminServer;
 import beampoint.upstream.Upstreams;
@@ -40,7 +41,7 @@
 
   private static final Log LOG = Log.of("serve");
   private static final int RESERVED_DESCRIPTORS = 32; // for the JVM, discovery and standard streams
-  private static final int OPS_DESCRIPTORS = AdminServer.MAX_CONNECTIONS + 4; // including shared files
+  private static final int OPS_DESCRIPTORS = AdminServer.MAX_CONNECTIONS + 5; // including shared files
   private static final int FLEET_DESCRIPTORS = ViewExchanger.MAX_EXCHANGES + 4; // including both listeners
   private static final long POLL_MS = 100; // for the files shared with another process of this proxy
   private static final double DISCOVERY_WAIT_MS = 1500; // how long a new process waits before it listens
@@ -65,6 +66,7 @@
   private final HostListWatcher watcher;
   private final FleetNode fleet; // null if the proxy is a member of no fleet
   private final Decisions decisions;
+  private final UsedRequestIds usedIds;
   private final Reload reload;
   private final GracefulShutdown shutdown;
   private final Operations operations; // null if there is no address for operators, as is adminServer
@@ -112,8 +114,10 @@
         .build();
     transport.setChannelConfigurator(new SharedListener());
     this.budget = new Budget(0, held -> counters.raise(Counter.MEMORY_HELD_PEAK_BYTES, held));
+    this.usedIds = config.ops() == null ? new UsedRequestIds()
+        : new UsedRequestIds(Operations.sharedFile(directory, name, config.listen().getPort(), ".ids"));
     this.decisions = new Decisions(balancerFactory.apply(settings), settings, names, counters, clock, loop,
-        this::isReady, this::isBanned);
+        this::isReady, this::isBanned, usedIds);
     this.upstreams = new Upstreams(transport, loop, clock, decisions, counters, budget,
         settings.limits().connectTimeout(), config.socketSettings().peerIdleTimeoutMs());
     this.sessions = new Sessions(transport, loop, clock, loop.arrivals(clock), decisions, counters, budget);
@@ -333,6 +337,7 @@
     transport.shutdownNow();
     loop.shutdownNow();
     sessions.stop();
+    usedIds.close();
   }
 
   /** How many processes of this proxy there are, for a test. */
