A heap of 52 MB, so that a process stays below the least limit on memory

Cause: the accounts are bounded (10 MB held), but values that are given up again and again fill the whole heap with garbage before it is collected, and the heap was 64 MB whatever the limit is.

The budget of values and answers is the lesser of an eighth of the memory and three eighths of the heap; the latter is 19.5 MB, so it changes only where the limit is over 156 MB (24 MB at most before).

A heap by the configured limit would need a second program in run, which has to be one process by exec.

--- a/src/benchmark/java/beampoint/benchmark/DecisionBenchmark.java
+++ b/src/benchmark/java/beampoint/benchmark/DecisionBenchmark.java
@@ -29,7 +29,7 @@
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
 @Warmup(iterations = 2, time = 500, timeUnit = TimeUnit.MILLISECONDS)
 @Measurement(iterations = 8, time = 300, timeUnit = TimeUnit.MILLISECONDS)
-@Fork(value = 1, jvmArgs = {"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms64m", "-Xmx64m", "-Xss256k"})
+@Fork(value = 1, jvmArgs = {"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms52m", "-Xmx52m", "-Xss256k"})
 public class DecisionBenchmark {
 
   private static final int KEYS = 1 << 16;
--- a/src/benchmark/java/beampoint/benchmark/ServeProcess.java
+++ b/src/benchmark/java/beampoint/benchmark/ServeProcess.java
@@ -24,7 +24,7 @@
 
   /** The operators' start command. */
   static final List<String> COMMAND = List.of("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-      "-XX:-UsePerfData", "-Xshare:auto", "-XX:SharedArchiveFile=target/beampoint.jsa", "-Xms64m", "-Xmx64m",
+      "-XX:-UsePerfData", "-Xshare:auto", "-XX:SharedArchiveFile=target/beampoint.jsa", "-Xms52m", "-Xmx52m",
       "-Xss256k", "-XX:MaxDirectMemorySize=16m", "-XX:MaxMetaspaceSize=48m", "-XX:ReservedCodeCacheSize=24m",
       "-XX:CICompilerCount=1", "-Djava.net.preferIPv4Stack=true", "-jar", "target/beampoint.jar", "serve");
 
--- a/src/benchmark/java/beampoint/discovery/ListBenchmark.java
+++ b/src/benchmark/java/beampoint/discovery/ListBenchmark.java
@@ -23,7 +23,7 @@
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
 @Warmup(iterations = 2, time = 500, timeUnit = TimeUnit.MILLISECONDS)
 @Measurement(iterations = 8, time = 300, timeUnit = TimeUnit.MILLISECONDS)
-@Fork(value = 1, jvmArgs = {"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms64m", "-Xmx64m"})
+@Fork(value = 1, jvmArgs = {"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms52m", "-Xmx52m"})
 public class ListBenchmark {
 
   private static final int ZONES = 31;
