A host whose address a new one has taken counts as gone before discovery notices

Discovery may announce a new host at the address of one that has died before it notices that death. Until then requests for the old host's keys went to the new one, on new connections in the old one's name: a cold cache got a warm cache's full share past its budget of slow start, and the old host's state.

Cause: hosts were told apart by name alone.

Change: AddressOwners keeps which start (address and born_ms) has which address. A start that was not known before takes its address; who had it is gone for the decision module and the connection pools until it starts anew. Of one list the youngest has it. Hosts without a born_ms share an address as before, as nothing tells which is there.

--- a/src/main/java/beampoint/serve/HostListReceiver.java
+++ b/src/main/java/beampoint/serve/HostListReceiver.java
@@ -4,6 +4,7 @@
 import beampoint.Balancer.EndpointState;
 import beampoint.Balancer.ListKind;
 import beampoint.Balancer.ListReceived;
+import beampoint.discovery.AddressOwners;
 import beampoint.discovery.HostList;
 import beampoint.discovery.HostList.Host;
 import beampoint.discovery.HostListWatcher.WatchResult;
@@ -23,6 +24,7 @@
   private final Decisions decisions;
   private final Upstreams upstreams;
   private final Runnable onList; // runs at each list from discovery
+  private final AddressOwners addressOwners = new AddressOwners();
   private final Set<String> cacheNodes = new HashSet<>(); // in the current list
   private boolean hasHosts;
   private boolean unconfirmed; // discovery may have sent changes before this process started
@@ -44,9 +46,9 @@
     return cacheNodes.contains(id);
   }
 
-  /** The event that passes a list to the decision module. */
-  ListReceived event(HostList list, ListKind kind) {
-    return new ListReceived(kind, list.hosts().stream().map(names::endpoint).toList());
+  /** The event that passes the entries of a list to the decision module. */
+  ListReceived event(List<Host> hosts, ListKind kind) {
+    return new ListReceived(kind, hosts.stream().map(names::endpoint).toList());
   }
 
   /**
@@ -75,13 +77,14 @@
   }
 
   private void apply(HostList list, ListKind kind) {
+    List<Host> hosts = addressOwners.resolve(list);
     if (kind == ListKind.FULL) {
       cacheNodes.clear();
-      upstreams.retain(list.hosts().stream().map(Host::host).collect(Collectors.toSet()));
+      upstreams.retain(hosts.stream().map(Host::host).collect(Collectors.toSet()));
     }
-    list.hosts().forEach(this::apply);
-    decisions.dispatch(event(list, kind));
-    hasHosts |= !list.hosts().isEmpty();
+    hosts.forEach(this::apply);
+    decisions.dispatch(event(hosts, kind));
+    hasHosts |= !hosts.isEmpty();
   }
 
   private void apply(Host host) {
--- a/src/main/java/beampoint/serve/Proxy.java
+++ b/src/main/java/beampoint/serve/Proxy.java
@@ -178,7 +178,7 @@
     InetSocketAddress warmUpAddress = adminServer == null ? callOnLoop(this::listen) : ops;
     loop.execute(() -> new WarmUp(transport, loop, clock, this::warmedUp)
         .start(balancerFactory.apply(config.settings()), config.settings(),
-            hosts.event(config.known(), ListKind.FULL), warmUpAddress, adminServer != null));
+            hosts.event(config.known().hosts(), ListKind.FULL), warmUpAddress, adminServer != null));
     try {
       listening.get();
     } catch (ExecutionException e) {
--- a/src/test/java/beampoint/serve/ProxyRequestTest.java
+++ b/src/test/java/beampoint/serve/ProxyRequestTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beampoint.Balancer;
 import beampoint.Balancer.AttemptEnded;
 import beampoint.Balancer.ListReceived;
 import beampoint.Balancer.RequestReceived;
@@ -180,6 +181,33 @@
     }
   }
 
+  /** Guards against requests for a cache that has died, which reach the new and cold one at its address. */
+  @Test
+  void aHostWhoseAddressANewOneHasTakenIsGoneBeforeDiscoveryNotices() throws Exception {
+    try (Stub cache = new Stub(Stub.Peer::beSilent); Stub discovery = new Stub(peer -> {
+      peer.head();
+      String next =
+          ProxyFixture.host("next", cache.address(), "m2").replace("\"born_ms\":0", "\"born_ms\":500");
+      String list = "{\"seq\":2,\"whole\":false,\"hosts\":[" + next + "]}\n";
+      peer.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(list.length())
+          + "\r\n" + list + "\r\n");
+      peer.beSilent();
+    })) {
+      ProxyFixture.ScriptedModule module = new ProxyFixture.ScriptedModule();
+      Proxy proxy = new Proxy(ProxyFixture.config(List.of(ProxyFixture.host("cache", cache.address(), "m2")),
+          1024, discovery.address()), settings -> module);
+      try {
+        proxy.start();
+        assertEquals("cache", module.next(ListReceived.class).endpoints().get(0).id());
+        List<Balancer.Endpoint> changed = module.next(ListReceived.class).endpoints();
+        assertEquals(List.of("next RUNNING", "cache GONE"),
+            changed.stream().map(e -> e.id() + " " + e.state()).toList());
+      } finally {
+        proxy.stop();
+      }
+    }
+  }
+
   /** Guards against connections or memory that are kept for a host that is gone or has been replaced. */
   @Test
   void aNewHostAtAnOldAddressInheritsNoConnection() throws Exception {
