The soak plays replies whose head and body come apart, and checks that none is cut off

Two seeds in three draw slow replies now, from a random stream of their own, so that all other draws stay as they were: a tenth of the reads get 100,000 bytes, the first part at once (from a cache node a part of the line, from the origin the head, with a length or chunked), the rest up to 0.1 s before the client's deadline. In these runs a read is worthless after 0.4 of its deadline. Check NOT_CUT_OFF: a client that stays gets such a value. A request is not judged if its reply begins after a SIGTERM. No check, bound or other draw is changed.

PausedProcessTest starts its process with ProcessFixture, which repeated it.

--- a/src/test/java/beampoint/serve/PausedProcessTest.java
+++ b/src/test/java/beampoint/serve/PausedProcessTest.java
@@ -5,9 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beampoint.Stub;
-import beampoint.TestProcess;
-import beampoint.cli.Main;
-import beampoint.emulator.ReservedPort;
 import beampoint.serve.ProxyFixture.Client;
 import java.io.File;
 import java.io.IOException;
@@ -41,37 +38,19 @@
   @TempDir
   private Path directory;
   private Stub cache;
-  private Stub discovery;
-  private ReservedPort port;
-  private Process process;
+  private ProcessFixture proxy;
 
   @BeforeEach
   void start() throws Exception {
     cache = new Stub(PausedProcessTest::serve);
-    discovery = ProxyFixture.unchangedDiscovery();
-    port = new ReservedPort();
-    Path config = directory.resolve("config.json");
-    Files.writeString(config,
-        "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port.number() + "\",\"seed\":\"1\","
-            + "\"discovery\":\"" + discovery.address() + "\",\"known\":{\"seq\":1,\"whole\":true,\"hosts\":["
-            + ProxyFixture.host("a", cache.address(), "m2") + "]},\"settings\":" + SETTINGS
-            + "}");
-    ProcessBuilder builder =
-        TestProcess.java(Main.class, List.of(), "serve", "--config", config.toString());
-    builder.environment().put("TMPDIR", directory.toString());
-    process = builder.redirectOutput(directory.resolve("log").toFile()).start();
-    while (!isReady()) {
-      assertTrue(process.isAlive(), "the process ended before it was ready");
-      TimeUnit.MILLISECONDS.sleep(10);
-    }
+    proxy =
+        new ProcessFixture(directory, SETTINGS, List.of(ProxyFixture.host("a", cache.address(), "m2")));
   }
 
   @AfterEach
   void end() throws Exception {
-    process.destroyForcibly().waitFor();
-    port.close();
+    proxy.close();
     cache.close();
-    discovery.close();
   }
 
   /** Answers each command at once. */
@@ -81,28 +60,16 @@
     }
   }
 
-  private boolean isReady() {
-    try (Client client = new Client(port.number())) {
-      return "MN".equals(client.request("mn\r\n"));
-    } catch (IOException e) {
-      return false; // the process does not listen yet
-    }
-  }
-
-  private void signal(String name) throws Exception {
-    assertTrue(TestProcess.signal(process, name));
-  }
-
   /** Pauses the process, and returns once each of its threads has stopped. */
   private void pause() throws Exception {
-    signal("STOP");
+    proxy.signal("STOP");
     while (!isPaused()) {
       TimeUnit.MILLISECONDS.sleep(1);
     }
   }
 
   private boolean isPaused() throws IOException {
-    File[] threads = new File("/proc/" + process.pid() + "/task").listFiles();
+    File[] threads = new File("/proc/" + proxy.process.pid() + "/task").listFiles();
     for (File thread : threads) {
       String status = Files.readString(thread.toPath().resolve("status"));
       if (!status.contains("State:\tT")) {
@@ -124,7 +91,7 @@
 
   /** A client that has been served, so that a connection to the cache exists. */
   private Client servedClient() throws IOException {
-    Client client = new Client(port.number());
+    Client client = new Client(proxy.port);
     assertEquals("VA 2 Oserved", client.request(FIRST_REQUEST));
     assertEquals("ok", client.line());
     return client;
@@ -136,7 +103,7 @@
     pause();
     clients.run();
     TimeUnit.MILLISECONDS.sleep(pauseMs);
-    signal("CONT");
+    proxy.signal("CONT");
   }
 
   /** What clients do while the process is paused. */
@@ -162,7 +129,7 @@
     for (int i = 0; i < REPETITIONS; i++) {
       servedClient().close();
       pauseWhile(7 * i, ALLOWED_PAUSE_MS, () -> {
-        try (Client client = new Client(port.number())) {
+        try (Client client = new Client(proxy.port)) {
           client.send(REQUEST);
         }
       });
@@ -182,7 +149,7 @@
         client.send(REQUEST);
         TimeUnit.MILLISECONDS.sleep(LONG_PAUSE_MS);
         long passed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt);
-        signal("CONT");
+        proxy.signal("CONT");
         String answer = client.line();
         Matcher timeLeft = TIME_LEFT.matcher(String.valueOf(nextRequest(100)));
         if (timeLeft.find()) {
--- a/src/test/java/beampoint/soak/CachePeer.java
+++ b/src/test/java/beampoint/soak/CachePeer.java
@@ -22,8 +22,9 @@
 
   private final Behavior behavior;
 
-  CachePeer(String name, Behavior behavior, RunContext context, SplittableRandom random) throws IOException {
-    super(name, context, random);
+  CachePeer(String name, Behavior behavior, RunContext context, SplittableRandom random,
+      boolean slowReplies) throws IOException {
+    super(name, context, random, slowReplies);
     this.behavior = behavior;
   }
 
@@ -72,11 +73,25 @@
       peer.say("EN O" + request.id + " h0\r\n");
     } else {
       RunClock.sleep(behavior.latencyMs() * 2 * draw());
-      sendValue(peer, request);
+      double replyDelayMs = drawReplyDelay(request);
+      if (Double.isNaN(replyDelayMs)) {
+        sendValue(peer, request);
+      } else {
+        sendSlowly(peer, request, replyDelayMs);
+      }
     }
     return true;
   }
 
+  /** Sends a long value in two parts; the first ends within the line before it. */
+  private static void sendSlowly(Stub.Peer peer, Request request, double delayMs) throws IOException {
+    String value = request.longValue();
+    String line = "VA " + value.length() + " O" + request.id;
+    peer.say(line);
+    RunClock.sleep(delayMs);
+    peer.say(" h1\r\n" + value + "\r\n");
+  }
+
   private void sendValue(Stub.Peer peer, Request request) throws IOException {
     String value = context.injects(Check.ONE_ANSWER) ? "another" : request.id;
     peer.say("VA " + value.length() + " O" + request.id + " h1\r\n" + value + "\r\n");
--- a/src/test/java/beampoint/soak/Checks.java
+++ b/src/test/java/beampoint/soak/Checks.java
@@ -42,6 +42,15 @@
     if (request.answers() == 0 && !request.hasClientClosed() && request.isForwarded()) {
       violations.add(lost(request, kills));
     }
+    boolean isCutOff = !Double.isNaN(request.slowReplyDueAt()) && request.answers() > 0
+        && !request.isServed() && !request.hasClientClosed();
+    if (isCutOff) {
+      violations.add(new Violation(Check.NOT_CUT_OFF, request.sentAt(), request.answeredAt(),
+          request.sentAt() + request.deadlineMs - request.slowReplyDueAt(), request.id,
+          "not served, though a reply had begun that was to end "
+              + ms(request.sentAt() + request.deadlineMs - request.slowReplyDueAt())
+              + " before its deadline"));
+    }
     double latestAnswerAt =
         Math.max(request.sentAt() + request.deadlineMs + Bounds.ANSWER_GRACE_MS, request.readingSince());
     if (request.answers() > 0 && request.answeredAt() > latestAnswerAt) {
--- a/src/test/java/beampoint/soak/Instances.java
+++ b/src/test/java/beampoint/soak/Instances.java
@@ -18,6 +18,7 @@
   private static final List<String> ZERO_COUNTERS =
       List.of("answers_overdue", "invariants_broken", "logic_exceptions");
 
+  private final SoakPlan plan;
   private final double deadlineMs;
   private final DiscoveryPeer discovery;
   private final Path directory;
@@ -29,6 +30,7 @@
   private final List<ServeProcess> processes = new ArrayList<>();
 
   Instances(SoakPlan plan, DiscoveryPeer discovery, Path directory, RunContext context) throws IOException {
+    this.plan = plan;
     this.deadlineMs = plan.deadlineMs();
     this.discovery = discovery;
     this.directory = directory;
@@ -68,12 +70,13 @@
     Path next = directory.resolve(instance.name + ".next");
     Files.writeString(next,
         SoakConfig.json(instance.name, instance.clientPort(), opsPort, discovery.address(),
-            discovery.initialList(), deadlineMs, attempts));
+            discovery.initialList(), plan, attempts));
     return Files.move(next, config, StandardCopyOption.REPLACE_EXISTING);
   }
 
   /** Starts a process for each instance; false if one of them does not become ready. */
   boolean startAll() throws IOException {
+    context.terminating().set(false);
     for (Instance instance : instances) {
       instance.setProcess(start(instance, instance.opsPort()));
     }
@@ -100,6 +103,9 @@
   // ---- Signals --------------------------------------------------------------------------------------------
 
   void signal(ServeProcess process, String name) {
+    if (name.equals("TERM")) {
+      context.terminating().set(true);
+    }
     try {
       process.signal(name);
     } catch (IOException e) {
--- a/src/test/java/beampoint/soak/OriginPeer.java
+++ b/src/test/java/beampoint/soak/OriginPeer.java
@@ -11,6 +11,7 @@
 final class OriginPeer extends SoakPeer {
 
   static final String NAME = "origin";
+  private static final double CHUNKED_PART = 0.3; // of slow replies
   private static final String RESPONSE = "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s";
 
   private final Behavior behavior;
@@ -21,8 +22,9 @@
    */
   record Behavior(double hangs, double declines, double fails, double latencyMs) {}
 
-  OriginPeer(Behavior behavior, RunContext context, SplittableRandom random) throws IOException {
-    super(NAME, context, random);
+  OriginPeer(Behavior behavior, RunContext context, SplittableRandom random, boolean slowReplies)
+      throws IOException {
+    super(NAME, context, random, slowReplies);
     this.behavior = behavior;
   }
 
@@ -72,12 +74,28 @@
     RunClock.sleep(behavior.latencyMs() * 2 * draw());
     if (draw - behavior.fails() < 0) {
       respond(peer, "500 Internal Server Error", "", "");
-    } else {
+      return true;
+    }
+    double replyDelayMs = drawReplyDelay(request);
+    if (Double.isNaN(replyDelayMs)) {
       respond(peer, "200 OK", "", request.id);
+    } else {
+      respondSlowly(peer, request, replyDelayMs);
     }
     return true;
   }
 
+  /** Sends the head of a long value, with its length or chunked, and the value later. */
+  private void respondSlowly(Stub.Peer peer, Request request, double delayMs) throws IOException {
+    String value = request.longValue();
+    boolean chunked = draw() < CHUNKED_PART;
+    peer.say("HTTP/1.1 200 OK\r\n"
+        + (chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + value.length()) + "\r\n\r\n");
+    RunClock.sleep(delayMs);
+    peer.say(
+        chunked ? Integer.toHexString(value.length()) + "\r\n" + value + "\r\n0\r\n\r\n" : value);
+  }
+
   private static void respond(Stub.Peer peer, String status, String headers, String body) throws IOException {
     peer.say(String.format(Locale.ROOT, RESPONSE, status, headers, body.length(), body));
   }
--- a/src/test/java/beampoint/soak/Request.java
+++ b/src/test/java/beampoint/soak/Request.java
@@ -22,6 +22,8 @@
   /** An attempt that a peer has received completely: when, which peer, and the deadline it carried in ms. */
   record Attempt(double at, String peer, double deadlineMs) {}
 
+  private static final int LONG_VALUE_BYTES = 100_000; // over 64 KiB a value is streamed
+
   final String id;
   final Kind kind;
   final double deadlineMs; // from the sending of the request
@@ -30,6 +32,8 @@
   private double answeredAt = Double.NaN;
   private double clientClosedAt = Double.POSITIVE_INFINITY;
   private double connectionEndedAt = Double.NaN; // when its connection ended without an answer
+  private double slowReplyDueAt = Double.NaN; // when the last byte of a reply that has begun is to be sent
+  private boolean served;
   private int answers;
   private boolean wrongAnswer;
   private final List<Attempt> attempts = new ArrayList<>();
@@ -62,6 +66,35 @@
     readingSince = now;
   }
 
+  /** The value of a long reply: its id again and again. */
+  String longValue() {
+    return id.repeat(LONG_VALUE_BYTES / id.length());
+  }
+
+  /** True if a value was made for this request. */
+  boolean hasValue(String value) {
+    return value.equals(id) || value.equals(longValue());
+  }
+
+  /** A server has begun a reply, and sends the rest of it at this time. */
+  synchronized void recordSlowReply(double dueAt) {
+    slowReplyDueAt = dueAt;
+  }
+
+  /** When a server is to send the rest of a reply that it has begun; NaN if there was no such reply. */
+  synchronized double slowReplyDueAt() {
+    return slowReplyDueAt;
+  }
+
+  /** The answer was a value or a receipt. */
+  synchronized void recordServed() {
+    served = true;
+  }
+
+  synchronized boolean isServed() {
+    return served;
+  }
+
   /** A complete answer has come; a wrong one is for another request or has another value than a peer sent. */
   synchronized void recordAnswer(double now, boolean isWrong) {
     answers++;
--- a/src/test/java/beampoint/soak/SoakClient.java
+++ b/src/test/java/beampoint/soak/SoakClient.java
@@ -210,7 +210,7 @@
         return false;
       }
       String text = new String(value, 0, length, StandardCharsets.ISO_8859_1);
-      isWrong = !fields[2].equals("O" + request.id) || !text.equals(request.id);
+      isWrong = !fields[2].equals("O" + request.id) || !request.hasValue(text);
     } else if (fields[0].equals("HD")) {
       isWrong =
           fields.length < 3 || !fields[1].equals("O" + request.id) || !fields[2].equals("c" + request.id);
@@ -218,6 +218,9 @@
     if (context.injects(Check.NOT_LOST)) {
       return false;
     }
+    if (!line.startsWith("SERVER_ERROR") && !context.injects(Check.NOT_CUT_OFF)) {
+      request.recordServed();
+    }
     request.recordAnswer(clock.now(), isWrong);
     return true;
   }
--- a/src/test/java/beampoint/soak/SoakConfig.java
+++ b/src/test/java/beampoint/soak/SoakConfig.java
@@ -11,6 +11,8 @@
 
   static final int MAX_DESCRIPTORS = 256;
   static final int MAX_MEMORY_MB = 192;
+  /** The target time of reads as a part of their deadline, if replies are slow: no later one is of use. */
+  private static final double SLOW_READ_TARGET = 0.4;
   private static final Path DEPLOY = Path.of("deploy/balancer.toml");
 
   private static final String TEMPLATE = """
@@ -21,8 +23,8 @@
         "policy-limits":{"max-attempts":ATTEMPTS,"probes":true,"retry-after":true,"max-retry-after-ms":700,
          "connect-timeout-ms":200,"conn-idle-ms":5000},
         "rules":{"drain-grace-ms":GRACE},
-        "lanes":[{"name":"read","idempotency":"safe","target-ms":DEADLINE,"hard-limit-ms":DEADLINE,
-           "points":1,"late-worth":0.5},
+        "lanes":[{"name":"read","idempotency":"safe","target-ms":READ_TARGET,"hard-limit-ms":DEADLINE,
+           "points":1,"late-worth":READ_LATE},
           {"name":"put","idempotency":"keyed","group":"all","dedup-window-ms":WINDOW,"target-ms":DEADLINE,
            "hard-limit-ms":DEADLINE,"points":1},
           {"name":"post","idempotency":"unsafe","target-ms":DEADLINE,"hard-limit-ms":DEADLINE,"points":1}],
@@ -45,8 +47,9 @@
   }
 
   /** A configuration in JSON; without an operations address if {@code opsPort} is 0. */
-  static String json(String name, int port, int opsPort, String discovery, String known, double deadlineMs,
+  static String json(String name, int port, int opsPort, String discovery, String known, SoakPlan plan,
       int attempts) {
+    double readTargetMs = plan.slowReplies() ? plan.deadlineMs() * SLOW_READ_TARGET : plan.deadlineMs();
     return TEMPLATE.replace("NAME", name).replace("PORT", "" + port)
         .replace("OPS", opsPort == 0 ? "" : "\"ops\":\"127.0.0.1:" + opsPort + "\",")
         .replace("DISCOVERY", discovery).replace("SOCKETS", "" + MAX_DESCRIPTORS)
@@ -54,6 +57,8 @@
         .replace("KNOWN", known).replace("ATTEMPTS", "" + attempts)
         .replace("GRACE", "" + Math.round(Bounds.DRAIN_GRACE_MS))
         .replace("WINDOW", "" + Math.round(Bounds.DEDUP_WINDOW_MS))
-        .replace("DEADLINE", "" + Math.round(deadlineMs));
+        .replace("READ_TARGET", "" + Math.round(readTargetMs))
+        .replace("READ_LATE", plan.slowReplies() ? "0" : "0.5")
+        .replace("DEADLINE", "" + Math.round(plan.deadlineMs()));
   }
 }
--- a/src/test/java/beampoint/soak/SoakPeer.java
+++ b/src/test/java/beampoint/soak/SoakPeer.java
@@ -13,15 +13,20 @@
 
   /** Started in advance: on a busy machine the start of a thread can take more than 100 ms. */
   private static final int IDLE_THREADS = 64;
+  private static final double SLOW_REPLY_PART = 0.1; // of all reads
+  private static final double MIN_TIME_LEFT_MS = 100; // for a slow reply, at its last byte
   private static final double MIN_STALL_MS = 5; // shorter intervals between two accepts are normal
 
   final String name;
   final RunContext context;
   private final SplittableRandom random;
+  private final boolean slowReplies;
   private final ExecutorService threads = startThreads();
   private final Stub stub;
 
-  SoakPeer(String name, RunContext context, SplittableRandom random) throws IOException {
+  SoakPeer(String name, RunContext context, SplittableRandom random, boolean slowReplies)
+      throws IOException {
+    this.slowReplies = slowReplies;
     this.name = name;
     this.context = context;
     this.random = random;
@@ -54,6 +59,21 @@
     }
   }
 
+  /**
+   * Draws whether a read gets a long reply whose rest comes late, and how late: within its deadline. Returns
+   * the delay of the rest in ms, or NaN for a reply that is sent at once.
+   */
+  double drawReplyDelay(Request request) {
+    double left = request.sentAt() + request.deadlineMs - MIN_TIME_LEFT_MS - context.clock().now();
+    if (!slowReplies || request.kind.write || context.terminating().get() || left <= 0
+        || draw() >= SLOW_REPLY_PART) {
+      return Double.NaN;
+    }
+    double delay = left * draw();
+    request.recordSlowReply(context.clock().now() + delay);
+    return delay;
+  }
+
   /** A random number from 0 (inclusive) to 1 (exclusive). */
   synchronized double draw() {
     return random.nextDouble();
--- a/src/test/java/beampoint/soak/SoakPeerTest.java
+++ b/src/test/java/beampoint/soak/SoakPeerTest.java
@@ -29,7 +29,7 @@
     private final CountDownLatch served = new CountDownLatch(CONNECTIONS);
 
     NamingPeer(RunContext context) throws IOException {
-      super("peer", context, new SplittableRandom(1));
+      super("peer", context, new SplittableRandom(1), false);
     }
 
     @Override
--- a/src/test/java/beampoint/soak/SoakPlan.java
+++ b/src/test/java/beampoint/soak/SoakPlan.java
@@ -8,7 +8,8 @@
 /** The plan of one run; its seed alone determines it. */
 record SoakPlan(long seed, int processes, double deadlineMs, List<Behavior> caches,
     OriginPeer.Behavior origin, DiscoveryBehavior discovery, boolean drains, boolean outageAtRestart,
-    List<ClientBehavior> clients, boolean opensIdleConnections, Series series, double signalAt) {
+    List<ClientBehavior> clients, boolean opensIdleConnections, boolean slowReplies, Series series,
+    double signalAt) {
 
   /** Whether discovery answers during a run. */
   enum DiscoveryBehavior {
@@ -41,6 +42,7 @@
   private static final int MAX_CACHES = 5;
   private static final int MAX_CLIENTS = 36;
   private static final long SECOND_STREAM_MASK = 0x9e3779b97f4a7c15L; // for a second random stream
+  private static final long THIRD_STREAM_MASK = 0xd1b54a32d192ed03L;
 
   static SoakPlan of(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
@@ -75,8 +77,9 @@
     for (int i = pausesProcesses ? 0 : second.nextInt(3); i > 0; i--) {
       clients.add(FLOOD_BEHAVIORS[second.nextInt(FLOOD_BEHAVIORS.length)]);
     }
+    boolean slowReplies = new SplittableRandom(seed ^ THIRD_STREAM_MASK).nextInt(3) > 0;
     return new SoakPlan(seed, processes, deadline, caches, origin, discovery, drains, outage, clients,
-        opensIdleConnections, series, signalAt);
+        opensIdleConnections, slowReplies, series, signalAt);
   }
 
   /** True if a second process takes over from the first at the same address. */
@@ -89,7 +92,7 @@
     return "seed " + seed + " " + series + ", " + processes + " x " + caches.size() + " caches, "
         + Math.round(deadlineMs) + " ms, " + clients.size() + " clients"
         + (opensIdleConnections ? " in a crowd" : "") + (drains ? ", a drain" : "")
-        + ", discovery " + discovery
+        + (slowReplies ? ", slow replies" : "") + ", discovery " + discovery
         + (outageAtRestart ? " until it falls silent over the restart" : "");
   }
 }
--- a/src/test/java/beampoint/soak/SoakRun.java
+++ b/src/test/java/beampoint/soak/SoakRun.java
@@ -38,11 +38,12 @@
     this.context = RunContext.injecting(injected);
     this.clock = context.clock();
     this.random = new SplittableRandom(~plan.seed());
-    this.origin = new OriginPeer(plan.origin(), context, random.split());
+    this.origin = new OriginPeer(plan.origin(), context, random.split(), plan.slowReplies());
     this.discovery = new DiscoveryPeer(context);
     discovery.add(OriginPeer.NAME, origin.address(), "origin");
     for (CachePeer.Behavior behavior : plan.caches()) {
-      CachePeer cache = new CachePeer("c" + caches.size(), behavior, context, random.split());
+      CachePeer cache = new CachePeer("c" + caches.size(), behavior, context, random.split(),
+          plan.slowReplies());
       caches.add(cache);
       discovery.add(cache.name, cache.address(), "m2");
     }
--- a/src/test/java/beampoint/soak/SoakTest.java
+++ b/src/test/java/beampoint/soak/SoakTest.java
@@ -49,6 +49,15 @@
       request.recordAnswer(1001, false);
       request.recordAnswer(1002, false);
     }));
+    assertEquals(List.of(Check.NOT_CUT_OFF), violatedRules(Kind.READ, request -> {
+      request.recordSlowReply(1200);
+      request.recordAnswer(1100, false);
+    }));
+    assertEquals(List.of(), violatedRules(Kind.READ, request -> {
+      request.recordSlowReply(1200);
+      request.recordServed();
+      request.recordAnswer(1200, false);
+    }));
     assertEquals(List.of(Check.NOT_LOST), violatedRules(Kind.READ, request -> {
       request.recordAttempt(new Attempt(1010, "cache", 290));
       request.recordConnectionEnd(1020);
--- a/src/test/java/beampoint/soak/Violation.java
+++ b/src/test/java/beampoint/soak/Violation.java
@@ -20,7 +20,8 @@
 
   /** What a run checks; the limits are in {@link Bounds}. */
   enum Check {
-    ANSWER_IN_TIME, ONE_ANSWER, NOT_LOST, EFFECT_ONCE, DRAIN, NOT_AFTER_LEAVING, TIME_TOLD, BAD_CLIENT, EXIT,
+    ANSWER_IN_TIME, ONE_ANSWER, NOT_LOST, NOT_CUT_OFF, EFFECT_ONCE, DRAIN, NOT_AFTER_LEAVING, TIME_TOLD,
+    BAD_CLIENT, EXIT,
     READY, DESCRIPTORS, MEMORY, COUNTERS
   }
 
