--- a/src/main/java/beampoint/transport/ReadAheadFilter.java
+++ b/src/main/java/beampoint/transport/ReadAheadFilter.java
@@ -43,6 +43,11 @@
     private long pass = -1; // the selector pass in which the last chunk was passed on
     private int messages; // parsed in that pass
     private boolean hasUnread; // the socket may hold input, and the peer's close behind it
+
+    /** True if chunks are to be passed on, or a read has to show whether there is unread input. */
+    private boolean mustContinue() {
+      return !chunks.isEmpty() || hasUnread;
+    }
     private boolean isScheduled; // true if the next chunk will be passed on by a task
   }
 
@@ -157,11 +162,11 @@
   }
 
   private void schedule(NIOConnection connection, ReadAhead readAhead) {
-    if (!readAhead.isScheduled && !readAhead.chunks.isEmpty()) {
+    if (!readAhead.isScheduled && readAhead.mustContinue()) {
       readAhead.isScheduled = true;
       arrivals.afterNextRead(() -> {
         readAhead.isScheduled = false;
-        if (connection.isOpen() && !readAhead.chunks.isEmpty() && isReadingEnabled(connection)) {
+        if (connection.isOpen() && readAhead.mustContinue() && isReadingEnabled(connection)) {
           ((TCPNIOTransport) connection.getTransport()).fireIOEvent(IOEvent.READ, connection, null);
         }
       });
--- a/src/test/java/beampoint/serve/ReadAheadTest.java
+++ b/src/test/java/beampoint/serve/ReadAheadTest.java
@@ -28,6 +28,7 @@
   private static final int READ_BYTES = 32 * 1024; // the most that one read takes
   private static final int UPLOADING_CLIENTS = 40;
   private static final int UPLOADED_BYTES = 400_000; // of each; together more than is read ahead
+  private static final int LINE_BYTES = 2048; // so that a read buffer of them is handled in one pass
   private static final int LEAVING_CLIENTS = 3;
   private static final int COMMANDS = 2000; // of each client
   private static final int MAX_QUEUED_COMMANDS = 1000; // on all connections together
@@ -109,6 +110,51 @@
     }
   }
 
+  /** Guards against requests that wait for unread input when exactly what was sent has been read. */
+  @Test
+  void requestsWaitForUnreadInputOnlyAsLongAsThereMayBeSome() throws Exception {
+    CountDownLatch seen = new CountDownLatch(1);
+    CountDownLatch sent = new CountDownLatch(1);
+    List<Client> uploading = new ArrayList<>();
+    try (ProxyFixture proxy = new ProxyFixture(Stub.nobody(), Stub.nobody());
+        Client other = new Client(proxy); Client client = new Client(proxy)) {
+      proxy.module.script = event -> {
+        if (event instanceof RequestReceived e) {
+          seen.countDown();
+          ProxyFixture.await(sent);
+          return List.of(new Refuse(e.id(), 0));
+        }
+        return List.of();
+      };
+      for (int i = 0; i < UPLOADING_CLIENTS; i++) {
+        uploading.add(new Client(proxy));
+      }
+      proxy.awaitClients(2 + UPLOADING_CLIENTS);
+      other.send(FIRST);
+      seen.await();
+      for (Client upload : uploading) {
+        upload.send("ms 7f " + VALUE_BYTES + " Ow Pc=put,t=acme,d=4000\r\n" + "x".repeat(UPLOADED_BYTES));
+      }
+      client.send(fullReadBuffer());
+      sent.countDown();
+      for (int i = 0; i < READ_BYTES / LINE_BYTES; i++) {
+        assertEquals("SERVER_ERROR busy", client.line());
+      }
+    } finally {
+      Client.closeAll(uploading);
+    }
+  }
+
+  /** Reads in lines of equal length that fill one read buffer. */
+  private static String fullReadBuffer() {
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; text.length() < READ_BYTES; i++) {
+      String line = "mg 7f3a v O" + (100_000 + i) + " Pc=read,t=acme,d=4000,pad=";
+      text.append(line).append("x".repeat(LINE_BYTES - line.length() - "\r\n".length())).append("\r\n");
+    }
+    return text.toString();
+  }
+
   /** Guards against deadlines that count only from the handling of the requests before. */
   @Test
   void theDeadlineOfARequestCountsFromItsArrivalHoweverMuchArrivedBefore() throws Exception {
