The soak draws no slow reply that begins when its attempt may just have ended

Traced: replies_timed_out and values_cut_off are 0 in all three processes of the run, so no proxy ended an attempt whose reply it had seen begin. The server sends its first byte up to 42 ms after the command, here to a request of a client that sends thousands at once, of whose attempt less than that was left: it had ended before, which is allowed. The check itself is unchanged.

--- a/src/test/java/beampoint/soak/CachePeer.java
+++ b/src/test/java/beampoint/soak/CachePeer.java
@@ -56,7 +56,8 @@
     }
     double deadlineMs = RequestRegistry.parameter(fields[4].substring(1), "d")
         + (context.injects(Check.TIME_TOLD) ? 1000 : 0);
-    request.recordAttempt(new Attempt(now, name, deadlineMs));
+    Attempt attempt = new Attempt(now, name, deadlineMs);
+    request.recordAttempt(attempt);
     double draw = draw();
     if ((draw -= behavior.hangs()) < 0) {
       peer.beSilent();
@@ -73,7 +74,7 @@
       peer.say("EN O" + request.id + " h0\r\n");
     } else {
       RunClock.sleep(behavior.latencyMs() * 2 * draw());
-      double replyDelayMs = drawReplyDelay(request);
+      double replyDelayMs = drawReplyDelay(request, attempt);
       if (Double.isNaN(replyDelayMs)) {
         sendValue(peer, request);
       } else {
--- a/src/test/java/beampoint/soak/OriginPeer.java
+++ b/src/test/java/beampoint/soak/OriginPeer.java
@@ -55,7 +55,8 @@
   /** Answers an attempt; false if the connection has ended. */
   private boolean answer(Stub.Peer peer, Request request, String extra) throws IOException {
     double now = context.clock().now();
-    request.recordAttempt(new Attempt(now, NAME, RequestRegistry.parameter(extra, "d")));
+    Attempt attempt = new Attempt(now, NAME, RequestRegistry.parameter(extra, "d"));
+    request.recordAttempt(attempt);
     double draw = draw();
     if ((draw -= behavior.declines()) < 0) {
       respond(peer, "503 Service Unavailable", "Srv-Declined: 1\r\n", "");
@@ -76,7 +77,7 @@
       respond(peer, "500 Internal Server Error", "", "");
       return true;
     }
-    double replyDelayMs = drawReplyDelay(request);
+    double replyDelayMs = drawReplyDelay(request, attempt);
     if (Double.isNaN(replyDelayMs)) {
       respond(peer, "200 OK", "", request.id);
     } else {
--- a/src/test/java/beampoint/soak/SoakPeer.java
+++ b/src/test/java/beampoint/soak/SoakPeer.java
@@ -1,6 +1,7 @@
 package beampoint.soak;
 
 import beampoint.Stub;
+import beampoint.soak.Request.Attempt;
 import java.io.IOException;
 import java.util.SplittableRandom;
 import java.util.concurrent.ExecutorService;
@@ -61,16 +62,20 @@
 
   /**
    * Draws whether a read gets a long reply whose rest comes late, and how late: within its deadline. Returns
-   * the delay of the rest in ms, or NaN for a reply that is sent at once.
+   * the delay of the rest in ms, or NaN for a reply that is sent at once. A reply that begins when the attempt
+   * may just have ended is not drawn, as its proxy may not see it begin.
    */
-  double drawReplyDelay(Request request) {
-    double left = request.sentAt() + request.deadlineMs - MIN_TIME_LEFT_MS - context.clock().now();
-    if (!slowReplies || request.kind.write || context.terminating().get() || left <= 0
-        || draw() >= SLOW_REPLY_PART) {
+  double drawReplyDelay(Request request, Attempt attempt) {
+    double now = context.clock().now();
+    double left = request.sentAt() + request.deadlineMs - MIN_TIME_LEFT_MS - now;
+    double attemptLeft = attempt.at() + attempt.deadlineMs() - Bounds.TIMEOUT_TOLERANCE_MS - now;
+    boolean mayBeSlow = slowReplies && !request.kind.write && !context.terminating().get()
+        && Double.isFinite(left) && left > 0 && attemptLeft > 0;
+    if (!mayBeSlow || draw() >= SLOW_REPLY_PART) {
       return Double.NaN;
     }
     double delay = left * draw();
-    request.recordSlowReply(context.clock().now() + delay);
+    request.recordSlowReply(now + delay);
     return delay;
   }
 
