--- a/src/test/java/beampoint/soak/SoakPeer.java
+++ b/src/test/java/beampoint/soak/SoakPeer.java
@@ -62,8 +62,8 @@
 
   /**
    * Draws whether a read gets a long reply whose rest comes late, and how late: within its deadline. Returns
-   * the delay of the rest in ms, or NaN for a reply that is sent at once. A reply that begins when the attempt
-   * may just have ended is not drawn, as its proxy may not see it begin.
+   * the delay of the rest in ms, or NaN for a reply that is sent at once. None is drawn that begins when its
+   * attempt may just have ended, as its proxy may not see it begin.
    */
   double drawReplyDelay(Request request, Attempt attempt) {
     double now = context.clock().now();
